--- /dev/null
+++ b/crates/cherryyard-rehearsal/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
--- /dev/null
+++ b/crates/cherryyard-wire/src/job.rs
@@ -0,0 +1,147 @@
+//! Users' jobs as they are submitted and shown.
+
+use serde::{Deserialize, Serialize};
+
+/// Most tasks in a job.
+pub const MAX_PIECES: u32 = 100_000;
+
+/// What a job's tasks do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Shape {
+    /// Independent tasks, each runs to completion.
+    Sweep,
+    /// Replicas that run until the job is cancelled.
+    Service,
+}
+
+/// Priority; later ones are more important.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Rank {
+    /// Runs on what is left.
+    BestEffort,
+    /// The usual.
+    Standard,
+    /// Above the usual.
+    High,
+    /// Above all.
+    Critical,
+}
+
+/// A job as its user submits it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[allow(missing_docs)] // the field names are the protocol's, described there
+pub struct JobSpec {
+    pub id: String,
+    pub jobclass: String,
+    pub owner: String,
+    pub shape: Shape,
+    pub rank: Rank,
+    pub pieces: u32,
+    pub cores: f64,
+    pub accelerators: f64,
+    pub ram_gb: f64,
+    pub bundle: String,
+    pub image_gb: f64,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub kinds_of_host: Option<Vec<String>>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub yard: Option<String>,
+    pub together: bool,
+    pub apart: bool,
+    pub borrowed: bool,
+    pub expected_s: f64,
+    pub snapshot_every_s: f64,
+    pub snapshot_cost_s: f64,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub due_s: Option<f64>,
+}
+
+/// The number in a job id: `j-` and six or more digits, without needless zeros.
+pub fn job_number(id: &str) -> Option<u64> {
+    let digits = id.strip_prefix("j-")?;
+    let plain = digits.bytes().all(|b| b.is_ascii_digit());
+    let padded = digits.len() == 6 || (digits.len() > 6 && !digits.starts_with('0'));
+    if !plain || !padded || digits.len() > 18 {
+        return None;
+    }
+    digits.parse().ok()
+}
+
+/// The id of job `number`.
+pub fn job_id(number: u64) -> String {
+    format!("j-{number:06}")
+}
+
+impl JobSpec {
+    /// Reads and checks a submission; the error names the field.
+    pub fn parse(body: &[u8]) -> Result<Self, String> {
+        let spec: Self = crate::parse_object(body)?;
+        spec.check()?;
+        Ok(spec)
+    }
+
+    fn check(&self) -> Result<(), String> {
+        if job_number(&self.id).is_none() {
+            return Err("id: must be `j-` and digits, such as j-000412".into());
+        }
+        for (name, text) in
+            [("jobclass", &self.jobclass), ("owner", &self.owner), ("bundle", &self.bundle)]
+        {
+            if text.is_empty() || text.len() > 200 {
+                return Err(format!("{name}: must have 1 to 200 bytes"));
+            }
+        }
+        if self.pieces == 0 || self.pieces > MAX_PIECES {
+            return Err(format!("pieces: must be from 1 to {MAX_PIECES}"));
+        }
+        if !(self.cores.is_finite() && self.cores > 0.0) {
+            return Err("cores: must be above 0".into());
+        }
+        let amounts = [
+            ("accelerators", self.accelerators),
+            ("ram_gb", self.ram_gb),
+            ("image_gb", self.image_gb),
+            ("expected_s", self.expected_s),
+            ("snapshot_every_s", self.snapshot_every_s),
+            ("snapshot_cost_s", self.snapshot_cost_s),
+            ("due_s", self.due_s.unwrap_or(0.0)),
+        ];
+        for (name, x) in amounts {
+            if !x.is_finite() || x < 0.0 {
+                return Err(format!("{name}: must be 0 or more"));
+            }
+        }
+        Ok(())
+    }
+}
+
+/// A job's state as users see it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum JobStatus {
+    /// No task runs.
+    Queued,
+    /// Some task runs.
+    Running,
+    /// All tasks are done.
+    Done,
+    /// Its user has cancelled it.
+    Cancelled,
+}
+
+/// The answer to a poll.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobView {
+    /// The job's id.
+    pub id: String,
+    /// Its state.
+    pub status: JobStatus,
+    /// Tasks completed, for display.
+    #[serde(default)]
+    pub done: u32,
+    /// Tasks running, for display.
+    #[serde(default)]
+    pub running: u32,
+}
--- /dev/null
+++ b/crates/cherryyard-wire/src/lib.rs
@@ -0,0 +1,40 @@
+//! Wire formats of cherryyard.
+//!
+//! Everything that crosses a process boundary is described here and nowhere
+//! else: the platform's settings, users' jobs, workers' reports and orders,
+//! the cloud's and the state service's messages, the records kept in the
+//! state service and the frames that controllers exchange. The crate does no
+//! I/O, so clients can use it too.
+
+pub mod cloud;
+pub mod job;
+pub mod peer;
+pub mod ranges;
+pub mod record;
+pub mod settings;
+pub mod state;
+pub mod worker;
+
+pub use ranges::RangeSet;
+
+/// Largest request body, and largest line of an answer, in bytes.
+pub const MAX_BODY: usize = 64 * 1024;
+
+/// Parses `text` as a JSON object of type `T`; the error names the field.
+///
+/// Arrays are refused although serde would accept them for a struct.
+pub fn parse_object<T: serde::de::DeserializeOwned>(text: &[u8]) -> Result<T, String> {
+    let value: serde_json::Value =
+        serde_json::from_slice(text).map_err(|e| format!("not JSON: {e}"))?;
+    if !value.is_object() {
+        return Err("not a JSON object".into());
+    }
+    serde_path_to_error::deserialize(value).map_err(|e| {
+        let path = e.path().to_string();
+        if path == "." {
+            e.into_inner().to_string()
+        } else {
+            format!("{path}: {}", e.into_inner())
+        }
+    })
+}
--- /dev/null
+++ b/crates/cherryyard-wire/src/peer.rs
@@ -0,0 +1,98 @@
+//! What controllers tell each other: one message, the beat.
+//!
+//! A frame is a length (4 bytes, big endian), the version byte, and the beat
+//! in `bitcode`. Frames over [`MAX_FRAME`] are refused before they are read.
+
+use bitcode::{Decode, Encode};
+
+/// The version of the frames.
+pub const VERSION: u8 = 1;
+/// Largest frame in bytes.
+pub const MAX_FRAME: usize = 256 * 1024;
+
+/// What a controller tells every other, regularly and when it changes.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct Beat {
+    /// The sender's name.
+    pub label: String,
+    /// Whether the sender is cut off from the state service.
+    pub cut_off: bool,
+    /// The state revision that the sender has seen.
+    pub epoch: u64,
+    /// Claims that the sender knows: part, stamp, and the owner's name.
+    pub claims: Vec<(u32, u64, String)>,
+    /// The parts that the sender owns.
+    pub parts: Vec<PartReport>,
+    /// Teams that are short of their grants, told by the leader.
+    pub short: Vec<String>,
+}
+
+/// Free room and waiting tasks of a part.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct PartReport {
+    /// The part.
+    pub part: u32,
+    /// Stamp of the claim that the report was made under.
+    pub stamp: u64,
+    /// Usable machines.
+    pub machines: Vec<MachineRoom>,
+    /// Waiting tasks by job: the job's number, how many, and for how long.
+    pub waiting: Vec<(u64, u32, f32)>,
+    /// What the part uses and wants of each team's limit: team, cores and accelerators.
+    pub wants: Vec<(String, f64, f64)>,
+}
+
+/// Free room of a machine.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct MachineRoom {
+    /// Its type.
+    pub kind: String,
+    /// Its zone.
+    pub zone: String,
+    /// Spot or ordinary.
+    pub spot: bool,
+    /// Free cores, accelerators and memory.
+    pub free: (f32, f32, f32),
+}
+
+/// Puts a beat into a frame's payload.
+pub fn encode(beat: &Beat) -> Vec<u8> {
+    let mut out = vec![VERSION];
+    out.extend(bitcode::encode(beat));
+    out
+}
+
+/// Reads a frame's payload.
+pub fn decode(payload: &[u8]) -> Result<Beat, String> {
+    match payload.split_first() {
+        Some((&VERSION, rest)) => bitcode::decode(rest).map_err(|e| e.to_string()),
+        Some((v, _)) => Err(format!("version {v} instead of {VERSION}")),
+        None => Err("empty frame".into()),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A truncated, foreign or random frame is an error, never a panic.
+    #[test]
+    fn bad_frames_are_refused() {
+        let beat = Beat {
+            label: "a".into(),
+            cut_off: false,
+            epoch: 7,
+            claims: vec![(0, 3, "a".into())],
+            parts: vec![],
+            short: vec![],
+        };
+        let whole = encode(&beat);
+        assert_eq!(decode(&whole).as_ref(), Ok(&beat));
+        for n in 0..whole.len() {
+            assert!(decode(&whole[..n]).is_err(), "{n} bytes");
+        }
+        let mut foreign = whole.clone();
+        foreign[0] = 9;
+        assert_eq!(decode(&foreign), Err("version 9 instead of 1".into()));
+    }
+}
--- /dev/null
+++ b/crates/cherryyard-wire/src/ranges.rs
@@ -0,0 +1,206 @@
+//! Sets of task numbers, kept as inclusive ranges.
+
+use serde::{Deserialize, Serialize};
+
+/// A set of task numbers. In JSON it is a list of `[first, last]` pairs.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct RangeSet(Vec<(u32, u32)>);
+
+impl RangeSet {
+    /// The empty set.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The numbers from `first` to `last`, both included.
+    pub fn span(first: u32, last: u32) -> Self {
+        if first > last { Self::new() } else { Self(vec![(first, last)]) }
+    }
+
+    /// Whether the ranges are in order, disjoint and apart, as `insert` keeps them.
+    pub fn is_canonical(&self) -> bool {
+        self.0.iter().all(|r| r.0 <= r.1)
+            && self.0.windows(2).all(|w| w[0].1 < u32::MAX && w[0].1 + 1 < w[1].0)
+    }
+
+    /// How many numbers the set holds.
+    pub fn len(&self) -> u32 {
+        self.0.iter().map(|r| r.1 - r.0 + 1).sum()
+    }
+
+    /// Whether the set is empty.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// The ranges, in order.
+    pub fn ranges(&self) -> &[(u32, u32)] {
+        &self.0
+    }
+
+    /// Whether `n` is in the set.
+    pub fn contains(&self, n: u32) -> bool {
+        let i = self.0.partition_point(|r| r.1 < n);
+        self.0.get(i).is_some_and(|r| r.0 <= n)
+    }
+
+    /// All numbers, in order.
+    pub fn iter(&self) -> impl Iterator<Item = u32> + '_ {
+        self.0.iter().flat_map(|r| r.0..=r.1)
+    }
+
+    /// Adds `n`.
+    pub fn insert(&mut self, n: u32) {
+        let i = self.0.partition_point(|r| r.1 < n);
+        if self.0.get(i).is_some_and(|r| r.0 <= n) {
+            return;
+        }
+        let joins_left = i > 0 && self.0[i - 1].1 + 1 == n;
+        let joins_right = self.0.get(i).is_some_and(|r| n + 1 == r.0);
+        match (joins_left, joins_right) {
+            (true, true) => {
+                self.0[i - 1].1 = self.0[i].1;
+                self.0.remove(i);
+            }
+            (true, false) => self.0[i - 1].1 = n,
+            (false, true) => self.0[i].0 = n,
+            (false, false) => self.0.insert(i, (n, n)),
+        }
+    }
+
+    /// Removes `n`.
+    pub fn remove(&mut self, n: u32) {
+        let i = self.0.partition_point(|r| r.1 < n);
+        let Some(&(a, b)) = self.0.get(i) else { return };
+        if a > n {
+            return;
+        }
+        match (a == n, b == n) {
+            (true, true) => {
+                self.0.remove(i);
+            }
+            (true, false) => self.0[i].0 = n + 1,
+            (false, true) => self.0[i].1 = n - 1,
+            (false, false) => {
+                self.0[i].1 = n - 1;
+                self.0.insert(i + 1, (n + 1, b));
+            }
+        }
+    }
+
+    /// The numbers of `self` that are not in `other`.
+    pub fn minus(&self, other: &Self) -> Self {
+        let mut out = Vec::new();
+        let mut j = 0;
+        for &(a, b) in &self.0 {
+            let mut from = a;
+            while j < other.0.len() && other.0[j].1 < a {
+                j += 1;
+            }
+            let mut k = j;
+            let mut open = true;
+            while k < other.0.len() && other.0[k].0 <= b {
+                let (c, d) = other.0[k];
+                if c > from {
+                    out.push((from, c - 1));
+                }
+                if d >= b {
+                    open = false;
+                    break;
+                }
+                from = from.max(d + 1);
+                k += 1;
+            }
+            if open && from <= b {
+                out.push((from, b));
+            }
+        }
+        Self(out)
+    }
+
+    /// The numbers in either set.
+    pub fn union(&self, other: &Self) -> Self {
+        let mut all: Vec<_> = self.0.iter().chain(&other.0).copied().collect();
+        all.sort_unstable();
+        let mut out: Vec<(u32, u32)> = Vec::with_capacity(all.len());
+        for (a, b) in all {
+            match out.last_mut() {
+                Some(last) if a <= last.1.saturating_add(1) => last.1 = last.1.max(b),
+                _ => out.push((a, b)),
+            }
+        }
+        Self(out)
+    }
+
+    /// The first `n` numbers, as a set of their own.
+    pub fn first(&self, n: u32) -> Self {
+        let mut out = Vec::new();
+        let mut left = n;
+        for &(a, b) in &self.0 {
+            if left == 0 {
+                break;
+            }
+            let take = (b - a + 1).min(left);
+            out.push((a, a + take - 1));
+            left -= take;
+        }
+        Self(out)
+    }
+}
+
+impl FromIterator<u32> for RangeSet {
+    fn from_iter<T: IntoIterator<Item = u32>>(iter: T) -> Self {
+        let mut set = Self::new();
+        for n in iter {
+            set.insert(n);
+        }
+        set
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Every operation agrees with a plain set of numbers.
+    #[test]
+    fn agrees_with_a_plain_set() {
+        use std::collections::BTreeSet;
+        let mut x = 9u32;
+        let mut next = move || {
+            x = x.wrapping_mul(1_664_525).wrapping_add(1_013_904_223);
+            x >> 8
+        };
+        let (mut a, mut pa) = (RangeSet::new(), BTreeSet::new());
+        let (mut b, mut pb) = (RangeSet::new(), BTreeSet::new());
+        for _ in 0..3000 {
+            let n = next() % 60;
+            match next() % 4 {
+                0 => {
+                    a.insert(n);
+                    pa.insert(n);
+                }
+                1 => {
+                    a.remove(n);
+                    pa.remove(&n);
+                }
+                2 => {
+                    b.insert(n);
+                    pb.insert(n);
+                }
+                _ => {
+                    b.remove(n);
+                    pb.remove(&n);
+                }
+            }
+            assert!(a.is_canonical() && b.is_canonical());
+            assert!(a.iter().eq(pa.iter().copied()));
+            assert!(a.minus(&b).iter().eq(pa.difference(&pb).copied()));
+            assert!(a.union(&b).iter().eq(pa.union(&pb).copied()));
+            assert!(a.first(5).iter().eq(pa.iter().copied().take(5)));
+            assert_eq!(a.contains(n), pa.contains(&n));
+            assert_eq!(a.len() as usize, pa.len());
+        }
+    }
+}
--- /dev/null
+++ b/crates/cherryyard-wire/src/state.rs
@@ -0,0 +1,136 @@
+//! The state service's messages.
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+/// A key and its value.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Pair {
+    /// The key.
+    pub key: String,
+    /// Its value.
+    pub v: Value,
+    /// Revision of its last change.
+    pub stamp: u64,
+}
+
+/// One page of a range read.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Page {
+    /// Keys in order.
+    pub pairs: Vec<Pair>,
+    /// Whether more follow.
+    #[serde(default)]
+    pub truncated: bool,
+    /// The revision that the page describes.
+    pub epoch: u64,
+}
+
+/// A compared version; 0 means absent.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct When {
+    /// The key.
+    pub key: String,
+    /// The version it must have.
+    pub stamp: u64,
+}
+
+/// One change of a transaction.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum Apply {
+    /// Puts a value.
+    Set {
+        /// The key.
+        set: String,
+        /// The value.
+        v: Value,
+        /// The lease it hangs on.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        hold: Option<u64>,
+    },
+    /// Deletes a key.
+    Delete {
+        /// The key.
+        delete: String,
+    },
+}
+
+impl Apply {
+    /// A put without a lease.
+    pub fn set(key: impl Into<String>, v: Value) -> Self {
+        Self::Set { set: key.into(), v, hold: None }
+    }
+
+    /// A deletion.
+    pub fn delete(key: impl Into<String>) -> Self {
+        Self::Delete { delete: key.into() }
+    }
+
+    /// The key that changes.
+    pub fn key(&self) -> &str {
+        match self {
+            Self::Set { set, .. } => set,
+            Self::Delete { delete } => delete,
+        }
+    }
+}
+
+/// A transaction.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Commit {
+    /// What must hold.
+    pub when: Vec<When>,
+    /// What changes then.
+    pub apply: Vec<Apply>,
+}
+
+impl Commit {
+    /// Adds a condition unless the same key is conditioned already.
+    pub fn require(&mut self, key: impl Into<String>, stamp: u64) {
+        let key = key.into();
+        if !self.when.iter().any(|w| w.key == key) {
+            self.when.push(When { key, stamp });
+        }
+    }
+}
+
+/// The answer to a transaction or to a read of an absent key.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Epoch {
+    /// The revision.
+    pub epoch: u64,
+}
+
+/// A state lease.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Hold {
+    /// Its number.
+    pub hold: u64,
+}
+
+/// What a watch returns.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct News {
+    /// The revision up to which the changes are told.
+    pub epoch: u64,
+    /// The changes, in order.
+    #[serde(default)]
+    pub news: Vec<Change>,
+}
+
+/// One change that a watch tells.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Change {
+    /// The key put, or null.
+    #[serde(default)]
+    pub set: Option<String>,
+    /// The key deleted, or null.
+    #[serde(default)]
+    pub delete: Option<String>,
+    /// The value put.
+    #[serde(default)]
+    pub v: Value,
+    /// The revision.
+    pub stamp: u64,
+}
