--- /dev/null
+++ b/crates/cherryyard-core/src/admit.rs
@@ -0,0 +1,77 @@
+//! Whether a job can ever run here.
+
+use crate::{Config, Mirror};
+use cherryyard_wire::cloud::HostKind;
+use cherryyard_wire::job::{JobSpec, Shape};
+
+/// Why a submission is not taken.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Reject {
+    /// It is malformed.
+    Malformed(String),
+    /// It can never run.
+    Never(String),
+    /// That cannot be decided yet.
+    NotYet(&'static str),
+}
+
+/// Whether a task of the job fits an empty machine of this type.
+pub fn fits_kind(spec: &JobSpec, kind: &HostKind) -> bool {
+    spec.cores <= kind.cores + 1e-9
+        && spec.accelerators <= kind.accelerators + 1e-9
+        && spec.ram_gb <= kind.ram_gb + 1e-9
+        && allows_kind(spec, &kind.sku)
+}
+
+/// Whether the job allows this type.
+pub fn allows_kind(spec: &JobSpec, sku: &str) -> bool {
+    spec.kinds_of_host.as_ref().is_none_or(|k| k.iter().any(|name| name == sku))
+}
+
+/// Checks a submission, and drops what the record need not keep.
+pub fn admit(spec: &mut JobSpec, mirror: &Mirror, config: &Config) -> Result<(), Reject> {
+    if mirror.kinds.is_empty() {
+        return Err(Reject::NotYet("the machine types are not known yet"));
+    }
+    let never = |text: String| Err(Reject::Never(text));
+    let Some(team) = config.team_names.get(&spec.owner) else {
+        return never(format!("owner: unknown team `{}`", spec.owner));
+    };
+    if let Some(zone) = &spec.yard
+        && config.zones.get(zone).is_none()
+    {
+        return never(format!("yard: unknown zone `{zone}`"));
+    }
+    if let Some(kinds) = &mut spec.kinds_of_host {
+        // Unknown types can run nothing, and a record has a limited size.
+        kinds.retain(|name| mirror.kinds.iter().any(|k| k.sku == *name));
+        kinds.sort();
+        kinds.dedup();
+    }
+    let zones: std::collections::BTreeSet<&str> = mirror
+        .kinds
+        .iter()
+        .filter(|k| fits_kind(spec, k))
+        .flat_map(|k| k.yards.iter().map(String::as_str))
+        .filter(|z| spec.yard.as_deref().is_none_or(|y| y == *z))
+        .collect();
+    if zones.is_empty() {
+        return never("kinds_of_host: a task fits no allowed machine type".into());
+    }
+    if spec.apart && spec.pieces > 1 && (spec.together || zones.len() < 2) {
+        return never("apart: the tasks would have to be in one zone".into());
+    }
+    let team = &config.teams[team as usize];
+    let count = if spec.shape == Shape::Service { f64::from(spec.pieces) } else { 1.0 };
+    if spec.cores * count > team.cores_max + 1e-9 {
+        return never("cores: more than the team's limit".into());
+    }
+    if spec.accelerators * count > team.acc_max + 1e-9 {
+        return never("accelerators: more than the team's limit".into());
+    }
+    let size = serde_json::to_vec(&spec).map_or(usize::MAX, |v| v.len());
+    if size + 300 > config.value_bytes {
+        return Err(Reject::Malformed("bundle: the job's names are too long to keep".into()));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/cherryyard-core/src/config.rs
@@ -0,0 +1,137 @@
+//! What a controller knows from its settings, in the core's own terms.
+
+use crate::names::Names;
+use crate::parting::Parting;
+use cherryyard_wire::settings::Settings;
+
+/// Operators' own settings, each with a default.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Tuning {
+    /// The proposal's AutoscaleMultiClusterDelay in seconds: how long a part
+    /// may keep tasks waiting before the leader moves them.
+    pub autoscale_multi_cluster_delay_s: f64,
+    /// Seconds between two reports of free room to the leader.
+    pub room_report_s: f64,
+    /// Share of the fleet's cores that renting ahead keeps free.
+    pub headroom_share: f64,
+    /// Seconds without work after which a rented machine may be returned.
+    pub idle_return_s: f64,
+}
+
+impl Default for Tuning {
+    fn default() -> Self {
+        Self {
+            autoscale_multi_cluster_delay_s: 10.0,
+            room_report_s: 5.0,
+            headroom_share: 0.2,
+            idle_return_s: 150.0,
+        }
+    }
+}
+
+/// A team's guarantee and limit.
+#[derive(Clone, Debug)]
+pub struct Team {
+    /// Guaranteed cores.
+    pub cores: f64,
+    /// Guaranteed accelerators.
+    pub acc: f64,
+    /// Most cores, infinite without a limit.
+    pub cores_max: f64,
+    /// Most accelerators, infinite without a limit.
+    pub acc_max: f64,
+}
+
+impl Team {
+    /// Whether the team has a limit of any sort.
+    pub fn limited(&self) -> bool {
+        self.cores_max.is_finite() || self.acc_max.is_finite()
+    }
+}
+
+/// One controller's configuration.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// This controller's index among all.
+    pub me: usize,
+    /// All controllers' names, in the agreed order.
+    pub labels: Vec<String>,
+    /// Which part a machine belongs to.
+    pub parting: Parting,
+    /// Zone names.
+    pub zones: Names,
+    /// Team names.
+    pub team_names: Names,
+    /// Teams by index.
+    pub teams: Vec<Team>,
+    /// Workers' lease.
+    pub lease_ms: f64,
+    /// Time between reports.
+    pub report_ms: f64,
+    /// Time within which a cancelled job's tasks must be gone.
+    pub cancel_ms: f64,
+    /// Most changes in a transaction.
+    pub txn_ops: usize,
+    /// Largest value in bytes.
+    pub value_bytes: usize,
+    /// How late the machine list usually is.
+    pub list_lag_ms: f64,
+    /// How many task numbers share one marks key.
+    pub chunk: u32,
+    /// Operators' settings.
+    pub tuning: Tuning,
+}
+
+impl Config {
+    /// The configuration that `settings` describe.
+    pub fn new(settings: &Settings, tuning: Tuning) -> Self {
+        let controllers = settings.controllers();
+        let c = &settings.cluster;
+        let most = |x: f64| if x > 0.0 { x } else { f64::INFINITY };
+        let value_bytes = (c.state.value_kb * 1024.0) as usize;
+        Self {
+            me: controllers.iter().position(|(l, _)| *l == settings.label).unwrap_or(0),
+            labels: controllers.iter().map(|(l, _)| l.clone()).collect(),
+            parting: Parting::new(&controllers),
+            zones: Names::of(c.zones.iter().map(String::as_str)),
+            team_names: Names::of(c.teams.iter().map(|t| t.name.as_str())),
+            teams: c
+                .teams
+                .iter()
+                .map(|t| Team {
+                    cores: t.cpus,
+                    acc: t.gpus,
+                    cores_max: most(t.cpus_max),
+                    acc_max: most(t.gpus_max),
+                })
+                .collect(),
+            lease_ms: c.workers.lease_s * 1000.0,
+            report_ms: c.workers.report_s * 1000.0,
+            cancel_ms: c.workers.cancel_s * 1000.0,
+            txn_ops: c.state.txn_ops,
+            value_bytes,
+            list_lag_ms: c.cloud.list_lag_s * 1000.0,
+            chunk: chunk_size(value_bytes),
+            tuning,
+        }
+    }
+
+    /// How many parts there are.
+    pub fn parts(&self) -> usize {
+        self.labels.len()
+    }
+
+    /// After this long without news from the state service an owner stops
+    /// answering workers: their leases must have ended before a cancellation
+    /// that it cannot see runs out.
+    pub fn cut_off_bound_ms(&self) -> f64 {
+        let margin = (self.cancel_ms * 0.05).max(1500.0);
+        ((self.cancel_ms - self.lease_ms * 1.001 - margin) * 0.999).max(0.0)
+    }
+}
+
+/// Task numbers per marks key: even if each number is on a machine of its own
+/// and attempts are large, the record stays below the value limit.
+pub fn chunk_size(value_bytes: usize) -> u32 {
+    ((value_bytes.saturating_sub(64) / 64) as u32).clamp(4, 1024)
+}
--- a/crates/cherryyard-core/src/lib.rs
+++ b/crates/cherryyard-core/src/lib.rs
@@ -1,1 +1,25 @@
-//! placeholder
+//! The scheduling core of cherryyard.
+//!
+//! [`Node`] is one controller: it takes events (state changes, reports, beats,
+//! answers, the time) and returns effects (transactions, direct commands,
+//! rentals). It does no I/O and reads no clock, so the same events always give
+//! the same effects, which is what the rehearsal crate builds on.
+
+pub mod admit;
+pub mod config;
+pub mod divide;
+pub mod leader;
+pub mod machine;
+pub mod mirror;
+pub mod names;
+pub mod node;
+pub mod owner;
+pub mod parting;
+
+pub use config::{Config, Tuning};
+pub use machine::{HostState, Machine, Task};
+pub use mirror::Mirror;
+pub use node::{Effect, Node, Outcome, PushOutcome, Reply, Ticket};
+
+/// Milliseconds on this process's steady clock.
+pub type Millis = f64;
--- /dev/null
+++ b/crates/cherryyard-core/src/machine.rs
@@ -0,0 +1,296 @@
+//! One machine as its part's owner sees it.
+
+use crate::Millis;
+use crate::mirror::Needs;
+use cherryyard_wire::worker::{Cause, PieceStatus, Report, piece_numbers};
+use std::collections::BTreeMap;
+
+/// A task: its job's number and its own.
+pub type Task = (u64, u32);
+
+/// Where a machine stands with its owner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HostState {
+    /// Has not reported under our token: nothing is known of it that counts.
+    Unconfirmed,
+    /// Reports under our token.
+    Ready,
+    /// Its last answered report is older than its lease: its tasks are gone.
+    Expired,
+    /// A release has been asked for.
+    Returning,
+    /// The cloud has answered the release: it and all on it are gone.
+    Gone,
+}
+
+/// What moves a machine from one state to another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HostEvent {
+    /// A report that carries our token.
+    Confirmed,
+    /// Its lease has run out.
+    LeaseOver,
+    /// We have asked the cloud to take it back.
+    ReleaseAsked,
+    /// The cloud has refused or not answered.
+    ReleaseFailed,
+    /// The cloud has answered 200.
+    Released,
+    /// Our token has changed, so nothing reported under the old one counts.
+    TokenChanged,
+}
+
+/// A task as a worker last reported it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Seen {
+    /// The attempt.
+    pub attempt: u64,
+    /// Its state.
+    pub status: PieceStatus,
+    /// Why it ended.
+    pub cause: Option<Cause>,
+}
+
+impl Seen {
+    /// Whether the task is over.
+    pub fn ended(&self) -> bool {
+        self.status == PieceStatus::Ended
+    }
+}
+
+/// A start that was sent directly and may yet take effect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PushedStart {
+    /// The task.
+    pub task: Task,
+    /// The attempt.
+    pub attempt: u64,
+    /// The session it was sent to.
+    pub session: u64,
+}
+
+/// One machine.
+#[derive(Clone, Debug)]
+pub struct Machine {
+    /// Its index among machine names.
+    pub host: u32,
+    /// Where it takes direct commands.
+    pub addr: String,
+    /// Its type.
+    pub kind: String,
+    /// Its zone.
+    pub zone: String,
+    /// Spot or ordinary.
+    pub spot: bool,
+    /// Its part.
+    pub part: usize,
+    /// Where it stands.
+    pub state: HostState,
+    /// Session and sequence number of the newest message.
+    pub newest: (u64, u64),
+    /// The token in the newest message.
+    pub token: u64,
+    /// The owner's token when the newest message came; 0 before any.
+    pub confirmed_token: u64,
+    /// Its tasks in the newest message.
+    pub seen: BTreeMap<Task, Seen>,
+    /// Whether its lease has run out with nobody but us able to renew it.
+    pub lease_over: bool,
+    /// When it will be taken away, if it has said so.
+    pub recall_at: Option<Millis>,
+    /// When a message last came.
+    pub heard_at: Millis,
+    /// When a report of it was last answered 200.
+    pub answered_at: Millis,
+    /// Starts sent directly whose fate is not known.
+    pub pushed: Vec<PushedStart>,
+    /// Starts in the answer to the newest report.
+    pub offered: Vec<(Task, u64)>,
+    /// Whether a direct command is under way.
+    pub pushing: bool,
+    /// No direct command before this time.
+    pub push_after: Millis,
+    /// Images it has, the most recently used last.
+    pub images: Vec<(String, f64)>,
+    /// Not used for new tasks before this time, after failures.
+    pub avoid_until: Millis,
+    /// Failures without a completion in between.
+    pub failures: u32,
+    /// When it last had a task.
+    pub busy_at: Millis,
+    /// When it may be released again after a failed try.
+    pub release_after: Millis,
+    /// When we first heard of it.
+    pub since: Millis,
+}
+
+impl Machine {
+    /// A machine of which nothing is known but what `report` says it is.
+    pub fn new(host: u32, part: usize, report: &Report, now: Millis) -> Self {
+        Self {
+            host,
+            addr: report.addr.clone(),
+            kind: report.host_kind.clone(),
+            zone: report.yard.clone(),
+            spot: report.borrowed,
+            part,
+            state: HostState::Unconfirmed,
+            newest: (0, 0),
+            token: 0,
+            confirmed_token: 0,
+            seen: BTreeMap::new(),
+            lease_over: false,
+            recall_at: None,
+            heard_at: now,
+            answered_at: now,
+            pushed: Vec::new(),
+            offered: Vec::new(),
+            pushing: false,
+            push_after: now,
+            images: Vec::new(),
+            avoid_until: 0.0,
+            failures: 0,
+            busy_at: now,
+            release_after: now,
+            since: now,
+        }
+    }
+
+    /// The one place where a machine's state changes.
+    pub fn change(&mut self, event: HostEvent) {
+        use HostEvent::*;
+        use HostState::*;
+        match event {
+            LeaseOver => self.lease_over = self.token_ours(),
+            Confirmed | TokenChanged => self.lease_over = false,
+            _ => {}
+        }
+        if event == TokenChanged {
+            self.confirmed_token = 0;
+        }
+        self.state = match (self.state, event) {
+            (Gone, _) | (_, Released) => Gone,
+            (_, ReleaseAsked) => Returning,
+            // Never back to Ready by itself: the release may yet take effect.
+            (Returning, Confirmed | LeaseOver | ReleaseFailed) => Returning,
+            (Returning, TokenChanged) => Returning,
+            (_, TokenChanged) => Unconfirmed,
+            (_, Confirmed) => Ready,
+            (Ready | Expired, LeaseOver) => Expired,
+            // Silence of a machine that has never shown our token proves
+            // nothing: its old owner may still be answering it.
+            (Unconfirmed, LeaseOver) => Unconfirmed,
+            (state, ReleaseFailed) => state,
+        };
+    }
+
+    /// Takes a message if it is newer than what is known; says whether it was.
+    pub fn hear(&mut self, report: &Report, own_token: u64, now: Millis) -> bool {
+        let order = (report.tenure, report.tick);
+        if order <= self.newest {
+            return false;
+        }
+        if report.tenure > self.newest.0 || report.baton > self.token {
+            // Direct commands to an older session, or under a lower token than
+            // the worker has seen, can no longer take effect.
+            let (session, token_rose) = (report.tenure, report.baton > self.token);
+            self.pushed.retain(|p| p.session >= session && !token_rose);
+        }
+        self.newest = order;
+        self.token = report.baton;
+        self.confirmed_token = own_token;
+        self.heard_at = now;
+        self.addr.clone_from(&report.addr);
+        self.recall_at = report.recall_s.map(|s| now + s.max(0.0) * 1000.0);
+        self.seen.clear();
+        for piece in &report.pieces {
+            if let Some(task) = piece_numbers(&piece.piece) {
+                let seen =
+                    Seen { attempt: piece.attempt, status: piece.status, cause: piece.cause };
+                // The same task twice: the one still there counts.
+                let place = self.seen.entry(task).or_insert(seen);
+                if place.ended() {
+                    *place = seen;
+                }
+            }
+        }
+        if !self.seen.is_empty() {
+            self.busy_at = now;
+        }
+        if report.baton == own_token {
+            self.change(HostEvent::Confirmed);
+        }
+        true
+    }
+
+    /// Whether a start of this attempt may yet take effect.
+    pub fn start_pending(&self, task: Task, attempt: u64) -> bool {
+        self.pushed.iter().any(|p| p.task == task && p.attempt == attempt)
+            || self.offered.contains(&(task, attempt))
+    }
+
+    /// Whether a task with this mark is proven not to be on the machine, nor
+    /// able to come back there.
+    pub fn proven_gone(&self, task: Task, session: u64, attempt: u64) -> bool {
+        if self.lease_over && session <= self.newest.0 {
+            return true;
+        }
+        match self.state {
+            HostState::Gone => true,
+            HostState::Unconfirmed | HostState::Expired => false,
+            HostState::Ready | HostState::Returning => {
+                // Returning may follow Unconfirmed; only a report that carries
+                // our token counts.
+                self.token_ours()
+                    && (session < self.newest.0
+                        || (session == self.newest.0
+                            && !self.start_pending(task, attempt)
+                            && self
+                                .seen
+                                .get(&task)
+                                .is_none_or(|s| s.attempt != attempt || s.ended())))
+            }
+        }
+    }
+
+    /// Whether the newest message carried the token that is ours now.
+    pub fn token_ours(&self) -> bool {
+        self.confirmed_token != 0 && self.token == self.confirmed_token
+    }
+
+    /// Notes that an image was used, and drops what no longer fits the cache.
+    pub fn use_image(&mut self, image: &str, gb: f64, cache_gb: f64) {
+        self.images.retain(|(name, _)| name != image);
+        self.images.push((image.to_string(), gb));
+        let mut total: f64 = self.images.iter().map(|i| i.1).sum();
+        while total > cache_gb && self.images.len() > 1 {
+            total -= self.images.remove(0).1;
+        }
+    }
+
+    /// Whether the machine holds an image.
+    pub fn has_image(&self, image: &str) -> bool {
+        self.images.iter().any(|(name, _)| name == image)
+    }
+
+    /// Whether new tasks may be placed here.
+    pub fn usable(&self, now: Millis, silence_ms: f64) -> bool {
+        self.state == HostState::Ready
+            && self.recall_at.is_none()
+            && now - self.heard_at <= silence_ms
+            && now >= self.avoid_until
+    }
+
+    /// What tasks on the machine that no mark accounts for may take is unknown;
+    /// the machine then counts as full.
+    pub fn has_strangers(&self, marked: impl Fn(Task, u64) -> bool) -> bool {
+        self.seen.iter().any(|(&task, s)| !s.ended() && !marked(task, s.attempt))
+    }
+
+    /// Room that is left of `whole` after `taken`.
+    pub fn room(whole: Needs, taken: Needs) -> Needs {
+        let mut left = whole;
+        left.take(&taken);
+        left
+    }
+}
--- /dev/null
+++ b/crates/cherryyard-core/src/mirror.rs
@@ -0,0 +1,571 @@
+//! The mirror: what the state service holds under our prefix.
+//!
+//! Changes arrive from one watch, from barriers and from our own answered
+//! transactions, in any order between these; each key keeps the change with
+//! the highest stamp.
+
+use crate::Config;
+use crate::names::Names;
+use cherryyard_wire::cloud::HostKind;
+use cherryyard_wire::job::{JobSpec, JobStatus, JobView, job_id};
+use cherryyard_wire::record::{Claim, End, Grant, JobRecord, Key, MarkRecord, Use};
+use cherryyard_wire::state::{Apply, Commit, News, Pair};
+use cherryyard_wire::{RangeSet, record};
+use serde_json::Value;
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+/// A claim on a part or on the lead.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ClaimState {
+    /// The owner's name.
+    pub label: String,
+    /// The claim's stamp: the owner's token.
+    pub stamp: u64,
+}
+
+/// A job that is not over.
+#[derive(Clone, Debug)]
+pub struct OpenJob {
+    /// Stamp of its record.
+    pub stamp: u64,
+    /// What was submitted.
+    pub spec: JobSpec,
+    /// Its team.
+    pub team: u32,
+    /// Time of day at its submission, in milliseconds.
+    pub at: u64,
+    /// Each part's task numbers; empty before the division.
+    pub div: Vec<RangeSet>,
+    /// The zone of all its tasks, if that was asked for.
+    pub zone: Option<String>,
+    /// Most tasks per part and zone, if tasks are to be apart.
+    pub caps: Vec<Vec<u32>>,
+}
+
+impl OpenJob {
+    /// Whether the leader has divided it.
+    pub fn divided(&self) -> bool {
+        !self.div.is_empty()
+    }
+
+    /// When it should be complete, in milliseconds of the day's clock.
+    pub fn due_ms(&self) -> f64 {
+        self.spec.due_s.map_or(f64::INFINITY, |s| self.at as f64 + s * 1000.0)
+    }
+
+    /// What one of its tasks takes.
+    pub fn needs(&self) -> Needs {
+        Needs { cores: self.spec.cores, acc: self.spec.accelerators, ram: self.spec.ram_gb }
+    }
+
+    /// The record, to write it anew.
+    pub fn record(&self) -> JobRecord {
+        JobRecord::Open {
+            spec: Box::new(self.spec.clone()),
+            at: self.at,
+            div: self.div.clone(),
+            zone: self.zone.clone(),
+            caps: self.caps.clone(),
+        }
+    }
+
+    /// The record of its end.
+    pub fn ended(&self, end: End) -> JobRecord {
+        JobRecord::Ended {
+            end,
+            n: self.spec.pieces,
+            r#use: Use {
+                team: self.spec.owner.clone(),
+                cores: self.spec.cores,
+                acc: self.spec.accelerators,
+                ram: self.spec.ram_gb,
+            },
+        }
+    }
+}
+
+/// Amounts of a machine's resources.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Needs {
+    /// Cores.
+    pub cores: f64,
+    /// Accelerators.
+    pub acc: f64,
+    /// Memory in GB.
+    pub ram: f64,
+}
+
+impl Needs {
+    /// Whether `self` fits into `free`, rounding aside.
+    pub fn fits(&self, free: &Needs) -> bool {
+        self.cores <= free.cores + 1e-6
+            && self.acc <= free.acc + 1e-6
+            && self.ram <= free.ram + 1e-6
+    }
+
+    /// How many times `self` fits into `free`.
+    pub fn times_in(&self, free: &Needs) -> u32 {
+        let times = |need: f64, have: f64| {
+            if need > 0.0 { ((have + 1e-6) / need).floor().max(0.0) } else { 1e6 }
+        };
+        times(self.cores, free.cores)
+            .min(times(self.acc, free.acc))
+            .min(times(self.ram, free.ram)) as u32
+    }
+
+    /// Takes `other` away.
+    pub fn take(&mut self, other: &Needs) {
+        self.cores -= other.cores;
+        self.acc -= other.acc;
+        self.ram -= other.ram;
+    }
+
+    /// Adds `other`.
+    pub fn give(&mut self, other: &Needs) {
+        self.cores += other.cores;
+        self.acc += other.acc;
+        self.ram += other.ram;
+    }
+}
+
+/// A job that is over.
+#[derive(Clone, Copy, Debug)]
+pub struct EndedJob {
+    /// How it ended.
+    pub end: End,
+    n: u32,
+    team: u32,
+    needs: (f32, f32, f32),
+}
+
+/// A number marked started: where, in which session, which attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Mark {
+    /// The machine.
+    pub host: u32,
+    /// The worker's session.
+    pub session: u64,
+    /// The attempt.
+    pub attempt: u64,
+}
+
+/// One chunk of a job's marks in a part.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Chunk {
+    /// Stamp of its key.
+    pub stamp: u64,
+    /// Marks by number.
+    pub marks: BTreeMap<u32, Mark>,
+    /// Numbers done.
+    pub done: RangeSet,
+}
+
+impl Chunk {
+    /// The record to write.
+    pub fn record(&self, hosts: &Names) -> MarkRecord {
+        let mut groups: BTreeMap<(u32, u64), Vec<(u32, u64)>> = BTreeMap::new();
+        for (&number, mark) in &self.marks {
+            groups.entry((mark.host, mark.session)).or_default().push((number, mark.attempt));
+        }
+        MarkRecord {
+            m: groups
+                .into_iter()
+                .map(|((host, session), list)| (hosts.name(host).to_string(), session, list))
+                .collect(),
+            d: self.done.clone(),
+        }
+    }
+}
+
+/// All marks of one job in one part, by chunk.
+pub type Marks = BTreeMap<u32, Chunk>;
+
+/// What the state service holds, as far as this controller has heard.
+#[derive(Clone, Debug)]
+pub struct Mirror {
+    /// Everything up to this revision has been seen.
+    pub epoch: u64,
+    /// Whether a first full read has been made.
+    pub loaded: bool,
+    /// Machine names.
+    pub hosts: Names,
+    /// Claims on parts.
+    pub parts: Vec<Option<ClaimState>>,
+    /// The claim on the lead.
+    pub lead: Option<ClaimState>,
+    /// Machine types, as last stored.
+    pub kinds: Vec<HostKind>,
+    /// Stamp of the machine types.
+    pub kinds_stamp: u64,
+    /// Jobs that are not over, by number.
+    pub open: BTreeMap<u64, OpenJob>,
+    /// Marks by part and job.
+    pub marks: BTreeMap<(usize, u64), Marks>,
+    /// What each part may use of each team's limit: by team, then part.
+    pub grants: Vec<Vec<(Grant, u64)>>,
+    ended: HashMap<u64, EndedJob>,
+    on_host: HashMap<u32, BTreeMap<(u64, u32), Mark>>,
+    deleted: HashMap<Key, u64>,
+    teams: Names,
+    tasks_done: HashMap<u64, u32>,
+    complaints: Vec<String>,
+}
+
+impl Mirror {
+    /// An empty mirror.
+    pub fn new(config: &Config) -> Self {
+        let parts = config.parts();
+        Self {
+            epoch: 0,
+            loaded: false,
+            hosts: Names::default(),
+            parts: vec![None; parts],
+            lead: None,
+            kinds: Vec::new(),
+            kinds_stamp: 0,
+            open: BTreeMap::new(),
+            marks: BTreeMap::new(),
+            grants: vec![vec![(Grant::default(), 0); parts]; config.teams.len()],
+            ended: HashMap::new(),
+            on_host: HashMap::new(),
+            deleted: HashMap::new(),
+            teams: config.team_names.clone(),
+            tasks_done: HashMap::new(),
+            complaints: Vec::new(),
+        }
+    }
+
+    /// What was wrong with records read since the last call.
+    pub fn complaints(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.complaints)
+    }
+
+    /// Takes a full read, which describes revision `epoch`.
+    pub fn load(&mut self, pairs: &[Pair], epoch: u64) {
+        if self.loaded && epoch < self.epoch {
+            return;
+        }
+        // What the read lacks was deleted before it: without this, a job or
+        // mark deleted while the watch was too old (410) would live on here.
+        let present: HashSet<Key> = pairs.iter().filter_map(|p| Key::parse(&p.key)).collect();
+        for key in self.keys() {
+            if !present.contains(&key) && self.stamp(key) <= epoch {
+                self.forget(key);
+            }
+        }
+        for pair in pairs {
+            self.put(&pair.key, &pair.v, pair.stamp);
+        }
+        self.epoch = self.epoch.max(epoch);
+        self.loaded = true;
+    }
+
+    /// Takes the changes that a watch or barrier told.
+    pub fn news(&mut self, news: &News) {
+        for change in &news.news {
+            // A watch and a barrier may tell the same change; what has been
+            // seen is skipped, or an old put could bring back a deleted key.
+            if change.stamp <= self.epoch {
+                continue;
+            }
+            match (&change.set, &change.delete) {
+                (Some(key), _) => self.put(key, &change.v, change.stamp),
+                (None, Some(key)) => self.remove(key, change.stamp),
+                (None, None) => {}
+            }
+        }
+        self.epoch = self.epoch.max(news.epoch);
+        let seen = self.epoch;
+        self.deleted.retain(|_, stamp| *stamp > seen);
+    }
+
+    /// Takes our own transaction, answered with revision `epoch`.
+    pub fn committed(&mut self, commit: &Commit, epoch: u64) {
+        for change in &commit.apply {
+            match change {
+                Apply::Set { set, v, .. } => self.put(set, v, epoch),
+                Apply::Delete { delete } => self.remove(delete, epoch),
+            }
+        }
+    }
+
+    fn keys(&self) -> Vec<Key> {
+        let mut keys = Vec::new();
+        keys.extend(self.lead.iter().map(|_| Key::Lead));
+        keys.extend((0..self.parts.len()).filter(|&p| self.parts[p].is_some()).map(Key::Part));
+        keys.extend(self.open.keys().map(|&j| Key::Job(j)));
+        for (&(part, job), chunks) in &self.marks {
+            keys.extend(chunks.keys().map(|&chunk| Key::Mark { part, job, chunk }));
+        }
+        for (team, parts) in self.grants.iter().enumerate() {
+            keys.extend((0..parts.len()).map(|part| Key::Grant { team, part }));
+        }
+        keys
+    }
+
+    /// The stamp under which `key` is known, 0 if it is absent.
+    pub fn stamp(&self, key: Key) -> u64 {
+        match key {
+            Key::Lead => self.lead.as_ref().map_or(0, |c| c.stamp),
+            Key::Kinds => self.kinds_stamp,
+            Key::Part(p) => self.parts.get(p).and_then(Option::as_ref).map_or(0, |c| c.stamp),
+            Key::Job(j) => self.open.get(&j).map_or(0, |o| o.stamp),
+            Key::Mark { part, job, chunk } => {
+                self.marks.get(&(part, job)).and_then(|m| m.get(&chunk)).map_or(0, |c| c.stamp)
+            }
+            Key::Grant { team, part } => {
+                self.grants.get(team).and_then(|g| g.get(part)).map_or(0, |g| g.1)
+            }
+        }
+    }
+
+    fn forget(&mut self, key: Key) {
+        match key {
+            Key::Lead => self.lead = None,
+            Key::Kinds => self.kinds_stamp = 0,
+            Key::Part(p) => {
+                if let Some(claim) = self.parts.get_mut(p) {
+                    *claim = None;
+                }
+            }
+            Key::Job(j) => {
+                self.open.remove(&j);
+            }
+            Key::Mark { part, job, chunk } => self.set_chunk(part, job, chunk, None),
+            Key::Grant { team, part } => {
+                if let Some(g) = self.grants.get_mut(team).and_then(|g| g.get_mut(part)) {
+                    *g = (Grant::default(), 0);
+                }
+            }
+        }
+    }
+
+    fn remove(&mut self, key: &str, stamp: u64) {
+        let Some(key) = Key::parse(key) else { return };
+        if self.stamp(key) < stamp {
+            self.forget(key);
+            // Guards against an older put of this key that the watch has yet
+            // to tell: it would bring the deleted value back.
+            if stamp > self.epoch {
+                let kept = self.deleted.entry(key).or_default();
+                *kept = (*kept).max(stamp);
+            }
+        }
+    }
+
+    fn put(&mut self, text: &str, value: &Value, stamp: u64) {
+        let Some(key) = Key::parse(text) else { return };
+        if self.stamp(key) >= stamp || self.deleted.get(&key).is_some_and(|&s| s >= stamp) {
+            return;
+        }
+        if let Err(e) = self.put_record(key, value, stamp) {
+            self.complaints.push(format!("{text}: {e}"));
+        }
+    }
+
+    fn put_record(&mut self, key: Key, value: &Value, stamp: u64) -> Result<(), String> {
+        use serde::Deserialize;
+        fn read<'a, T: Deserialize<'a>>(value: &'a Value) -> Result<T, String> {
+            T::deserialize(value).map_err(|e| e.to_string())
+        }
+        match key {
+            Key::Lead => {
+                self.lead = Some(ClaimState { label: read::<Claim>(value)?.label, stamp });
+            }
+            Key::Kinds => {
+                self.kinds = read(value)?;
+                self.kinds_stamp = stamp;
+            }
+            Key::Part(p) => {
+                let label = read::<Claim>(value)?.label;
+                *self.parts.get_mut(p).ok_or("no such part")? = Some(ClaimState { label, stamp });
+            }
+            Key::Job(j) => self.put_job(j, read(value)?, stamp)?,
+            Key::Mark { part, job, chunk } => {
+                let record: MarkRecord = read(value)?;
+                if !record.d.is_canonical() || part >= self.parts.len() {
+                    return Err("bad ranges or part".into());
+                }
+                let mut marks = BTreeMap::new();
+                for (host, session, list) in record.m {
+                    let host = self.hosts.intern(&host);
+                    for (number, attempt) in list {
+                        marks.insert(number, Mark { host, session, attempt });
+                    }
+                }
+                self.set_chunk(part, job, chunk, Some(Chunk { stamp, marks, done: record.d }));
+            }
+            Key::Grant { team, part } => {
+                let grant = read(value)?;
+                let place = self.grants.get_mut(team).and_then(|g| g.get_mut(part));
+                *place.ok_or("no such grant")? = (grant, stamp);
+            }
+        }
+        Ok(())
+    }
+
+    fn put_job(&mut self, job: u64, record: JobRecord, stamp: u64) -> Result<(), String> {
+        match record {
+            JobRecord::Ended { end, n, r#use } => {
+                self.open.remove(&job);
+                let team = self.teams.get(&r#use.team).unwrap_or(u32::MAX);
+                let needs = (r#use.cores as f32, r#use.acc as f32, r#use.ram as f32);
+                self.ended.insert(job, EndedJob { end, n, team, needs });
+            }
+            JobRecord::Open { spec, at, div, zone, caps } => {
+                // A job's end is final; nothing may bring it back, so a record
+                // that does is older or bad.
+                if self.ended.contains_key(&job) {
+                    return Ok(());
+                }
+                let parts = self.parts.len();
+                if !(div.is_empty() || div.len() == parts) || !div.iter().all(RangeSet::is_canonical)
+                {
+                    return Err("bad division".into());
+                }
+                let team = self.teams.get(&spec.owner).ok_or("unknown team")?;
+                let open = OpenJob { stamp, spec: *spec, team, at, div, zone, caps };
+                self.open.insert(job, open);
+            }
+        }
+        Ok(())
+    }
+
+    fn set_chunk(&mut self, part: usize, job: u64, chunk: u32, new: Option<Chunk>) {
+        let marks = self.marks.entry((part, job)).or_default();
+        let mut done_before = 0;
+        if let Some(old) = marks.remove(&chunk) {
+            done_before = old.done.len();
+            for (number, mark) in &old.marks {
+                if let Some(tasks) = self.on_host.get_mut(&mark.host) {
+                    tasks.remove(&(job, *number));
+                    if tasks.is_empty() {
+                        self.on_host.remove(&mark.host);
+                    }
+                }
+            }
+        }
+        let done_now = new.as_ref().map_or(0, |c| c.done.len());
+        if let Some(new) = new {
+            for (&number, &mark) in &new.marks {
+                self.on_host.entry(mark.host).or_default().insert((job, number), mark);
+            }
+            marks.insert(chunk, new);
+        }
+        if marks.is_empty() {
+            self.marks.remove(&(part, job));
+        }
+        let total = self.tasks_done.entry(job).or_default();
+        *total = (*total + done_now).saturating_sub(done_before);
+        if *total == 0 {
+            self.tasks_done.remove(&job);
+        }
+    }
+
+    /// The marks on a machine, by job and number.
+    pub fn on_host(&self, host: u32) -> impl Iterator<Item = ((u64, u32), Mark)> + '_ {
+        self.on_host.get(&host).into_iter().flatten().map(|(&k, &m)| (k, m))
+    }
+
+    /// The mark of a task on a machine.
+    pub fn mark_on(&self, host: u32, task: (u64, u32)) -> Option<Mark> {
+        self.on_host.get(&host)?.get(&task).copied()
+    }
+
+    /// The machines that carry marks.
+    pub fn marked_hosts(&self) -> impl Iterator<Item = u32> + '_ {
+        self.on_host.keys().copied()
+    }
+
+    /// How a job ended, if it did.
+    pub fn end(&self, job: u64) -> Option<End> {
+        self.ended.get(&job).map(|e| e.end)
+    }
+
+    /// How many jobs are known to be over.
+    pub fn ended_count(&self) -> usize {
+        self.ended.len()
+    }
+
+    /// A job's team and what one of its tasks takes, over or not.
+    pub fn uses(&self, job: u64) -> Option<(u32, Needs)> {
+        if let Some(open) = self.open.get(&job) {
+            return Some((open.team, open.needs()));
+        }
+        let e = self.ended.get(&job)?;
+        let (cores, acc, ram) = e.needs;
+        Some((e.team, Needs { cores: cores.into(), acc: acc.into(), ram: ram.into() }))
+    }
+
+    /// How many of a job's tasks are done.
+    pub fn done(&self, job: u64) -> u32 {
+        self.tasks_done.get(&job).copied().unwrap_or(0)
+    }
+
+    /// A part's numbers of a job that are neither done nor marked.
+    pub fn waiting(&self, part: usize, job: u64) -> RangeSet {
+        let Some(open) = self.open.get(&job) else { return RangeSet::new() };
+        let Some(share) = open.div.get(part) else { return RangeSet::new() };
+        let Some(chunks) = self.marks.get(&(part, job)) else { return share.clone() };
+        let mut busy = RangeSet::new();
+        for chunk in chunks.values() {
+            busy = busy.union(&chunk.done);
+            if !chunk.marks.is_empty() {
+                busy = busy.union(&chunk.marks.keys().copied().collect());
+            }
+        }
+        share.minus(&busy)
+    }
+
+    /// The job as its user sees it, if it is known.
+    pub fn view(&self, job: u64) -> Option<JobView> {
+        let id = job_id(job);
+        if let Some(e) = self.ended.get(&job) {
+            let status = match e.end {
+                End::Done => JobStatus::Done,
+                End::Cancelled => JobStatus::Cancelled,
+            };
+            let done = if e.end == End::Done { e.n } else { self.done(job) };
+            return Some(JobView { id, status, done, running: 0 });
+        }
+        let open = self.open.get(&job)?;
+        let running: usize = (0..open.div.len())
+            .filter_map(|p| self.marks.get(&(p, job)))
+            .flat_map(|m| m.values())
+            .map(|c| c.marks.len())
+            .sum();
+        let status = if running > 0 { JobStatus::Running } else { JobStatus::Queued };
+        Some(JobView { id, status, done: self.done(job), running: running as u32 })
+    }
+
+    /// What each team uses in `part`: from mark to proven gone.
+    pub fn usage(&self, part: usize) -> Vec<Needs> {
+        let mut used = vec![Needs::default(); self.teams.len()];
+        for (&(_, job), chunks) in self.marks.range((part, 0)..=(part, u64::MAX)) {
+            let count: usize = chunks.values().map(|c| c.marks.len()).sum();
+            if count == 0 {
+                continue;
+            }
+            if let Some((team, needs)) = self.uses(job)
+                && let Some(u) = used.get_mut(team as usize)
+            {
+                let n = count as f64;
+                u.give(&Needs { cores: needs.cores * n, acc: needs.acc * n, ram: needs.ram * n });
+            }
+        }
+        used
+    }
+
+    /// A condition on `key` as this mirror knows it.
+    pub fn require(&self, commit: &mut Commit, key: Key) {
+        let text = match key {
+            Key::Lead => record::LEAD.to_string(),
+            Key::Kinds => record::KINDS.to_string(),
+            Key::Part(p) => record::part_key(p),
+            Key::Job(j) => record::job_key(j),
+            Key::Mark { part, job, chunk } => record::mark_key(part, job, chunk),
+            Key::Grant { team, part } => record::grant_key(team, part),
+        };
+        commit.require(text, self.stamp(key));
+    }
+}
--- /dev/null
+++ b/crates/cherryyard-core/src/node.rs
@@ -0,0 +1,643 @@
+//! One controller: claims, reports, beats, and what ties the rest together.
+
+use crate::leader::Leader;
+use crate::machine::{HostEvent, HostState, Machine};
+use crate::owner::Part;
+use crate::{Config, Millis, Mirror};
+use cherryyard_wire::cloud::{HireRequest, HostEntry, HostKind};
+use cherryyard_wire::peer::{Beat, PartReport};
+use cherryyard_wire::record::{self, Claim, Key};
+use cherryyard_wire::state::{Apply, Commit, News, Pair};
+use cherryyard_wire::worker::{DoRequest, Order, Report, ReportAnswer};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use std::collections::HashMap;
+
+/// Which of this controller's transactions an outcome belongs to. There is at
+/// most one of each under way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Ticket {
+    /// A claim on a part, or its renewal under a new token.
+    Claim(usize),
+    /// An owner's round.
+    Owner(usize),
+    /// A claim on the lead.
+    Lead,
+    /// A leader's round.
+    Leader,
+}
+
+/// How a transaction came out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Applied, at this revision.
+    Applied(u64),
+    /// A condition failed, as of this revision.
+    Conflict(u64),
+    /// Its lease was over.
+    NoLease,
+    /// Not executed.
+    Refused,
+    /// No answer: it may have been applied, or may yet be.
+    Unknown,
+}
+
+/// How a direct command came out.
+#[derive(Clone, Debug)]
+pub enum PushOutcome {
+    /// The worker answered with its report.
+    Answered(Box<Report>),
+    /// No connection was made, so the worker never gets it.
+    Unsent,
+    /// No answer: it may yet be executed.
+    Unknown,
+}
+
+/// Something the core wants done.
+#[derive(Clone, Debug)]
+pub enum Effect {
+    /// Send a transaction.
+    Commit(Ticket, Commit),
+    /// Read the newest state soon.
+    Refresh,
+    /// Send direct commands.
+    Push {
+        /// The machine.
+        host: u32,
+        /// Its address.
+        addr: String,
+        /// The commands.
+        request: DoRequest,
+    },
+    /// Tell the other controllers at once.
+    Beat,
+    /// Return machines.
+    Release(Vec<String>),
+    /// Rent machines.
+    Hire(HireRequest),
+}
+
+/// The answer to a worker's report.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    /// 200.
+    Answer(ReportAnswer),
+    /// 421, naming the owner if one is known.
+    Elsewhere(Option<String>),
+    /// 503.
+    Unavailable,
+}
+
+/// What another controller last told.
+#[derive(Clone, Debug)]
+pub(crate) struct PeerState {
+    pub beat: Beat,
+    pub heard_at: Millis,
+    pub up_since: Millis,
+}
+
+/// Where a part stands with this controller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Tenancy {
+    /// Someone else's, or nobody's.
+    Foreign,
+    /// Our claim is under way.
+    Claiming,
+    /// Ours, with this token.
+    Owned(u64),
+    /// Ours, but a peer has told of a newer claim.
+    Deposed(u64),
+}
+
+/// What moves a part from one standing to another.
+#[derive(Clone, Copy, Debug)]
+pub enum TenancyEvent {
+    /// We have sent a claim.
+    ClaimSent,
+    /// The claim was applied at this revision.
+    ClaimApplied(u64),
+    /// The claim was not applied, or that is unknown.
+    ClaimFailed,
+    /// The state service shows another claim, or none.
+    ClaimGone,
+    /// A peer knows of a newer claim.
+    NewerClaimTold,
+}
+
+impl Tenancy {
+    /// The one place where a part's standing changes.
+    pub fn after(self, event: TenancyEvent) -> Self {
+        use TenancyEvent::*;
+        match (self, event) {
+            (Self::Foreign, ClaimSent) => Self::Claiming,
+            (Self::Owned(s) | Self::Deposed(s), ClaimSent) => Self::Owned(s),
+            (_, ClaimApplied(stamp)) => Self::Owned(stamp),
+            (Self::Claiming, ClaimFailed) => Self::Foreign,
+            (Self::Owned(_) | Self::Deposed(_), ClaimGone) => Self::Foreign,
+            (Self::Owned(s), NewerClaimTold) => Self::Deposed(s),
+            (same, _) => same,
+        }
+    }
+}
+
+/// One controller.
+#[derive(Debug)]
+pub struct Node {
+    /// What it was configured with.
+    pub config: Config,
+    /// What the state service holds.
+    pub mirror: Mirror,
+    pub(crate) parts: Vec<Part>,
+    pub(crate) machines: HashMap<u32, Machine>,
+    pub(crate) leader: Leader,
+    pub(crate) peers: Vec<Option<PeerState>>,
+    pub(crate) hold: Option<u64>,
+    pub(crate) effects: Vec<Effect>,
+    pub(crate) rng: StdRng,
+    /// When a request was sent that the state service has answered.
+    pub(crate) state_ok_at: Millis,
+    /// When the newest read of the state was sent.
+    pub(crate) seen_at: Millis,
+    pub(crate) started_at: Millis,
+    pub(crate) reported_at: Millis,
+    pub(crate) room_changed: bool,
+    pub(crate) types_from_cloud: Option<Vec<HostKind>>,
+    pub(crate) listed: HashMap<String, HostEntry>,
+    pub(crate) listed_at: Millis,
+    /// The newest revision known, from the mirror or from our own transactions.
+    pub(crate) newest_epoch: u64,
+    /// The time of the event at hand.
+    pub(crate) clock: Millis,
+}
+
+impl Node {
+    /// A controller that has just started.
+    pub fn new(config: Config, seed: u64, now: Millis) -> Self {
+        let mirror = Mirror::new(&config);
+        let parts = (0..config.parts()).map(|i| Part::new(i, now)).collect();
+        let peers = vec![None; config.parts()];
+        Self {
+            leader: Leader::new(&config, now),
+            mirror,
+            parts,
+            machines: HashMap::new(),
+            peers,
+            hold: None,
+            effects: Vec::new(),
+            rng: StdRng::seed_from_u64(seed),
+            state_ok_at: f64::NEG_INFINITY,
+            seen_at: f64::NEG_INFINITY,
+            started_at: now,
+            reported_at: f64::NEG_INFINITY,
+            room_changed: false,
+            types_from_cloud: None,
+            listed: HashMap::new(),
+            listed_at: f64::NEG_INFINITY,
+            newest_epoch: 0,
+            clock: now,
+            config,
+        }
+    }
+
+    /// What the core wants done since the last call.
+    pub fn effects(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Takes a full read of the state, sent at `sent_at`.
+    pub fn load(&mut self, pairs: &[Pair], epoch: u64, sent_at: Millis, now: Millis) {
+        self.mirror.load(pairs, epoch);
+        self.after_state(sent_at, now);
+    }
+
+    /// Takes what a watch or barrier told; its request was sent at `sent_at`.
+    pub fn news(&mut self, news: &News, sent_at: Millis, now: Millis) {
+        let changed = !news.news.is_empty();
+        self.mirror.news(news);
+        self.state_ok_at = self.state_ok_at.max(sent_at);
+        self.seen_at = self.seen_at.max(sent_at);
+        if changed {
+            self.after_state(sent_at, now);
+        }
+    }
+
+    fn after_state(&mut self, sent_at: Millis, now: Millis) {
+        self.state_ok_at = self.state_ok_at.max(sent_at);
+        self.seen_at = self.seen_at.max(sent_at);
+        for text in self.mirror.complaints() {
+            tracing::warn!("ignored a bad record in the state service: {text}");
+        }
+        self.check_claims();
+        for part in &mut self.parts {
+            part.dirty = true;
+        }
+        self.leader.dirty = true;
+        self.run(now);
+    }
+
+    fn check_claims(&mut self) {
+        for p in 0..self.parts.len() {
+            if let Tenancy::Owned(stamp) | Tenancy::Deposed(stamp) = self.parts[p].tenancy
+                && self.mirror.stamp(Key::Part(p)) != stamp
+            {
+                tracing::info!(part = p, stamp, "lost the claim on a part");
+                self.change_tenancy(p, TenancyEvent::ClaimGone);
+            }
+        }
+        self.leader.check_claim(&self.mirror);
+    }
+
+    /// The one place through which a part's standing changes.
+    pub(crate) fn change_tenancy(&mut self, p: usize, event: TenancyEvent) {
+        let before = self.parts[p].tenancy;
+        let after = before.after(event);
+        if before == after {
+            return;
+        }
+        self.parts[p].tenancy = after;
+        match after {
+            Tenancy::Foreign => {
+                self.machines.retain(|_, m| m.part != p);
+                self.parts[p].clear();
+            }
+            Tenancy::Owned(stamp) => {
+                tracing::info!(part = p, stamp, "own a part");
+                self.parts[p].dirty = true;
+                self.parts[p].owned_since = self.clock;
+                self.room_changed = true;
+                for m in self.machines.values_mut().filter(|m| m.part == p) {
+                    m.change(HostEvent::TokenChanged);
+                }
+                self.effects.push(Effect::Beat);
+            }
+            Tenancy::Claiming | Tenancy::Deposed(_) => {}
+        }
+    }
+
+    /// Notes that the state service has answered a request sent at `sent_at`.
+    pub fn state_answered(&mut self, sent_at: Millis) {
+        self.state_ok_at = self.state_ok_at.max(sent_at);
+    }
+
+    /// Takes the state lease under which claims are made, or its loss.
+    pub fn lease(&mut self, hold: Option<u64>, now: Millis) {
+        self.hold = hold;
+        self.run(now);
+    }
+
+    /// Takes machine types from the cloud.
+    pub fn kinds(&mut self, kinds: Vec<HostKind>, now: Millis) {
+        if self.mirror.kinds_stamp == 0 && !kinds.is_empty() {
+            self.mirror.kinds.clone_from(&kinds);
+        }
+        self.types_from_cloud = Some(kinds);
+        self.leader.dirty = true;
+        self.run(now);
+    }
+
+    /// Whether the state service has answered lately.
+    pub fn state_fresh(&self, now: Millis) -> bool {
+        now - self.state_ok_at <= 3000.0
+    }
+
+    /// Whether this controller can take requests: it holds a first read, and
+    /// either the state service answers it, or it answers nobody.
+    pub fn ready(&self, now: Millis) -> bool {
+        self.mirror.loaded
+            && !self.mirror.kinds.is_empty()
+            && (self.state_fresh(now) || self.all_cut_off(now))
+    }
+
+    fn all_cut_off(&self, now: Millis) -> bool {
+        (0..self.peers.len()).filter(|&i| i != self.config.me).all(|i| {
+            self.peers[i]
+                .as_ref()
+                .is_some_and(|p| now - p.heard_at <= 3000.0 && p.beat.cut_off)
+        })
+    }
+
+    /// The token under which reports of part `p` are answered now, if any.
+    fn answering(&self, p: usize, now: Millis) -> Option<u64> {
+        let Tenancy::Owned(stamp) = self.parts[p].tenancy else { return None };
+        // Guards against a cancellation that this controller cannot see: the
+        // workers' leases must end in time. If nobody can reach the state
+        // service, nobody can take a cancellation either.
+        let bound = self.config.cut_off_bound_ms();
+        (now - self.seen_at <= bound || self.all_cut_off(now)).then_some(stamp)
+    }
+
+    /// The part's token, if this controller owns it beyond doubt.
+    pub(crate) fn owned(&self, p: usize) -> Option<u64> {
+        match self.parts[p].tenancy {
+            // Before the mirror has caught up with the claim, the last marks of
+            // the owner before may be missing from it.
+            Tenancy::Owned(stamp)
+                if self.mirror.stamp(Key::Part(p)) == stamp && self.mirror.epoch >= stamp =>
+            {
+                Some(stamp)
+            }
+            _ => None,
+        }
+    }
+
+    /// Who takes reports of part `p`, if it is someone else.
+    fn owner_elsewhere(&self, p: usize, now: Millis) -> Option<String> {
+        let mut best = self.mirror.parts[p].as_ref().map(|c| (c.stamp, c.label.clone()));
+        for peer in self.peers.iter().flatten().filter(|s| now - s.heard_at < 5000.0) {
+            for (part, stamp, label) in &peer.beat.claims {
+                if *part as usize == p && best.as_ref().is_none_or(|b| b.0 < *stamp) {
+                    best = Some((*stamp, label.clone()));
+                }
+            }
+        }
+        best.map(|b| b.1).filter(|label| *label != self.config.labels[self.config.me])
+    }
+
+    /// Takes a worker's report.
+    pub fn report(&mut self, report: &Report, now: Millis) -> Reply {
+        let p = self.config.parting.part(&report.yard, &report.host);
+        let Some(token) = self.answering(p, now) else {
+            return match self.owner_elsewhere(p, now) {
+                Some(label) => Reply::Elsewhere(Some(label)),
+                None => Reply::Unavailable,
+            };
+        };
+        if report.baton > token {
+            // Somebody has a newer token; an answer of ours would be dropped
+            // and only hold the worker here.
+            self.effects.push(Effect::Refresh);
+            return Reply::Elsewhere(self.owner_elsewhere(p, now));
+        }
+        if self.machines.len() >= 20_000 || report.host.len() > 100 {
+            return Reply::Unavailable;
+        }
+        let host = self.mirror.hosts.intern(&report.host);
+        let machine =
+            self.machines.entry(host).or_insert_with(|| Machine::new(host, p, report, now));
+        if machine.state == HostState::Gone {
+            return Reply::Unavailable;
+        }
+        machine.answered_at = now;
+        let newer = machine.hear(report, token, now);
+        if !newer {
+            return Reply::Answer(ReportAnswer { baton: token, orders: Vec::new() });
+        }
+        // The worker has one report under way at a time, so a newer one shows
+        // that the last answer was executed or dropped.
+        machine.offered.clear();
+        self.after_message(host, now);
+        let orders = self.orders(host, now, true);
+        if let Some(machine) = self.machines.get_mut(&host) {
+            machine.offered = orders
+                .iter()
+                .filter_map(|o| match o {
+                    Order::Start { piece, attempt } => {
+                        Some((cherryyard_wire::worker::piece_numbers(piece)?, *attempt))
+                    }
+                    _ => None,
+                })
+                .collect();
+        }
+        Reply::Answer(ReportAnswer { baton: token, orders })
+    }
+
+    /// Takes how a direct command came out.
+    pub fn pushed(&mut self, host: u32, request: &DoRequest, outcome: PushOutcome, now: Millis) {
+        let Some(machine) = self.machines.get_mut(&host) else { return };
+        let p = machine.part;
+        machine.pushing = false;
+        match outcome {
+            PushOutcome::Answered(report) => {
+                machine.settle_push(request);
+                let Tenancy::Owned(token) = self.parts[p].tenancy else { return };
+                if machine.hear(&report, token, now) {
+                    self.after_message(host, now);
+                }
+                self.push(host, now);
+            }
+            PushOutcome::Unsent => {
+                machine.settle_push(request);
+                machine.push_after = now + 500.0;
+            }
+            // The starts stay pending: they may yet be executed.
+            PushOutcome::Unknown => machine.push_after = now + 1000.0,
+        }
+    }
+
+    /// Takes another controller's beat.
+    pub fn beat_in(&mut self, beat: Beat, now: Millis) {
+        let Some(i) = self.config.labels.iter().position(|l| *l == beat.label) else { return };
+        if i == self.config.me {
+            return;
+        }
+        for (part, stamp, label) in &beat.claims {
+            let p = *part as usize;
+            if p < self.parts.len()
+                && *label != self.config.labels[self.config.me]
+                && let Tenancy::Owned(mine) = self.parts[p].tenancy
+                && *stamp > mine
+            {
+                tracing::info!(part = p, mine, newer = stamp, "a peer knows of a newer claim");
+                self.change_tenancy(p, TenancyEvent::NewerClaimTold);
+                self.effects.push(Effect::Refresh);
+            }
+        }
+        if beat.epoch > self.mirror.epoch + 20 {
+            self.effects.push(Effect::Refresh);
+        }
+        for report in &beat.parts {
+            self.leader.hear(report.clone(), now);
+        }
+        let up_since = match &self.peers[i] {
+            Some(p) if now - p.heard_at < 3000.0 => p.up_since,
+            _ => now,
+        };
+        if self.leader.is_label(&self.mirror, &beat.label) && !beat.short.is_empty() {
+            self.lower_grants(&beat.short, now);
+        }
+        self.peers[i] = Some(PeerState { beat, heard_at: now, up_since });
+    }
+
+    /// What this controller tells the others now.
+    pub fn beat_out(&mut self, now: Millis) -> Beat {
+        let every = self.config.tuning.room_report_s * 1000.0;
+        let due = now - self.reported_at;
+        let mut parts: Vec<PartReport> = Vec::new();
+        if due >= every || (self.room_changed && due >= 900.0) {
+            self.reported_at = now;
+            self.room_changed = false;
+            for p in 0..self.parts.len() {
+                if self.owned(p).is_some() {
+                    parts.push(self.part_report(p, now));
+                }
+            }
+            for report in &parts {
+                self.leader.hear(report.clone(), now);
+            }
+        }
+        Beat {
+            label: self.config.labels[self.config.me].clone(),
+            cut_off: now - self.state_ok_at > 2500.0,
+            epoch: self.mirror.epoch,
+            claims: (0..self.parts.len())
+                .filter_map(|p| {
+                    let c = self.mirror.parts[p].as_ref()?;
+                    Some((p as u32, c.stamp, c.label.clone()))
+                })
+                .collect(),
+            parts,
+            short: if self.leader.leads(&self.mirror) {
+                self.short_teams(now)
+            } else {
+                Vec::new()
+            },
+        }
+    }
+
+    /// Takes how a transaction came out.
+    pub fn committed(&mut self, ticket: Ticket, commit: &Commit, outcome: Outcome, now: Millis) {
+        self.clock = now;
+        if let Outcome::Applied(epoch) = outcome {
+            self.newest_epoch = self.newest_epoch.max(epoch);
+            self.mirror.committed(commit, epoch);
+        } else {
+            tracing::debug!(?ticket, ?outcome, "a transaction was not applied");
+            self.effects.push(Effect::Refresh);
+        }
+        match ticket {
+            Ticket::Claim(p) => {
+                self.parts[p].claiming = false;
+                match outcome {
+                    Outcome::Applied(epoch) => {
+                        self.change_tenancy(p, TenancyEvent::ClaimApplied(epoch));
+                    }
+                    _ => {
+                        self.parts[p].claim_after = now + self.jitter(200.0, 500.0);
+                        self.change_tenancy(p, TenancyEvent::ClaimFailed);
+                    }
+                }
+            }
+            Ticket::Owner(p) => self.owner_committed(p, outcome, now),
+            Ticket::Lead => self.lead_committed(outcome, now),
+            Ticket::Leader => self.leader_committed(outcome, now),
+        }
+        if outcome == Outcome::NoLease {
+            self.hold = None;
+        }
+        self.run(now);
+    }
+
+    pub(crate) fn jitter(&mut self, from: f64, to: f64) -> f64 {
+        use rand::RngExt;
+        self.rng.random_range(from..to)
+    }
+
+    /// The state lease in use.
+    pub fn hold(&self) -> Option<u64> {
+        self.hold
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: Millis) {
+        for part in &mut self.parts {
+            if now - part.planned_at >= 400.0 {
+                part.dirty = true;
+            }
+        }
+        self.run(now);
+    }
+
+    fn run(&mut self, now: Millis) {
+        self.clock = now;
+        if !self.mirror.loaded {
+            return;
+        }
+        self.check_claims();
+        self.claim_parts(now);
+        self.claim_lead(now);
+        for p in 0..self.parts.len() {
+            if self.parts[p].dirty {
+                self.plan_part(p, now);
+            }
+        }
+        if self.leader.dirty || now - self.leader.planned_at >= 500.0 {
+            self.plan_lead(now);
+        }
+    }
+
+    fn claim_parts(&mut self, now: Millis) {
+        let Some(hold) = self.hold else { return };
+        let me = self.config.me;
+        let n = self.parts.len();
+        for p in 0..n {
+            let label = &self.config.labels[me];
+            let part = &self.parts[p];
+            if part.claiming || now < part.claim_after {
+                continue;
+            }
+            let (bump, tenancy) = (part.bump, part.tenancy);
+            let owned = matches!(tenancy, Tenancy::Owned(_) | Tenancy::Deposed(_));
+            let claim = self.mirror.parts[p].as_ref();
+            if claim.is_some() && (!owned || claim.is_some_and(|c| c.label != *label)) {
+                self.parts[p].ownerless_since = None;
+            }
+            let wanted = match claim {
+                // Our label, but not by this process: what held it is dead.
+                Some(c) if c.label == *label => !owned || bump,
+                // Home asks for its part by taking it, once it has settled in;
+                // the adopter sees the newer claim and sends workers over.
+                Some(_) => p == me && now - self.started_at > 12_000.0 && self.state_fresh(now),
+                None => {
+                    let since = *self.parts[p].ownerless_since.get_or_insert(now);
+                    let home_alive = self.peers[p]
+                        .as_ref()
+                        .is_some_and(|s| now - s.heard_at < 1500.0 && !s.beat.cut_off);
+                    let rank = ((me + n - p) % n) as f64;
+                    let wait = if p == me {
+                        0.0
+                    } else {
+                        rank * 400.0 + if home_alive { 2500.0 } else { 0.0 }
+                    };
+                    now - since >= wait
+                }
+            };
+            if !wanted {
+                continue;
+            }
+            let mut commit = Commit::default();
+            self.mirror.require(&mut commit, Key::Part(p));
+            let claim = Claim { label: self.config.labels[me].clone() };
+            commit.apply.push(Apply::Set {
+                set: record::part_key(p),
+                v: serde_json::json!(claim),
+                hold: Some(hold),
+            });
+            self.parts[p].claiming = true;
+            self.parts[p].bump = false;
+            self.change_tenancy(p, TenancyEvent::ClaimSent);
+            self.effects.push(Effect::Commit(Ticket::Claim(p), commit));
+        }
+    }
+
+    /// Takes a reading of the cloud's machine list.
+    pub fn listed(&mut self, hosts: Vec<HostEntry>, now: Millis) {
+        self.listed = hosts.into_iter().map(|h| (h.id.clone(), h)).collect();
+        self.listed_at = now;
+        self.return_listed(now);
+    }
+
+    /// Takes the answer to a release.
+    pub fn released(&mut self, hosts: &[String], ok: bool, now: Millis) {
+        for name in hosts {
+            let Some(host) = self.mirror.hosts.get(name) else { continue };
+            if let Some(part) = self.machines.get(&host).map(|m| m.part) {
+                self.parts[part].dirty = true;
+            }
+            if let Some(m) = self.machines.get_mut(&host) {
+                m.change(if ok { HostEvent::Released } else { HostEvent::ReleaseFailed });
+                m.release_after = now + 2000.0;
+            }
+        }
+        self.run(now);
+    }
+}
--- /dev/null
+++ b/crates/cherryyard-core/src/parting.rs
@@ -0,0 +1,41 @@
+//! Which part a machine belongs to: a pure function of its zone and number.
+
+use std::collections::HashMap;
+
+/// The parting of the machines among the controllers.
+#[derive(Clone, Debug)]
+pub struct Parting {
+    by_zone: HashMap<String, Vec<usize>>,
+    count: usize,
+}
+
+impl Parting {
+    /// One part per controller, in the order that all controllers agree on.
+    pub fn new(controllers: &[(String, String)]) -> Self {
+        let mut by_zone: HashMap<String, Vec<usize>> = HashMap::new();
+        for (i, (_, zone)) in controllers.iter().enumerate() {
+            by_zone.entry(zone.clone()).or_default().push(i);
+        }
+        Self { by_zone, count: controllers.len() }
+    }
+
+    /// How many parts there are.
+    pub fn count(&self) -> usize {
+        self.count
+    }
+
+    /// The part of machine `host` in `zone`: the controller in its zone; with
+    /// none or several there, the machines are spread by number.
+    pub fn part(&self, zone: &str, host: &str) -> usize {
+        let digits = host.rfind(|c: char| !c.is_ascii_digit()).map_or(host, |i| &host[i + 1..]);
+        let number = match digits.parse::<u64>() {
+            Ok(n) => n as usize,
+            // A name without a number still needs one fixed part.
+            Err(_) => host.bytes().fold(0usize, |h, b| h.wrapping_mul(31).wrapping_add(b.into())),
+        };
+        match self.by_zone.get(zone) {
+            Some(parts) => parts[number % parts.len()],
+            None => number % self.count,
+        }
+    }
+}
--- a/crates/cherryyard-wire/src/record.rs
+++ b/crates/cherryyard-wire/src/record.rs
@@ -34,7 +34,7 @@
 }
 
 /// A parsed key.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 #[allow(missing_docs)]
 pub enum Key {
     Lead,
