--- a/crates/cherryyard-core/src/admit.rs
+++ b/crates/cherryyard-core/src/admit.rs
@@ -25,7 +25,9 @@
 
 /// Whether the job allows this type.
 pub fn allows_kind(spec: &JobSpec, sku: &str) -> bool {
-    spec.kinds_of_host.as_ref().is_none_or(|k| k.iter().any(|name| name == sku))
+    spec.kinds_of_host
+        .as_ref()
+        .is_none_or(|k| k.iter().any(|name| name == sku))
 }
 
 /// Checks a submission, and drops what the record need not keep.
@@ -62,7 +64,11 @@
         return never("apart: the tasks would have to be in one zone".into());
     }
     let team = &config.teams[team as usize];
-    let count = if spec.shape == Shape::Service { f64::from(spec.pieces) } else { 1.0 };
+    let count = if spec.shape == Shape::Service {
+        f64::from(spec.pieces)
+    } else {
+        1.0
+    };
     if spec.cores * count > team.cores_max + 1e-9 {
         return never("cores: more than the team's limit".into());
     }
@@ -71,7 +77,9 @@
     }
     let size = serde_json::to_vec(&spec).map_or(usize::MAX, |v| v.len());
     if size + 300 > config.value_bytes {
-        return Err(Reject::Malformed("bundle: the job's names are too long to keep".into()));
+        return Err(Reject::Malformed(
+            "bundle: the job's names are too long to keep".into(),
+        ));
     }
     Ok(())
 }
--- a/crates/cherryyard-core/src/config.rs
+++ b/crates/cherryyard-core/src/config.rs
@@ -90,7 +90,10 @@
         let most = |x: f64| if x > 0.0 { x } else { f64::INFINITY };
         let value_bytes = (c.state.value_kb * 1024.0) as usize;
         Self {
-            me: controllers.iter().position(|(l, _)| *l == settings.label).unwrap_or(0),
+            me: controllers
+                .iter()
+                .position(|(l, _)| *l == settings.label)
+                .unwrap_or(0),
             labels: controllers.iter().map(|(l, _)| l.clone()).collect(),
             parting: Parting::new(&controllers),
             zones: Names::of(c.zones.iter().map(String::as_str)),
--- a/crates/cherryyard-core/src/leader.rs
+++ b/crates/cherryyard-core/src/leader.rs
@@ -85,7 +85,6 @@
     hire_after: Millis,
     refused: HashMap<(String, String, bool), Millis>,
     hired: Vec<Hired>,
-    short_at: Millis,
     ownerless: HashMap<usize, Millis>,
 }
 
@@ -107,7 +106,6 @@
             hire_after: now + 8000.0,
             refused: HashMap::new(),
             hired: Vec::new(),
-            short_at: f64::NEG_INFINITY,
             ownerless: HashMap::new(),
         }
     }
@@ -132,15 +130,24 @@
 
     /// Takes a part's report, unless it is from an owner before.
     pub(crate) fn hear(&mut self, report: PartReport, now: Millis) {
-        let Some(place) = self.rooms.get_mut(report.part as usize) else { return };
-        if place.as_ref().is_some_and(|r| r.report.stamp > report.stamp) {
+        let Some(place) = self.rooms.get_mut(report.part as usize) else {
+            return;
+        };
+        if place
+            .as_ref()
+            .is_some_and(|r| r.report.stamp > report.stamp)
+        {
             return;
         }
         let debits = place
             .take()
             .map(|r| r.debits.into_iter().filter(|d| now - d.0 < 700.0).collect())
             .unwrap_or_default();
-        *place = Some(Room { report, at: now, debits });
+        *place = Some(Room {
+            report,
+            at: now,
+            debits,
+        });
         self.dirty = true;
     }
 }
@@ -187,7 +194,9 @@
         }
         let mut commit = Commit::default();
         self.mirror.require(&mut commit, Key::Lead);
-        let claim = Claim { label: self.config.labels[me].clone() };
+        let claim = Claim {
+            label: self.config.labels[me].clone(),
+        };
         commit.apply.push(Apply::Set {
             set: record::LEAD.into(),
             v: serde_json::json!(claim),
@@ -203,11 +212,20 @@
     /// This controller's place among those that could follow `gone`.
     fn successor_rank(&self, gone: &str, now: Millis) -> usize {
         let n = self.config.labels.len();
-        let from = self.config.labels.iter().position(|l| l == gone).unwrap_or(0);
+        let from = self
+            .config
+            .labels
+            .iter()
+            .position(|l| l == gone)
+            .unwrap_or(0);
         (1..n)
             .map(|k| (from + k) % n)
             .take_while(|&i| i != self.config.me)
-            .filter(|&i| self.peers[i].as_ref().is_some_and(|p| now - p.heard_at < 1500.0))
+            .filter(|&i| {
+                self.peers[i]
+                    .as_ref()
+                    .is_some_and(|p| now - p.heard_at < 1500.0)
+            })
             .count()
     }
 
@@ -267,7 +285,9 @@
         let needs = open.needs();
         (0..self.parts.len())
             .map(|p| {
-                let Some(room) = self.current_room(p, now) else { return 0.0 };
+                let Some(room) = self.current_room(p, now) else {
+                    return 0.0;
+                };
                 let fits: u32 = room
                     .report
                     .machines
@@ -293,7 +313,11 @@
         (0..self.parts.len())
             .map(|p| {
                 self.current_room(p, now).map_or(0.0, |r| {
-                    r.report.machines.iter().filter(|m| Self::room_allowed(open, m)).count() as f64
+                    r.report
+                        .machines
+                        .iter()
+                        .filter(|m| Self::room_allowed(open, m))
+                        .count() as f64
                 })
             })
             .collect()
@@ -307,7 +331,13 @@
         }
         if weights.iter().sum::<f64>() <= 0.0 {
             weights = (0..self.parts.len())
-                .map(|p| if self.mirror.parts[p].is_some() { 1.0 } else { 0.0 })
+                .map(|p| {
+                    if self.mirror.parts[p].is_some() {
+                        1.0
+                    } else {
+                        0.0
+                    }
+                })
                 .collect();
             if now - self.leader.since < 2500.0 || weights.iter().sum::<f64>() <= 0.0 {
                 return None;
@@ -318,7 +348,11 @@
         let sets = shares
             .iter()
             .map(|&n| {
-                let set = if n == 0 { RangeSet::new() } else { RangeSet::span(next, next + n - 1) };
+                let set = if n == 0 {
+                    RangeSet::new()
+                } else {
+                    RangeSet::span(next, next + n - 1)
+                };
                 next += n;
                 set
             })
@@ -336,7 +370,9 @@
             let zone = self.config.zones.name(z);
             let (mut fits, mut count) = (0, 0);
             for p in 0..self.parts.len() {
-                let Some(room) = self.current_room(p, now) else { continue };
+                let Some(room) = self.current_room(p, now) else {
+                    continue;
+                };
                 for m in &room.report.machines {
                     if m.zone == zone && Self::room_allowed(open, m) {
                         let (cores, acc, ram) = m.free;
@@ -433,11 +469,22 @@
     }
 
     fn divide_new(&mut self, now: Millis) -> Option<Commit> {
-        let new: Vec<u64> =
-            self.mirror.open.iter().filter(|(_, o)| !o.divided()).map(|(&j, _)| j).collect();
+        let new: Vec<u64> = self
+            .mirror
+            .open
+            .iter()
+            .filter(|(_, o)| !o.divided())
+            .map(|(&j, _)| j)
+            .collect();
         let mut order: Vec<_> = new
             .iter()
-            .map(|j| (std::cmp::Reverse(self.mirror.open[j].spec.rank), self.mirror.open[j].at, *j))
+            .map(|j| {
+                (
+                    std::cmp::Reverse(self.mirror.open[j].spec.rank),
+                    self.mirror.open[j].at,
+                    *j,
+                )
+            })
             .collect();
         order.sort_unstable();
         let mut commit = Commit::default();
@@ -466,18 +513,27 @@
                 None => return false,
             }
         }
-        let Some((mut sets, _)) = self.division(open, now) else { return false };
+        let Some((mut sets, _)) = self.division(open, now) else {
+            return false;
+        };
         if open.spec.apart && open.spec.pieces > 1 {
             open.caps = self.zone_caps(open, now);
-            let weights: Vec<f64> =
-                open.caps.iter().map(|c| f64::from(c.iter().sum::<u32>())).collect();
+            let weights: Vec<f64> = open
+                .caps
+                .iter()
+                .map(|c| f64::from(c.iter().sum::<u32>()))
+                .collect();
             let shares = divide(open.spec.pieces, &weights);
             let mut next = 0;
             sets = shares
                 .iter()
                 .map(|&n| {
                     next += n;
-                    if n == 0 { RangeSet::new() } else { RangeSet::span(next - n, next - 1) }
+                    if n == 0 {
+                        RangeSet::new()
+                    } else {
+                        RangeSet::span(next - n, next - 1)
+                    }
                 })
                 .collect();
             if next == 0 {
@@ -492,7 +548,11 @@
                 let n = f64::from(set.len());
                 room.debits.push((
                     now,
-                    Needs { cores: needs.cores * n, acc: needs.acc * n, ram: needs.ram * n },
+                    Needs {
+                        cores: needs.cores * n,
+                        acc: needs.acc * n,
+                        ram: needs.ram * n,
+                    },
                 ));
             }
         }
@@ -510,7 +570,9 @@
 
     /// The claim's stamp that a division at submission depends on.
     pub fn lead_stamp(&self) -> Option<u64> {
-        self.leader.leads(&self.mirror).then(|| self.mirror.stamp(Key::Lead))
+        self.leader
+            .leads(&self.mirror)
+            .then(|| self.mirror.stamp(Key::Lead))
     }
 
     /// Overflow: a part that has kept tasks waiting for the delay loses its
@@ -541,7 +603,9 @@
                 if !due {
                     continue;
                 }
-                let mut w = weights.get_or_insert_with(|| self.weights(open, now)).clone();
+                let mut w = weights
+                    .get_or_insert_with(|| self.weights(open, now))
+                    .clone();
                 w[p] = 0.0;
                 if open.spec.apart && open.spec.pieces > 1 {
                     // The caps of the first division stay, so that no zone can
@@ -575,7 +639,14 @@
                 moving = fit;
                 for chunk in chunks {
                     // A number that its owner marks meanwhile changes this key.
-                    self.mirror.require(&mut commit, Key::Mark { part: p, job, chunk });
+                    self.mirror.require(
+                        &mut commit,
+                        Key::Mark {
+                            part: p,
+                            job,
+                            chunk,
+                        },
+                    );
                 }
                 let shares = divide(moving.len(), &w);
                 let mut new = open.clone();
@@ -591,7 +662,10 @@
                         let needs = open.needs();
                         room.debits.push((
                             now,
-                            Needs { cores: needs.cores * f64::from(n), ..Needs::default() },
+                            Needs {
+                                cores: needs.cores * f64::from(n),
+                                ..Needs::default()
+                            },
                         ));
                     }
                 }
@@ -674,10 +748,14 @@
             // Depends on every part's grant, so that the sum stays within the
             // limit whoever else writes.
             for p in 0..n {
-                self.mirror.require(&mut commit, Key::Grant { team: t, part: p });
+                self.mirror
+                    .require(&mut commit, Key::Grant { team: t, part: p });
             }
             for (p, grant) in changes {
-                commit.apply.push(Apply::set(record::grant_key(t, p), serde_json::json!(grant)));
+                commit.apply.push(Apply::set(
+                    record::grant_key(t, p),
+                    serde_json::json!(grant),
+                ));
             }
             if commit.when.len() + n + 1 > self.config.txn_ops * 4 {
                 break;
@@ -709,7 +787,9 @@
         }
         let (mut free, mut total) = (0.0, 0.0);
         for p in 0..self.parts.len() {
-            let Some(room) = self.current_room(p, now) else { continue };
+            let Some(room) = self.current_room(p, now) else {
+                continue;
+            };
             for m in &room.report.machines {
                 free += f64::from(m.free.0);
                 total += cores_of(&m.kind);
@@ -724,7 +804,10 @@
                 .flat_map(|m| m.values())
                 .map(|c| c.marks.len())
                 .sum();
-            let left = open.spec.pieces.saturating_sub(self.mirror.done(job) + marked as u32);
+            let left = open
+                .spec
+                .pieces
+                .saturating_sub(self.mirror.done(job) + marked as u32);
             let cores = f64::from(left) * open.spec.cores;
             waiting += cores;
             if open.spec.shape == Shape::Service {
@@ -755,7 +838,9 @@
             }
         }
         options.sort_by(|a, b| a.0.cmp(&b.0).then(a.2.cmp(&b.2)).then(a.4.cmp(b.4)));
-        let Some(&(spot, cores, _, sku, zone, _)) = options.first() else { return };
+        let Some(&(spot, cores, _, sku, zone, _)) = options.first() else {
+            return;
+        };
         let number = ((need / cores.max(1e-3)).ceil() as u32).clamp(1, 4);
         self.leader.hire_counter += 1;
         // Never used again: the claim's stamp is unique, the counter within it.
@@ -777,15 +862,27 @@
 
     /// Takes the answer to a rental: the machines, a refusal, or neither.
     pub fn hired(&mut self, request: &HireRequest, answer: Result<Vec<String>, bool>, now: Millis) {
-        let key = (request.host_kind.clone(), request.yard.clone(), request.borrowed);
-        let known = self.leader.hiring.as_ref().is_some_and(|h| h.hire == request.hire);
+        let key = (
+            request.host_kind.clone(),
+            request.yard.clone(),
+            request.borrowed,
+        );
+        let known = self
+            .leader
+            .hiring
+            .as_ref()
+            .is_some_and(|h| h.hire == request.hire);
         match answer {
             Ok(hosts) => {
                 if hosts.len() < request.number as usize {
                     self.leader.refused.insert(key, now + 20_000.0);
                 }
                 tracing::info!(count = hosts.len(), zone = %request.yard, spot = request.borrowed, "rented machines");
-                self.leader.hired.push(Hired { at: now, kind: request.host_kind.clone(), hosts });
+                self.leader.hired.push(Hired {
+                    at: now,
+                    kind: request.host_kind.clone(),
+                    hosts,
+                });
                 if known {
                     self.leader.hiring = None;
                 }
--- a/crates/cherryyard-core/src/machine.rs
+++ b/crates/cherryyard-core/src/machine.rs
@@ -205,8 +205,11 @@
         self.seen.clear();
         for piece in &report.pieces {
             if let Some(task) = piece_numbers(&piece.piece) {
-                let seen =
-                    Seen { attempt: piece.attempt, status: piece.status, cause: piece.cause };
+                let seen = Seen {
+                    attempt: piece.attempt,
+                    status: piece.status,
+                    cause: piece.cause,
+                };
                 // The same task twice: the one still there counts.
                 let place = self.seen.entry(task).or_insert(seen);
                 if place.ended() {
@@ -225,7 +228,9 @@
 
     /// Whether a start of this attempt may yet take effect.
     pub fn start_pending(&self, task: Task, attempt: u64) -> bool {
-        self.pushed.iter().any(|p| p.task == task && p.attempt == attempt)
+        self.pushed
+            .iter()
+            .any(|p| p.task == task && p.attempt == attempt)
             || self.offered.contains(&(task, attempt))
     }
 
@@ -284,7 +289,9 @@
     /// What tasks on the machine that no mark accounts for may take is unknown;
     /// the machine then counts as full.
     pub fn has_strangers(&self, marked: impl Fn(Task, u64) -> bool) -> bool {
-        self.seen.iter().any(|(&task, s)| !s.ended() && !marked(task, s.attempt))
+        self.seen
+            .iter()
+            .any(|(&task, s)| !s.ended() && !marked(task, s.attempt))
     }
 
     /// Room that is left of `whole` after `taken`.
--- a/crates/cherryyard-core/src/mirror.rs
+++ b/crates/cherryyard-core/src/mirror.rs
@@ -50,12 +50,18 @@
 
     /// When it should be complete, in milliseconds of the day's clock.
     pub fn due_ms(&self) -> f64 {
-        self.spec.due_s.map_or(f64::INFINITY, |s| self.at as f64 + s * 1000.0)
+        self.spec
+            .due_s
+            .map_or(f64::INFINITY, |s| self.at as f64 + s * 1000.0)
     }
 
     /// What one of its tasks takes.
     pub fn needs(&self) -> Needs {
-        Needs { cores: self.spec.cores, acc: self.spec.accelerators, ram: self.spec.ram_gb }
+        Needs {
+            cores: self.spec.cores,
+            acc: self.spec.accelerators,
+            ram: self.spec.ram_gb,
+        }
     }
 
     /// The record, to write it anew.
@@ -106,7 +112,11 @@
     /// How many times `self` fits into `free`.
     pub fn times_in(&self, free: &Needs) -> u32 {
         let times = |need: f64, have: f64| {
-            if need > 0.0 { ((have + 1e-6) / need).floor().max(0.0) } else { 1e6 }
+            if need > 0.0 {
+                ((have + 1e-6) / need).floor().max(0.0)
+            } else {
+                1e6
+            }
         };
         times(self.cores, free.cores)
             .min(times(self.acc, free.acc))
@@ -165,7 +175,10 @@
     pub fn record(&self, hosts: &Names) -> MarkRecord {
         let mut groups: BTreeMap<(u32, u64), Vec<(u32, u64)>> = BTreeMap::new();
         for (&number, mark) in &self.marks {
-            groups.entry((mark.host, mark.session)).or_default().push((number, mark.attempt));
+            groups
+                .entry((mark.host, mark.session))
+                .or_default()
+                .push((number, mark.attempt));
         }
         MarkRecord {
             m: groups
@@ -292,7 +305,11 @@
     fn keys(&self) -> Vec<Key> {
         let mut keys = Vec::new();
         keys.extend(self.lead.iter().map(|_| Key::Lead));
-        keys.extend((0..self.parts.len()).filter(|&p| self.parts[p].is_some()).map(Key::Part));
+        keys.extend(
+            (0..self.parts.len())
+                .filter(|&p| self.parts[p].is_some())
+                .map(Key::Part),
+        );
         keys.extend(self.open.keys().map(|&j| Key::Job(j)));
         for (&(part, job), chunks) in &self.marks {
             keys.extend(chunks.keys().map(|&chunk| Key::Mark { part, job, chunk }));
@@ -308,14 +325,22 @@
         match key {
             Key::Lead => self.lead.as_ref().map_or(0, |c| c.stamp),
             Key::Kinds => self.kinds_stamp,
-            Key::Part(p) => self.parts.get(p).and_then(Option::as_ref).map_or(0, |c| c.stamp),
+            Key::Part(p) => self
+                .parts
+                .get(p)
+                .and_then(Option::as_ref)
+                .map_or(0, |c| c.stamp),
             Key::Job(j) => self.open.get(&j).map_or(0, |o| o.stamp),
-            Key::Mark { part, job, chunk } => {
-                self.marks.get(&(part, job)).and_then(|m| m.get(&chunk)).map_or(0, |c| c.stamp)
-            }
-            Key::Grant { team, part } => {
-                self.grants.get(team).and_then(|g| g.get(part)).map_or(0, |g| g.1)
-            }
+            Key::Mark { part, job, chunk } => self
+                .marks
+                .get(&(part, job))
+                .and_then(|m| m.get(&chunk))
+                .map_or(0, |c| c.stamp),
+            Key::Grant { team, part } => self
+                .grants
+                .get(team)
+                .and_then(|g| g.get(part))
+                .map_or(0, |g| g.1),
         }
     }
 
@@ -370,7 +395,10 @@
         }
         match key {
             Key::Lead => {
-                self.lead = Some(ClaimState { label: read::<Claim>(value)?.label, stamp });
+                self.lead = Some(ClaimState {
+                    label: read::<Claim>(value)?.label,
+                    stamp,
+                });
             }
             Key::Kinds => {
                 self.kinds = read(value)?;
@@ -390,10 +418,26 @@
                 for (host, session, list) in record.m {
                     let host = self.hosts.intern(&host);
                     for (number, attempt) in list {
-                        marks.insert(number, Mark { host, session, attempt });
+                        marks.insert(
+                            number,
+                            Mark {
+                                host,
+                                session,
+                                attempt,
+                            },
+                        );
                     }
                 }
-                self.set_chunk(part, job, chunk, Some(Chunk { stamp, marks, done: record.d }));
+                self.set_chunk(
+                    part,
+                    job,
+                    chunk,
+                    Some(Chunk {
+                        stamp,
+                        marks,
+                        done: record.d,
+                    }),
+                );
             }
             Key::Grant { team, part } => {
                 let grant = read(value)?;
@@ -410,21 +454,44 @@
                 self.open.remove(&job);
                 let team = self.teams.get(&r#use.team).unwrap_or(u32::MAX);
                 let needs = (r#use.cores as f32, r#use.acc as f32, r#use.ram as f32);
-                self.ended.insert(job, EndedJob { end, n, team, needs });
+                self.ended.insert(
+                    job,
+                    EndedJob {
+                        end,
+                        n,
+                        team,
+                        needs,
+                    },
+                );
             }
-            JobRecord::Open { spec, at, div, zone, caps } => {
+            JobRecord::Open {
+                spec,
+                at,
+                div,
+                zone,
+                caps,
+            } => {
                 // A job's end is final; nothing may bring it back, so a record
                 // that does is older or bad.
                 if self.ended.contains_key(&job) {
                     return Ok(());
                 }
                 let parts = self.parts.len();
-                if !(div.is_empty() || div.len() == parts) || !div.iter().all(RangeSet::is_canonical)
+                if !(div.is_empty() || div.len() == parts)
+                    || !div.iter().all(RangeSet::is_canonical)
                 {
                     return Err("bad division".into());
                 }
                 let team = self.teams.get(&spec.owner).ok_or("unknown team")?;
-                let open = OpenJob { stamp, spec: *spec, team, at, div, zone, caps };
+                let open = OpenJob {
+                    stamp,
+                    spec: *spec,
+                    team,
+                    at,
+                    div,
+                    zone,
+                    caps,
+                };
                 self.open.insert(job, open);
             }
         }
@@ -448,7 +515,10 @@
         let done_now = new.as_ref().map_or(0, |c| c.done.len());
         if let Some(new) = new {
             for (&number, &mark) in &new.marks {
-                self.on_host.entry(mark.host).or_default().insert((job, number), mark);
+                self.on_host
+                    .entry(mark.host)
+                    .or_default()
+                    .insert((job, number), mark);
             }
             marks.insert(chunk, new);
         }
@@ -464,7 +534,11 @@
 
     /// The marks on a machine, by job and number.
     pub fn on_host(&self, host: u32) -> impl Iterator<Item = ((u64, u32), Mark)> + '_ {
-        self.on_host.get(&host).into_iter().flatten().map(|(&k, &m)| (k, m))
+        self.on_host
+            .get(&host)
+            .into_iter()
+            .flatten()
+            .map(|(&k, &m)| (k, m))
     }
 
     /// The mark of a task on a machine.
@@ -494,7 +568,14 @@
         }
         let e = self.ended.get(&job)?;
         let (cores, acc, ram) = e.needs;
-        Some((e.team, Needs { cores: cores.into(), acc: acc.into(), ram: ram.into() }))
+        Some((
+            e.team,
+            Needs {
+                cores: cores.into(),
+                acc: acc.into(),
+                ram: ram.into(),
+            },
+        ))
     }
 
     /// How many of a job's tasks are done.
@@ -504,9 +585,15 @@
 
     /// A part's numbers of a job that are neither done nor marked.
     pub fn waiting(&self, part: usize, job: u64) -> RangeSet {
-        let Some(open) = self.open.get(&job) else { return RangeSet::new() };
-        let Some(share) = open.div.get(part) else { return RangeSet::new() };
-        let Some(chunks) = self.marks.get(&(part, job)) else { return share.clone() };
+        let Some(open) = self.open.get(&job) else {
+            return RangeSet::new();
+        };
+        let Some(share) = open.div.get(part) else {
+            return RangeSet::new();
+        };
+        let Some(chunks) = self.marks.get(&(part, job)) else {
+            return share.clone();
+        };
         let mut busy = RangeSet::new();
         for chunk in chunks.values() {
             busy = busy.union(&chunk.done);
@@ -525,8 +612,17 @@
                 End::Done => JobStatus::Done,
                 End::Cancelled => JobStatus::Cancelled,
             };
-            let done = if e.end == End::Done { e.n } else { self.done(job) };
-            return Some(JobView { id, status, done, running: 0 });
+            let done = if e.end == End::Done {
+                e.n
+            } else {
+                self.done(job)
+            };
+            return Some(JobView {
+                id,
+                status,
+                done,
+                running: 0,
+            });
         }
         let open = self.open.get(&job)?;
         let running: usize = (0..open.div.len())
@@ -534,8 +630,17 @@
             .flat_map(|m| m.values())
             .map(|c| c.marks.len())
             .sum();
-        let status = if running > 0 { JobStatus::Running } else { JobStatus::Queued };
-        Some(JobView { id, status, done: self.done(job), running: running as u32 })
+        let status = if running > 0 {
+            JobStatus::Running
+        } else {
+            JobStatus::Queued
+        };
+        Some(JobView {
+            id,
+            status,
+            done: self.done(job),
+            running: running as u32,
+        })
     }
 
     /// What each team uses in `part`: from mark to proven gone.
@@ -550,7 +655,11 @@
                 && let Some(u) = used.get_mut(team as usize)
             {
                 let n = count as f64;
-                u.give(&Needs { cores: needs.cores * n, acc: needs.acc * n, ram: needs.ram * n });
+                u.give(&Needs {
+                    cores: needs.cores * n,
+                    acc: needs.acc * n,
+                    ram: needs.ram * n,
+                });
             }
         }
         used
--- a/crates/cherryyard-core/src/node.rs
+++ b/crates/cherryyard-core/src/node.rs
@@ -174,7 +174,7 @@
     /// A controller that has just started.
     pub fn new(config: Config, seed: u64, now: Millis) -> Self {
         let mirror = Mirror::new(&config);
-        let parts = (0..config.parts()).map(|i| Part::new(i, now)).collect();
+        let parts = (0..config.parts()).map(|_| Part::new(now)).collect();
         let peers = vec![None; config.parts()];
         Self {
             leader: Leader::new(&config, now),
@@ -309,16 +309,20 @@
     }
 
     fn all_cut_off(&self, now: Millis) -> bool {
-        (0..self.peers.len()).filter(|&i| i != self.config.me).all(|i| {
-            self.peers[i]
-                .as_ref()
-                .is_some_and(|p| now - p.heard_at <= 3000.0 && p.beat.cut_off)
-        })
+        (0..self.peers.len())
+            .filter(|&i| i != self.config.me)
+            .all(|i| {
+                self.peers[i]
+                    .as_ref()
+                    .is_some_and(|p| now - p.heard_at <= 3000.0 && p.beat.cut_off)
+            })
     }
 
     /// The token under which reports of part `p` are answered now, if any.
     fn answering(&self, p: usize, now: Millis) -> Option<u64> {
-        let Tenancy::Owned(stamp) = self.parts[p].tenancy else { return None };
+        let Tenancy::Owned(stamp) = self.parts[p].tenancy else {
+            return None;
+        };
         // Guards against a cancellation that this controller cannot see: the
         // workers' leases must end in time. If nobody can reach the state
         // service, nobody can take a cancellation either.
@@ -342,15 +346,23 @@
 
     /// Who takes reports of part `p`, if it is someone else.
     fn owner_elsewhere(&self, p: usize, now: Millis) -> Option<String> {
-        let mut best = self.mirror.parts[p].as_ref().map(|c| (c.stamp, c.label.clone()));
-        for peer in self.peers.iter().flatten().filter(|s| now - s.heard_at < 5000.0) {
+        let mut best = self.mirror.parts[p]
+            .as_ref()
+            .map(|c| (c.stamp, c.label.clone()));
+        for peer in self
+            .peers
+            .iter()
+            .flatten()
+            .filter(|s| now - s.heard_at < 5000.0)
+        {
             for (part, stamp, label) in &peer.beat.claims {
                 if *part as usize == p && best.as_ref().is_none_or(|b| b.0 < *stamp) {
                     best = Some((*stamp, label.clone()));
                 }
             }
         }
-        best.map(|b| b.1).filter(|label| *label != self.config.labels[self.config.me])
+        best.map(|b| b.1)
+            .filter(|label| *label != self.config.labels[self.config.me])
     }
 
     /// Takes a worker's report.
@@ -372,15 +384,20 @@
             return Reply::Unavailable;
         }
         let host = self.mirror.hosts.intern(&report.host);
-        let machine =
-            self.machines.entry(host).or_insert_with(|| Machine::new(host, p, report, now));
+        let machine = self
+            .machines
+            .entry(host)
+            .or_insert_with(|| Machine::new(host, p, report, now));
         if machine.state == HostState::Gone {
             return Reply::Unavailable;
         }
         machine.answered_at = now;
         let newer = machine.hear(report, token, now);
         if !newer {
-            return Reply::Answer(ReportAnswer { baton: token, orders: Vec::new() });
+            return Reply::Answer(ReportAnswer {
+                baton: token,
+                orders: Vec::new(),
+            });
         }
         // The worker has one report under way at a time, so a newer one shows
         // that the last answer was executed or dropped.
@@ -398,18 +415,25 @@
                 })
                 .collect();
         }
-        Reply::Answer(ReportAnswer { baton: token, orders })
+        Reply::Answer(ReportAnswer {
+            baton: token,
+            orders,
+        })
     }
 
     /// Takes how a direct command came out.
     pub fn pushed(&mut self, host: u32, request: &DoRequest, outcome: PushOutcome, now: Millis) {
-        let Some(machine) = self.machines.get_mut(&host) else { return };
+        let Some(machine) = self.machines.get_mut(&host) else {
+            return;
+        };
         let p = machine.part;
         machine.pushing = false;
         match outcome {
             PushOutcome::Answered(report) => {
                 machine.settle_push(request);
-                let Tenancy::Owned(token) = self.parts[p].tenancy else { return };
+                let Tenancy::Owned(token) = self.parts[p].tenancy else {
+                    return;
+                };
                 if machine.hear(&report, token, now) {
                     self.after_message(host, now);
                 }
@@ -426,7 +450,9 @@
 
     /// Takes another controller's beat.
     pub fn beat_in(&mut self, beat: Beat, now: Millis) {
-        let Some(i) = self.config.labels.iter().position(|l| *l == beat.label) else { return };
+        let Some(i) = self.config.labels.iter().position(|l| *l == beat.label) else {
+            return;
+        };
         if i == self.config.me {
             return;
         }
@@ -437,7 +463,12 @@
                 && let Tenancy::Owned(mine) = self.parts[p].tenancy
                 && *stamp > mine
             {
-                tracing::info!(part = p, mine, newer = stamp, "a peer knows of a newer claim");
+                tracing::info!(
+                    part = p,
+                    mine,
+                    newer = stamp,
+                    "a peer knows of a newer claim"
+                );
                 self.change_tenancy(p, TenancyEvent::NewerClaimTold);
                 self.effects.push(Effect::Refresh);
             }
@@ -455,7 +486,11 @@
         if self.leader.is_label(&self.mirror, &beat.label) && !beat.short.is_empty() {
             self.lower_grants(&beat.short, now);
         }
-        self.peers[i] = Some(PeerState { beat, heard_at: now, up_since });
+        self.peers[i] = Some(PeerState {
+            beat,
+            heard_at: now,
+            up_since,
+        });
     }
 
     /// What this controller tells the others now.
@@ -527,6 +562,17 @@
         self.run(now);
     }
 
+    /// Takes a user's transaction (a submission or a cancellation).
+    pub fn user_committed(&mut self, commit: &Commit, epoch: u64, now: Millis) {
+        self.newest_epoch = self.newest_epoch.max(epoch);
+        self.mirror.committed(commit, epoch);
+        for part in &mut self.parts {
+            part.dirty = true;
+        }
+        self.leader.dirty = true;
+        self.run(now);
+    }
+
     pub(crate) fn jitter(&mut self, from: f64, to: f64) -> f64 {
         use rand::RngExt;
         self.rng.random_range(from..to)
@@ -606,7 +652,9 @@
             }
             let mut commit = Commit::default();
             self.mirror.require(&mut commit, Key::Part(p));
-            let claim = Claim { label: self.config.labels[me].clone() };
+            let claim = Claim {
+                label: self.config.labels[me].clone(),
+            };
             commit.apply.push(Apply::Set {
                 set: record::part_key(p),
                 v: serde_json::json!(claim),
@@ -629,12 +677,18 @@
     /// Takes the answer to a release.
     pub fn released(&mut self, hosts: &[String], ok: bool, now: Millis) {
         for name in hosts {
-            let Some(host) = self.mirror.hosts.get(name) else { continue };
+            let Some(host) = self.mirror.hosts.get(name) else {
+                continue;
+            };
             if let Some(part) = self.machines.get(&host).map(|m| m.part) {
                 self.parts[part].dirty = true;
             }
             if let Some(m) = self.machines.get_mut(&host) {
-                m.change(if ok { HostEvent::Released } else { HostEvent::ReleaseFailed });
+                m.change(if ok {
+                    HostEvent::Released
+                } else {
+                    HostEvent::ReleaseFailed
+                });
                 m.release_after = now + 2000.0;
             }
         }
--- a/crates/cherryyard-core/src/owner.rs
+++ b/crates/cherryyard-core/src/owner.rs
@@ -47,7 +47,6 @@
 /// One part, as this controller sees it.
 #[derive(Debug)]
 pub(crate) struct Part {
-    pub index: usize,
     pub tenancy: Tenancy,
     pub claiming: bool,
     pub claim_after: Millis,
@@ -66,9 +65,8 @@
 }
 
 impl Part {
-    pub(crate) fn new(index: usize, now: Millis) -> Self {
+    pub(crate) fn new(now: Millis) -> Self {
         Self {
-            index,
             tenancy: Tenancy::Foreign,
             claiming: false,
             claim_after: now,
@@ -117,7 +115,8 @@
             }
             self.bytes += size;
             self.ends.insert(job);
-            self.edits.insert((job, chunk), now.cloned().unwrap_or_default());
+            self.edits
+                .insert((job, chunk), now.cloned().unwrap_or_default());
         }
         self.edits.get_mut(&(job, chunk))
     }
@@ -157,7 +156,11 @@
     /// A machine's whole size, by its type.
     fn whole(&self, m: &Machine) -> Option<Needs> {
         let kind = self.mirror.kinds.iter().find(|k| k.sku == m.kind)?;
-        Some(Needs { cores: kind.cores, acc: kind.accelerators, ram: kind.ram_gb })
+        Some(Needs {
+            cores: kind.cores,
+            acc: kind.accelerators,
+            ram: kind.ram_gb,
+        })
     }
 
     /// What is left on a machine, after marks (as edited) and strangers.
@@ -200,7 +203,9 @@
 
     /// What reports prove of a marked task.
     fn fate(&self, job: u64, number: u32, mark: &Mark, now: Millis) -> Fate {
-        let Some(m) = self.machines.get(&mark.host) else { return Fate::Keep };
+        let Some(m) = self.machines.get(&mark.host) else {
+            return Fate::Keep;
+        };
         let open = self.mirror.open.contains_key(&job);
         let task = (job, number);
         if m.token_ours()
@@ -225,7 +230,11 @@
             && m.newest.0 == mark.session
             && !m.lease_over
             && m.recall_at.is_none_or(|at| at - now > 60_000.0);
-        if open && may_start { Fate::Keep } else { Fate::Gone { failed: false } }
+        if open && may_start {
+            Fate::Keep
+        } else {
+            Fate::Gone { failed: false }
+        }
     }
 
     /// One round of a part: collects, places, writes.
@@ -297,7 +306,9 @@
             self.parts[p].bump = true;
         }
         for (job, chunk, number, mark, fate) in found {
-            let Some(c) = round.edit(self, p, job, chunk) else { break };
+            let Some(c) = round.edit(self, p, job, chunk) else {
+                break;
+            };
             c.marks.remove(&number);
             match fate {
                 Fate::Done => {
@@ -316,7 +327,9 @@
             m.token_ours()
                 && !m.pushing
                 && now >= m.push_after
-                && m.pushed.iter().any(|s| s.task == (job, number) && s.attempt == mark.attempt)
+                && m.pushed
+                    .iter()
+                    .any(|s| s.task == (job, number) && s.attempt == mark.attempt)
         })
     }
 
@@ -340,7 +353,9 @@
                 .then(a.1.at.cmp(&b.1.at))
                 .then(a.0.cmp(&b.0))
         });
-        all.into_iter().map(|(job, _, waiting)| (job, waiting)).collect()
+        all.into_iter()
+            .map(|(job, _, waiting)| (job, waiting))
+            .collect()
     }
 
     /// Whether the job's rules allow this machine.
@@ -356,7 +371,8 @@
         let queue = self.queue(p);
         let waiting_jobs: HashSet<u64> = queue.iter().map(|q| q.0).collect();
         let part = &mut self.parts[p];
-        part.waiting_since.retain(|job, _| waiting_jobs.contains(job));
+        part.waiting_since
+            .retain(|job, _| waiting_jobs.contains(job));
         part.preempted.retain(|_, x| x.until > now);
         for &(job, _) in &queue {
             part.waiting_since.entry(job).or_insert(now);
@@ -432,10 +448,16 @@
                 // Above every attempt before: each of those was at most the
                 // revision of its own mark, which has been seen since.
                 let attempt = self.mirror.epoch.max(self.newest_epoch) + 1;
-                let mark = Mark { host, session: m.newest.0, attempt };
+                let mark = Mark {
+                    host,
+                    session: m.newest.0,
+                    attempt,
+                };
                 *zones.entry(m.zone.clone()).or_default() += 1;
                 let chunk = number / self.config.chunk;
-                let Some(c) = round.edit(self, p, *job, chunk) else { break 'jobs };
+                let Some(c) = round.edit(self, p, *job, chunk) else {
+                    break 'jobs;
+                };
                 c.marks.insert(number, mark);
                 rooms[i].1.take(&needs);
                 used[team].give(&needs);
@@ -477,8 +499,15 @@
         if !o.spec.apart || o.spec.pieces == 1 {
             return true;
         }
-        let Some(z) = self.config.zones.get(zone) else { return false };
-        let cap = o.caps.get(p).and_then(|c| c.get(z as usize)).copied().unwrap_or(0);
+        let Some(z) = self.config.zones.get(zone) else {
+            return false;
+        };
+        let cap = o
+            .caps
+            .get(p)
+            .and_then(|c| c.get(z as usize))
+            .copied()
+            .unwrap_or(0);
         counts.get(zone).copied().unwrap_or(0) < cap
     }
 
@@ -488,8 +517,11 @@
         let needs = open.needs();
         let totals = self.team_totals();
         let team = open.team as usize;
-        let covered: HashSet<Task> =
-            self.parts[p].preempted.values().map(|x| x.for_task).collect();
+        let covered: HashSet<Task> = self.parts[p]
+            .preempted
+            .values()
+            .map(|x| x.for_task)
+            .collect();
         let silence = self.silence_ms();
         let mut chosen: Vec<(Task, Preempted, u32)> = Vec::new();
         for &number in numbers.iter().take(4) {
@@ -498,18 +530,25 @@
             }
             // By machine: the work to stop, least lost first.
             let mut best: Option<(f64, Vec<(Task, u64)>, u32)> = None;
-            for m in self.machines.values().filter(|m| m.part == p && m.usable(now, silence)) {
+            for m in self
+                .machines
+                .values()
+                .filter(|m| m.part == p && m.usable(now, silence))
+            {
                 if !self.allowed(open, m)
                     || m.seen.contains_key(&(job, number))
                     || chosen.iter().any(|c| c.2 == m.host)
                     || !self.zone_open(p, open, &m.zone, &self.zone_counts(p, job, round))
-                    || self.mirror.on_host(m.host).any(|(t, _)| {
-                        self.parts[p].preempted.contains_key(&t)
-                    })
+                    || self
+                        .mirror
+                        .on_host(m.host)
+                        .any(|(t, _)| self.parts[p].preempted.contains_key(&t))
                 {
                     continue;
                 }
-                let Some(mut free) = self.free_on(m, Some(round)) else { continue };
+                let Some(mut free) = self.free_on(m, Some(round)) else {
+                    continue;
+                };
                 let mut victims: Vec<(Rank, f64, Task, u64, Needs)> = self
                     .mirror
                     .on_host(m.host)
@@ -544,14 +583,22 @@
                 if !needs.fits(&free) || list.is_empty() {
                     continue;
                 }
-                let image = if m.has_image(&open.spec.bundle) { 0.0 } else { 1.5e6 };
+                let image = if m.has_image(&open.spec.bundle) {
+                    0.0
+                } else {
+                    1.5e6
+                };
                 if best.as_ref().is_none_or(|b| cost + image < b.0) {
                     best = Some((cost + image, list, m.host));
                 }
             }
             let Some((_, list, host)) = best else { break };
             for (task, attempt) in list {
-                let x = Preempted { attempt, for_task: (job, number), until: now + 6000.0 };
+                let x = Preempted {
+                    attempt,
+                    for_task: (job, number),
+                    until: now + 6000.0,
+                };
                 chosen.push((task, x, host));
             }
         }
@@ -600,16 +647,26 @@
         commit.require(record::part_key(p), token);
         let mut done: BTreeMap<u64, u32> = BTreeMap::new();
         for (&(job, chunk), c) in &round.edits {
-            let key = Key::Mark { part: p, job, chunk };
+            let key = Key::Mark {
+                part: p,
+                job,
+                chunk,
+            };
             self.mirror.require(&mut commit, key);
             let before = self.mirror.marks.get(&(p, job)).and_then(|m| m.get(&chunk));
-            let gained = c.done.len().saturating_sub(before.map_or(0, |b| b.done.len()));
+            let gained = c
+                .done
+                .len()
+                .saturating_sub(before.map_or(0, |b| b.done.len()));
             if let Some(open) = self.mirror.open.get(&job) {
                 commit.require(record::job_key(job), open.stamp);
                 if self.config.teams[open.team as usize].limited() {
                     // A lowering of the grant whose answer was lost may have
                     // been applied; marks made by the old grant must then die.
-                    let key = Key::Grant { team: open.team as usize, part: p };
+                    let key = Key::Grant {
+                        team: open.team as usize,
+                        part: p,
+                    };
                     self.mirror.require(&mut commit, key);
                 }
                 *done.entry(job).or_insert_with(|| self.mirror.done(job)) += gained;
@@ -617,11 +674,15 @@
             let over = self.mirror.end(job).is_some();
             if c.marks.is_empty() && (c.done.is_empty() || over) {
                 if before.is_some() {
-                    commit.apply.push(Apply::delete(record::mark_key(p, job, chunk)));
+                    commit
+                        .apply
+                        .push(Apply::delete(record::mark_key(p, job, chunk)));
                 }
             } else {
                 let value = serde_json::json!(c.record(&self.mirror.hosts));
-                commit.apply.push(Apply::set(record::mark_key(p, job, chunk), value));
+                commit
+                    .apply
+                    .push(Apply::set(record::mark_key(p, job, chunk), value));
             }
         }
         for (job, done) in done {
@@ -638,7 +699,9 @@
 
     /// Takes how an owner's round came out.
     pub(crate) fn owner_committed(&mut self, p: usize, outcome: Outcome, now: Millis) {
-        let Some(pending) = self.parts[p].pending.take() else { return };
+        let Some(pending) = self.parts[p].pending.take() else {
+            return;
+        };
         self.parts[p].dirty = true;
         match outcome {
             Outcome::Applied(_) => {
@@ -655,8 +718,7 @@
                     // neither spins nor empties the fleet.
                     if let Some(m) = self.machines.get_mut(&host) {
                         m.failures += 1;
-                        m.avoid_until =
-                            now + 5000.0 * f64::from(1u32 << m.failures.min(5));
+                        m.avoid_until = now + 5000.0 * f64::from(1u32 << m.failures.min(5));
                     }
                     let t = self.parts[p].trouble.entry(job).or_default();
                     t.fails += 1;
@@ -687,8 +749,15 @@
 
     fn note_images(&mut self, host: u32) {
         let tasks: Vec<u64> = self.mirror.on_host(host).map(|((job, _), _)| job).collect();
-        let Some(m) = self.machines.get_mut(&host) else { return };
-        let cache = self.mirror.kinds.iter().find(|k| k.sku == m.kind).map_or(0.0, |k| k.cache_gb);
+        let Some(m) = self.machines.get_mut(&host) else {
+            return;
+        };
+        let cache = self
+            .mirror
+            .kinds
+            .iter()
+            .find(|k| k.sku == m.kind)
+            .map_or(0.0, |k| k.cache_gb);
         for job in tasks {
             if let Some(open) = self.mirror.open.get(&job) {
                 m.use_image(&open.spec.bundle, open.spec.image_gb, cache);
@@ -698,7 +767,9 @@
 
     /// After any message of a machine: the owner's round is due.
     pub(crate) fn after_message(&mut self, host: u32, now: Millis) {
-        let Some(m) = self.machines.get(&host) else { return };
+        let Some(m) = self.machines.get(&host) else {
+            return;
+        };
         let p = m.part;
         self.parts[p].dirty = true;
         if m.images.is_empty() && !m.seen.is_empty() {
@@ -710,7 +781,9 @@
     /// The commands that bring a machine to what its marks say.
     pub(crate) fn orders(&self, host: u32, now: Millis, in_answer: bool) -> Vec<Order> {
         let mut orders = Vec::new();
-        let Some(m) = self.machines.get(&host) else { return orders };
+        let Some(m) = self.machines.get(&host) else {
+            return orders;
+        };
         if !m.token_ours() || !matches!(m.state, HostState::Ready) {
             return orders;
         }
@@ -727,8 +800,16 @@
             if seen.ended() {
                 // Cleared only once its end is durable, and only when no start
                 // of it is on its way: it would start a second time.
-                if in_answer && mark.is_none() && !m.start_pending(task, seen.attempt) && fresh && owned {
-                    orders.push(Order::Clear { piece: piece(), attempt: seen.attempt });
+                if in_answer
+                    && mark.is_none()
+                    && !m.start_pending(task, seen.attempt)
+                    && fresh
+                    && owned
+                {
+                    orders.push(Order::Clear {
+                        piece: piece(),
+                        attempt: seen.attempt,
+                    });
                 }
                 continue;
             }
@@ -746,8 +827,11 @@
                     });
                     if (preempted || recalled) && seen.status != PieceStatus::Saving {
                         let saves = open.spec.snapshot_every_s > 0.0;
-                        let wind_down_s =
-                            if saves { open.spec.snapshot_cost_s + 1.0 } else { 0.0 };
+                        let wind_down_s = if saves {
+                            open.spec.snapshot_cost_s + 1.0
+                        } else {
+                            0.0
+                        };
                         orders.push(Order::Kill {
                             piece: piece(),
                             attempt: seen.attempt,
@@ -787,8 +871,12 @@
 
     /// Sends a machine its due commands directly, if there are any.
     pub(crate) fn push(&mut self, host: u32, now: Millis) {
-        let Some(m) = self.machines.get(&host) else { return };
-        let Tenancy::Owned(token) = self.parts[m.part].tenancy else { return };
+        let Some(m) = self.machines.get(&host) else {
+            return;
+        };
+        let Tenancy::Owned(token) = self.parts[m.part].tenancy else {
+            return;
+        };
         if m.pushing || now < m.push_after || now - m.heard_at > self.silence_ms() {
             return;
         }
@@ -796,20 +884,37 @@
         if orders.is_empty() {
             return;
         }
-        let Some(m) = self.machines.get_mut(&host) else { return };
+        let Some(m) = self.machines.get_mut(&host) else {
+            return;
+        };
         m.pushing = true;
         m.push_after = now + 300.0;
         let session = m.newest.0;
         for order in &orders {
             if let Order::Start { piece, attempt } = order
                 && let Some(task) = piece_numbers(piece)
-                && !m.pushed.iter().any(|s| s.task == task && s.attempt == *attempt)
+                && !m
+                    .pushed
+                    .iter()
+                    .any(|s| s.task == task && s.attempt == *attempt)
             {
-                m.pushed.push(PushedStart { task, attempt: *attempt, session });
+                m.pushed.push(PushedStart {
+                    task,
+                    attempt: *attempt,
+                    session,
+                });
             }
         }
-        let request = DoRequest { baton: token, tenure: session, orders };
-        self.effects.push(Effect::Push { host, addr: m.addr.clone(), request });
+        let request = DoRequest {
+            baton: token,
+            tenure: session,
+            orders,
+        };
+        self.effects.push(Effect::Push {
+            host,
+            addr: m.addr.clone(),
+            request,
+        });
     }
 
     /// Pushes to every machine of the part that has due commands.
@@ -829,14 +934,21 @@
     /// Free room and waiting tasks, for the leader.
     pub(crate) fn part_report(&self, p: usize, now: Millis) -> PartReport {
         let silence = self.silence_ms();
-        let mut machines: Vec<&Machine> =
-            self.machines.values().filter(|m| m.part == p && m.usable(now, silence)).collect();
+        let mut machines: Vec<&Machine> = self
+            .machines
+            .values()
+            .filter(|m| m.part == p && m.usable(now, silence))
+            .collect();
         machines.sort_by_key(|m| m.host);
         let used = self.mirror.usage(p);
         let mut wants = used.clone();
         let mut waiting = Vec::new();
         for (job, set) in self.queue(p).into_iter().take(500) {
-            let since = self.parts[p].waiting_since.get(&job).copied().unwrap_or(now);
+            let since = self.parts[p]
+                .waiting_since
+                .get(&job)
+                .copied()
+                .unwrap_or(now);
             waiting.push((job, set.len(), ((now - since) / 1000.0) as f32));
             if let Some((team, needs)) = self.mirror.uses(job)
                 && let Some(w) = wants.get_mut(team as usize)
@@ -865,7 +977,13 @@
             wants: wants
                 .iter()
                 .enumerate()
-                .map(|(t, w)| (self.config.team_names.name(t as u32).to_string(), w.cores, w.acc))
+                .map(|(t, w)| {
+                    (
+                        self.config.team_names.name(t as u32).to_string(),
+                        w.cores,
+                        w.acc,
+                    )
+                })
                 .collect(),
         }
     }
@@ -891,8 +1009,7 @@
                     cores: grant.cores.min(wants.0),
                     acc: grant.acc.min(wants.1),
                 };
-                if stamp != 0 && (keep.cores < grant.cores - 1e-6 || keep.acc < grant.acc - 1e-6)
-                {
+                if stamp != 0 && (keep.cores < grant.cores - 1e-6 || keep.acc < grant.acc - 1e-6) {
                     commit.require(record::grant_key(t, p), stamp);
                     commit
                         .apply
@@ -1023,7 +1140,9 @@
                 .marks
                 .iter()
                 .find(|(_, chunks)| {
-                    chunks.values().any(|c| c.marks.values().any(|k| k.host == host))
+                    chunks
+                        .values()
+                        .any(|c| c.marks.values().any(|k| k.host == host))
                 })
                 .map(|(&(p, _), _)| p)
             else {
--- a/crates/cherryyard-core/src/parting.rs
+++ b/crates/cherryyard-core/src/parting.rs
@@ -16,7 +16,10 @@
         for (i, (_, zone)) in controllers.iter().enumerate() {
             by_zone.entry(zone.clone()).or_default().push(i);
         }
-        Self { by_zone, count: controllers.len() }
+        Self {
+            by_zone,
+            count: controllers.len(),
+        }
     }
 
     /// How many parts there are.
@@ -27,11 +30,15 @@
     /// The part of machine `host` in `zone`: the controller in its zone; with
     /// none or several there, the machines are spread by number.
     pub fn part(&self, zone: &str, host: &str) -> usize {
-        let digits = host.rfind(|c: char| !c.is_ascii_digit()).map_or(host, |i| &host[i + 1..]);
+        let digits = host
+            .rfind(|c: char| !c.is_ascii_digit())
+            .map_or(host, |i| &host[i + 1..]);
         let number = match digits.parse::<u64>() {
             Ok(n) => n as usize,
             // A name without a number still needs one fixed part.
-            Err(_) => host.bytes().fold(0usize, |h, b| h.wrapping_mul(31).wrapping_add(b.into())),
+            Err(_) => host
+                .bytes()
+                .fold(0usize, |h, b| h.wrapping_mul(31).wrapping_add(b.into())),
         };
         match self.by_zone.get(zone) {
             Some(parts) => parts[number % parts.len()],
--- a/crates/cherryyard-io/src/lib.rs
+++ b/crates/cherryyard-io/src/lib.rs
@@ -1,1 +1,10 @@
-//! placeholder
+//! Clients of everything outside one controller.
+//!
+//! Each call is bounded in time and size, and tells what matters about a
+//! failure: whether the request can still take effect.
+
+pub mod cloud;
+pub mod http;
+pub mod peer;
+pub mod state;
+pub mod worker;
--- /dev/null
+++ b/crates/cherryyard-io/src/state.rs
@@ -0,0 +1,179 @@
+//! Client of the state service.
+
+use crate::http::{Failure, Http};
+use cherryyard_wire::parse_object;
+use cherryyard_wire::record::PREFIX;
+use cherryyard_wire::state::{Commit, Epoch, Hold, News, Page, Pair};
+use hyper::Method;
+use std::time::Duration;
+
+/// Largest answer that is read.
+const MAX_ANSWER: usize = 16 * 1024 * 1024;
+
+/// Why a call has no result.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum StateError {
+    /// Refused as too much; try later.
+    #[error("too many requests")]
+    Busy,
+    /// Not executed.
+    #[error("unavailable")]
+    Unavailable,
+    /// What was asked for is gone: an old watch, or an ended lease.
+    #[error("gone")]
+    Gone,
+    /// No answer; it may yet be executed.
+    #[error("no answer")]
+    Unknown,
+    /// The answer makes no sense.
+    #[error("a bad answer")]
+    Bad,
+}
+
+/// How a transaction came out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Committed {
+    /// Applied at this revision.
+    Applied(u64),
+    /// A condition failed as of this revision.
+    Conflict(u64),
+    /// Its lease is over.
+    NoLease,
+}
+
+/// The state service.
+#[derive(Clone, Debug)]
+pub struct State {
+    http: Http,
+    base: String,
+}
+
+fn failed(status: u16) -> StateError {
+    match status {
+        429 => StateError::Busy,
+        404 | 410 => StateError::Gone,
+        500.. => StateError::Unavailable,
+        _ => StateError::Bad,
+    }
+}
+
+impl From<Failure> for StateError {
+    fn from(f: Failure) -> Self {
+        match f {
+            Failure::Unsent => Self::Unavailable,
+            Failure::Unknown => Self::Unknown,
+        }
+    }
+}
+
+impl State {
+    /// The state service at `addr`.
+    pub fn new(http: Http, addr: &str) -> Self {
+        Self {
+            http,
+            base: format!("http://{addr}"),
+        }
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<Vec<u8>>,
+        timeout_ms: u64,
+    ) -> Result<(u16, bytes::Bytes), StateError> {
+        let url = format!("{}{path}", self.base);
+        let timeout = Duration::from_millis(timeout_ms);
+        Ok(self
+            .http
+            .call(method, &url, body, timeout, MAX_ANSWER)
+            .await?)
+    }
+
+    fn read<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, StateError> {
+        parse_object(body).map_err(|e| {
+            tracing::warn!("bad answer of the state service: {e}");
+            StateError::Bad
+        })
+    }
+
+    /// Reads everything under our prefix, with the revision of the first page.
+    pub async fn load(&self) -> Result<(Vec<Pair>, u64), StateError> {
+        let mut all: Vec<Pair> = Vec::new();
+        let mut epoch = None;
+        loop {
+            let since = all
+                .last()
+                .map(|p| format!("&since={}", p.key))
+                .unwrap_or_default();
+            let path = format!("/store?starts={PREFIX}{since}&page=1000");
+            let (status, body) = self.call(Method::GET, &path, None, 3000).await?;
+            if status != 200 {
+                return Err(failed(status));
+            }
+            let page: Page = Self::read(&body)?;
+            let first = *epoch.get_or_insert(page.epoch);
+            let empty = page.pairs.is_empty();
+            all.extend(page.pairs);
+            if !page.truncated || empty {
+                return Ok((all, first));
+            }
+            // A long read spends requests that renewals need too.
+            tokio::time::sleep(Duration::from_millis(60)).await;
+        }
+    }
+
+    /// Waits up to `wait_ms` for changes after `since`.
+    pub async fn follow(&self, since: u64, wait_ms: u64) -> Result<News, StateError> {
+        let path = format!("/follow?starts={PREFIX}&since={since}&wait_ms={wait_ms}");
+        let (status, body) = self.call(Method::GET, &path, None, wait_ms + 1500).await?;
+        if status != 200 {
+            return Err(failed(status));
+        }
+        Self::read(&body)
+    }
+
+    /// Sends a transaction.
+    pub async fn commit(&self, commit: &Commit) -> Result<Committed, StateError> {
+        let body = serde_json::to_vec(commit).map_err(|_| StateError::Bad)?;
+        let (status, body) = self.call(Method::POST, "/commit", Some(body), 2000).await?;
+        match status {
+            200 => Ok(Committed::Applied(Self::read::<Epoch>(&body)?.epoch)),
+            409 => Ok(Committed::Conflict(Self::read::<Epoch>(&body)?.epoch)),
+            400 => {
+                let text = String::from_utf8_lossy(&body);
+                if text.contains("no such lease") || text.contains("hold") {
+                    return Ok(Committed::NoLease);
+                }
+                tracing::error!(%text, "the state service calls a transaction malformed");
+                Err(StateError::Bad)
+            }
+            other => Err(failed(other)),
+        }
+    }
+
+    /// Gets a lease.
+    pub async fn hold(&self, ttl_ms: u64) -> Result<u64, StateError> {
+        let body = serde_json::json!({ "ttl_ms": ttl_ms })
+            .to_string()
+            .into_bytes();
+        let (status, body) = self.call(Method::POST, "/holds", Some(body), 2000).await?;
+        if status != 200 {
+            return Err(failed(status));
+        }
+        Ok(Self::read::<Hold>(&body)?.hold)
+    }
+
+    /// Renews a lease.
+    pub async fn touch(&self, hold: u64) -> Result<(), StateError> {
+        let path = format!("/holds/{hold}/touch");
+        let (status, _) = self
+            .call(Method::POST, &path, Some(b"{}".to_vec()), 1500)
+            .await?;
+        if status == 200 {
+            Ok(())
+        } else {
+            Err(failed(status))
+        }
+    }
+}
--- a/crates/cherryyard-wire/src/job.rs
+++ b/crates/cherryyard-wire/src/job.rs
@@ -86,9 +86,11 @@
         if job_number(&self.id).is_none() {
             return Err("id: must be `j-` and digits, such as j-000412".into());
         }
-        for (name, text) in
-            [("jobclass", &self.jobclass), ("owner", &self.owner), ("bundle", &self.bundle)]
-        {
+        for (name, text) in [
+            ("jobclass", &self.jobclass),
+            ("owner", &self.owner),
+            ("bundle", &self.bundle),
+        ] {
             if text.is_empty() || text.len() > 200 {
                 return Err(format!("{name}: must have 1 to 200 bytes"));
             }
--- a/crates/cherryyard-wire/src/ranges.rs
+++ b/crates/cherryyard-wire/src/ranges.rs
@@ -15,13 +15,20 @@
 
     /// The numbers from `first` to `last`, both included.
     pub fn span(first: u32, last: u32) -> Self {
-        if first > last { Self::new() } else { Self(vec![(first, last)]) }
+        if first > last {
+            Self::new()
+        } else {
+            Self(vec![(first, last)])
+        }
     }
 
     /// Whether the ranges are in order, disjoint and apart, as `insert` keeps them.
     pub fn is_canonical(&self) -> bool {
         self.0.iter().all(|r| r.0 <= r.1)
-            && self.0.windows(2).all(|w| w[0].1 < u32::MAX && w[0].1 + 1 < w[1].0)
+            && self
+                .0
+                .windows(2)
+                .all(|w| w[0].1 < u32::MAX && w[0].1 + 1 < w[1].0)
     }
 
     /// How many numbers the set holds.
--- a/crates/cherryyard-wire/src/settings.rs
+++ b/crates/cherryyard-wire/src/settings.rs
@@ -161,7 +161,9 @@
                 .map_err(|_| format!("{name}: `{text}` is not an IP address and port"))
         };
         let positive = |name: &str, x: f64| {
-            (x.is_finite() && x > 0.0).then_some(()).ok_or(format!("{name}: must be above 0"))
+            (x.is_finite() && x > 0.0)
+                .then_some(())
+                .ok_or(format!("{name}: must be above 0"))
         };
         if self.label.is_empty() {
             return Err("label: must not be empty".into());
@@ -216,8 +218,11 @@
 
     /// All controllers' names and zones, in the order every controller agrees on.
     pub fn controllers(&self) -> Vec<(String, String)> {
-        let mut all: Vec<_> =
-            self.known.iter().map(|p| (p.label.clone(), p.domain.clone())).collect();
+        let mut all: Vec<_> = self
+            .known
+            .iter()
+            .map(|p| (p.label.clone(), p.domain.clone()))
+            .collect();
         all.push((self.label.clone(), self.domain.clone()));
         all.sort();
         all
--- a/crates/cherryyard-wire/src/state.rs
+++ b/crates/cherryyard-wire/src/state.rs
@@ -59,7 +59,11 @@
 impl Apply {
     /// A put without a lease.
     pub fn set(key: impl Into<String>, v: Value) -> Self {
-        Self::Set { set: key.into(), v, hold: None }
+        Self::Set {
+            set: key.into(),
+            v,
+            hold: None,
+        }
     }
 
     /// A deletion.
--- /dev/null
+++ b/crates/cherryyard/src/app.rs
@@ -0,0 +1,338 @@
+//! The running controller: tasks around the core.
+
+use crate::routes;
+use bytes::Bytes;
+use cherryyard_core::{Config, Effect, Node, Outcome, PushOutcome, Ticket, Tuning};
+use cherryyard_io::cloud::{Cloud, CloudError};
+use cherryyard_io::http::{Failure, Http};
+use cherryyard_io::state::{Committed, State, StateError};
+use cherryyard_io::{peer, worker};
+use cherryyard_wire::settings::Settings;
+use cherryyard_wire::state::Commit;
+use salvo::conn::Listener;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::sync::{Notify, oneshot, watch};
+
+/// What all tasks share.
+pub struct App {
+    node: Mutex<Node>,
+    /// Client of the state service.
+    pub state: State,
+    cloud: Cloud,
+    workers: Http,
+    born: Instant,
+    barrier: Mutex<Vec<oneshot::Sender<bool>>>,
+    barrier_wanted: Notify,
+    beat_wanted: Notify,
+    /// The least time between two reads of one kind, from the request budget.
+    pace: Duration,
+    list_every: Duration,
+    ttl_ms: u64,
+    follow_ms: u64,
+}
+
+/// Longest that a user's request waits for the state service.
+const PATIENCE: Duration = Duration::from_millis(1500);
+/// Requests that may wait for a barrier at once.
+const MAX_WAITING: usize = 2000;
+
+fn jittered(ms: u64) -> Duration {
+    use rand::RngExt;
+    Duration::from_millis(rand::rng().random_range(ms / 2..=ms + ms / 2))
+}
+
+impl App {
+    /// Milliseconds on the steady clock.
+    pub fn now(&self) -> f64 {
+        self.born.elapsed().as_secs_f64() * 1000.0
+    }
+
+    /// Works on the core, then does what it wants done.
+    pub fn with<T>(self: &Arc<Self>, work: impl FnOnce(&mut Node, f64) -> T) -> T {
+        let now = self.now();
+        let (result, effects) = {
+            let mut node = self.node.lock().unwrap_or_else(PoisonError::into_inner);
+            let result = work(&mut node, now);
+            (result, node.effects())
+        };
+        for effect in effects {
+            self.perform(effect);
+        }
+        result
+    }
+
+    fn perform(self: &Arc<Self>, effect: Effect) {
+        let app = self.clone();
+        match effect {
+            Effect::Refresh => self.barrier_wanted.notify_one(),
+            Effect::Beat => self.beat_wanted.notify_one(),
+            Effect::Commit(ticket, commit) => {
+                tokio::spawn(async move {
+                    let outcome = app.commit(&commit).await;
+                    app.with(|n, now| n.committed(ticket, &commit, outcome, now));
+                    if matches!(ticket, Ticket::Claim(_)) && outcome == Outcome::NoLease {
+                        tracing::info!("the lease of a claim was over");
+                    }
+                });
+            }
+            Effect::Push {
+                host,
+                addr,
+                request,
+            } => {
+                tokio::spawn(async move {
+                    let outcome = match worker::send(&app.workers, &addr, &request).await {
+                        Ok(report) => PushOutcome::Answered(Box::new(report)),
+                        Err(Failure::Unsent) => PushOutcome::Unsent,
+                        Err(Failure::Unknown) => PushOutcome::Unknown,
+                    };
+                    app.with(|n, now| n.pushed(host, &request, outcome, now));
+                });
+            }
+            Effect::Release(hosts) => {
+                tokio::spawn(async move {
+                    let ok = app.cloud.release(&hosts).await.is_ok();
+                    app.with(|n, now| n.released(&hosts, ok, now));
+                });
+            }
+            Effect::Hire(request) => {
+                tokio::spawn(async move {
+                    let answer = match app.cloud.hire(&request).await {
+                        Ok(hosts) => Ok(hosts),
+                        Err(CloudError::NoCapacity | CloudError::Malformed) => Err(true),
+                        Err(CloudError::Unavailable) => {
+                            tokio::time::sleep(jittered(2500)).await;
+                            Err(false)
+                        }
+                    };
+                    app.with(|n, now| n.hired(&request, answer, now));
+                });
+            }
+        }
+    }
+
+    /// Sends a transaction.
+    pub async fn commit(self: &Arc<Self>, commit: &Commit) -> Outcome {
+        let sent_at = self.now();
+        let outcome = match self.state.commit(commit).await {
+            Ok(Committed::Applied(epoch)) => Outcome::Applied(epoch),
+            Ok(Committed::Conflict(epoch)) => Outcome::Conflict(epoch),
+            Ok(Committed::NoLease) => Outcome::NoLease,
+            Err(StateError::Unknown) => return Outcome::Unknown,
+            Err(StateError::Bad) => return Outcome::Unknown,
+            Err(_) => return Outcome::Refused,
+        };
+        self.with(|n, _| n.state_answered(sent_at));
+        outcome
+    }
+
+    /// Waits until the mirror holds everything that was durable when this was
+    /// called. One read serves all who wait.
+    pub async fn caught_up(self: &Arc<Self>) -> bool {
+        let (tell, told) = oneshot::channel();
+        {
+            let mut waiting = self.barrier.lock().unwrap_or_else(PoisonError::into_inner);
+            if waiting.len() >= MAX_WAITING {
+                return false;
+            }
+            waiting.push(tell);
+        }
+        self.barrier_wanted.notify_one();
+        matches!(tokio::time::timeout(PATIENCE, told).await, Ok(Ok(true)))
+    }
+
+    /// Reads the newest state whenever someone waits for it.
+    async fn serve_barriers(self: Arc<Self>) {
+        loop {
+            self.barrier_wanted.notified().await;
+            let waiting = {
+                let mut all = self.barrier.lock().unwrap_or_else(PoisonError::into_inner);
+                std::mem::take(&mut *all)
+            };
+            let sent_at = self.now();
+            let (loaded, since) = self.with(|n, _| (n.mirror.loaded, n.mirror.epoch));
+            let good = loaded
+                && match self.state.follow(since, 0).await {
+                    Ok(news) => {
+                        self.with(|n, now| n.news(&news, sent_at, now));
+                        true
+                    }
+                    Err(_) => false,
+                };
+            for tell in waiting {
+                // The one who waits may have given up.
+                let _ = tell.send(good);
+            }
+            tokio::time::sleep(if good { self.pace } else { self.pace * 2 }).await;
+        }
+    }
+
+    /// Keeps the mirror: one full read, then one watch.
+    async fn mirror(self: Arc<Self>) {
+        let mut reload = true;
+        loop {
+            let sent_at = self.now();
+            if reload {
+                match self.state.load().await {
+                    Ok((pairs, epoch)) => {
+                        self.with(|n, now| n.load(&pairs, epoch, sent_at, now));
+                        tracing::info!(keys = pairs.len(), epoch, "read the state");
+                        reload = false;
+                    }
+                    Err(e) => {
+                        tracing::info!("cannot read the state: {e}");
+                        tokio::time::sleep(jittered(500)).await;
+                    }
+                }
+                continue;
+            }
+            let since = self.with(|n, _| n.mirror.epoch);
+            match self.state.follow(since, self.follow_ms).await {
+                Ok(news) => {
+                    self.with(|n, now| n.news(&news, sent_at, now));
+                    tokio::time::sleep(self.pace).await;
+                }
+                Err(StateError::Gone) => {
+                    tracing::info!(since, "the watch is too old, reading everything again");
+                    reload = true;
+                }
+                Err(e) => {
+                    tracing::debug!("the watch failed: {e}");
+                    tokio::time::sleep(jittered(400)).await;
+                }
+            }
+        }
+    }
+
+    /// Keeps the state lease under which claims are made.
+    async fn lease(self: Arc<Self>) {
+        let every = Duration::from_millis(self.ttl_ms / 4);
+        loop {
+            let sent_at = self.now();
+            match self.with(|n, _| n.hold()) {
+                None => match self.state.hold(self.ttl_ms).await {
+                    Ok(hold) => self.with(|n, now| {
+                        n.state_answered(sent_at);
+                        n.lease(Some(hold), now);
+                    }),
+                    Err(_) => tokio::time::sleep(jittered(400)).await,
+                },
+                Some(hold) => {
+                    tokio::time::sleep(every).await;
+                    let sent_at = self.now();
+                    match self.state.touch(hold).await {
+                        Ok(()) => self.with(|n, _| n.state_answered(sent_at)),
+                        Err(StateError::Gone) => {
+                            tracing::info!(hold, "our lease in the state service is over");
+                            self.with(|n, now| n.lease(None, now));
+                        }
+                        // Tried again at once, but not faster than the budget.
+                        Err(_) => {}
+                    }
+                }
+            }
+        }
+    }
+
+    async fn clock(self: Arc<Self>) {
+        let mut ticks = tokio::time::interval(Duration::from_millis(100));
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            self.with(|n, now| n.tick(now));
+        }
+    }
+
+    async fn beats(self: Arc<Self>, out: watch::Sender<Bytes>) {
+        loop {
+            let wait = tokio::time::sleep(Duration::from_millis(500));
+            tokio::select! {
+                () = wait => {}
+                () = self.beat_wanted.notified() => {}
+            }
+            let beat = self.with(|n, now| n.beat_out(now));
+            let _ = out.send(Bytes::from(cherryyard_wire::peer::encode(&beat)));
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    async fn watch_cloud(self: Arc<Self>) {
+        let mut kinds_at: Option<Instant> = None;
+        loop {
+            if kinds_at.is_none_or(|at| at.elapsed() > Duration::from_secs(120)) {
+                match self.cloud.kinds().await {
+                    Ok(kinds) => {
+                        kinds_at = Some(Instant::now());
+                        self.with(|n, now| n.kinds(kinds, now));
+                    }
+                    Err(e) => tracing::info!("cannot read the machine types: {e}"),
+                }
+            }
+            if let Ok(hosts) = self.cloud.list().await {
+                self.with(|n, now| n.listed(hosts, now));
+            }
+            let unknown = kinds_at.is_none();
+            tokio::time::sleep(if unknown {
+                jittered(1500)
+            } else {
+                self.list_every
+            })
+            .await;
+        }
+    }
+}
+
+/// Runs a controller until it is killed.
+pub async fn run(settings: Settings, tuning: Tuning) -> Result<(), String> {
+    let c = &settings.cluster;
+    let controllers = (settings.known.len() + 1) as f64;
+    let http = Http::new(Duration::from_millis(1200), 8);
+    // A third of the requests each for watch and barrier, the rest for renewals
+    // and transactions.
+    let pace = Duration::from_secs_f64((controllers * 3.0 / c.state.rps).clamp(0.02, 2.0));
+    let list_every = Duration::from_secs_f64((controllers * 4.0 / c.cloud.rps).clamp(3.0, 30.0));
+    let seed = rand::random();
+    let app = Arc::new(App {
+        node: Mutex::new(Node::new(Config::new(&settings, tuning), seed, 0.0)),
+        state: State::new(http.clone(), &settings.services.state),
+        cloud: Cloud::new(http, &settings.services.cloud),
+        workers: Http::new(Duration::from_millis(1000), 1),
+        born: Instant::now(),
+        barrier: Mutex::new(Vec::new()),
+        barrier_wanted: Notify::new(),
+        beat_wanted: Notify::new(),
+        pace,
+        list_every,
+        ttl_ms: ((c.workers.lease_s * 500.0) as u64).clamp(1000, 5000),
+        follow_ms: ((c.workers.lease_s * 300.0) as u64).clamp(500, 4000),
+    });
+
+    let listener = tokio::net::TcpListener::bind(&settings.peer_listen)
+        .await
+        .map_err(|e| format!("peer_listen: {}: {e}", settings.peer_listen))?;
+    let taker = app.clone();
+    tokio::spawn(peer::take_beats(listener, move |beat| {
+        taker.with(|n, now| n.beat_in(beat, now))
+    }));
+    let (out, beats) = watch::channel(Bytes::new());
+    for other in &settings.known {
+        if let Ok(addr) = other.endpoint.parse() {
+            tokio::spawn(peer::send_beats(addr, beats.clone()));
+        }
+    }
+    tokio::spawn(app.clone().beats(out));
+    tokio::spawn(app.clone().mirror());
+    tokio::spawn(app.clone().serve_barriers());
+    tokio::spawn(app.clone().lease());
+    tokio::spawn(app.clone().clock());
+    tokio::spawn(app.clone().watch_cloud());
+
+    let acceptor = salvo::conn::TcpListener::new(settings.public_addr.clone())
+        .try_bind()
+        .await
+        .map_err(|e| format!("public_addr: {}: {e}", settings.public_addr))?;
+    tracing::info!(label = %settings.label, addr = %settings.public_addr, "serving");
+    routes::serve(acceptor, app, c.limits.sockets).await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/cherryyard/src/cli.rs
@@ -0,0 +1,191 @@
+//! The command line.
+
+use crate::{app, operator};
+use cherryyard_core::{Config, Tuning};
+use cherryyard_io::http::Http;
+use cherryyard_wire::job::JobSpec;
+use cherryyard_wire::settings::Settings;
+use clap::{Parser, Subcommand};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::Duration;
+
+/// A cluster scheduler: runs a controller, or talks to one.
+#[derive(Debug, Parser)]
+#[command(
+    version,
+    about,
+    args_conflicts_with_subcommands = true,
+    arg_required_else_help = true
+)]
+struct Cli {
+    /// Run a controller with this settings file (JSON)
+    #[arg(long, value_name = "FILE")]
+    config: Option<PathBuf>,
+    /// Operators' own settings (HCL)
+    #[arg(long, value_name = "FILE", requires = "config")]
+    operator: Option<PathBuf>,
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Check settings files without running anything
+    Check {
+        /// Settings file (JSON)
+        #[arg(long, value_name = "FILE")]
+        config: PathBuf,
+        /// Operators' own settings (HCL)
+        #[arg(long, value_name = "FILE")]
+        operator: Option<PathBuf>,
+    },
+    /// Submit a job and print its state
+    Submit {
+        /// Address of a controller, such as 127.0.0.1:8080
+        #[arg(long, value_name = "ADDR")]
+        server: String,
+        /// The job (JSON)
+        file: PathBuf,
+    },
+    /// Print a job's state
+    Status {
+        /// Address of a controller
+        #[arg(long, value_name = "ADDR")]
+        server: String,
+        /// The job's id, such as j-000412
+        id: String,
+    },
+    /// Cancel a job and print its state
+    Cancel {
+        /// Address of a controller
+        #[arg(long, value_name = "ADDR")]
+        server: String,
+        /// The job's id
+        id: String,
+    },
+}
+
+fn read(path: &Path) -> Result<Vec<u8>, String> {
+    std::fs::read(path).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+fn load(config: &Path, operator_file: Option<&Path>) -> Result<(Settings, Tuning), String> {
+    let settings =
+        Settings::parse(&read(config)?).map_err(|e| format!("{}: {e}", config.display()))?;
+    let tuning = match operator_file {
+        None => Tuning::default(),
+        Some(path) => {
+            let text = String::from_utf8(read(path)?)
+                .map_err(|_| format!("{}: not UTF-8", path.display()))?;
+            operator::parse(&text).map_err(|e| format!("{}: {e}", path.display()))?
+        }
+    };
+    Ok((settings, tuning))
+}
+
+fn start_log() {
+    let level = std::env::var("LOG_LEVEL").unwrap_or_default();
+    let level = level.parse().unwrap_or(tracing::Level::INFO);
+    tracing_subscriber::fmt()
+        .with_writer(std::io::stderr)
+        .with_max_level(level)
+        .with_ansi(false)
+        .without_time()
+        .with_target(false)
+        .init();
+}
+
+fn runtime() -> Result<tokio::runtime::Runtime, String> {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|e| format!("cannot start: {e}"))
+}
+
+async fn ask(
+    method: &str,
+    server: &str,
+    path: &str,
+    body: Option<Vec<u8>>,
+) -> Result<String, String> {
+    let http = Http::new(Duration::from_secs(2), 1);
+    let method = method.parse().map_err(|_| "bad method".to_string())?;
+    let url = format!("http://{server}{path}");
+    let (status, body) = http
+        .call(
+            method,
+            &url,
+            body,
+            Duration::from_secs(5),
+            cherryyard_wire::MAX_BODY,
+        )
+        .await
+        .map_err(|e| format!("{server}: {e}"))?;
+    let text = String::from_utf8_lossy(&body).trim().to_string();
+    if status < 300 {
+        Ok(text)
+    } else {
+        Err(format!("{server}: {status} {text}"))
+    }
+}
+
+fn execute(cli: Cli) -> Result<(), String> {
+    match cli.command {
+        None => {
+            let config = cli.config.ok_or("--config is missing")?;
+            let (settings, tuning) = load(&config, cli.operator.as_deref())?;
+            start_log();
+            runtime()?.block_on(app::run(settings, tuning))
+        }
+        Some(Command::Check { config, operator }) => {
+            let (settings, tuning) = load(&config, operator.as_deref())?;
+            let parts = Config::new(&settings, tuning).parts();
+            println!(
+                "{}: good, controller {} of {parts}",
+                config.display(),
+                settings.label
+            );
+            Ok(())
+        }
+        Some(Command::Submit { server, file }) => {
+            let body = read(&file)?;
+            JobSpec::parse(&body).map_err(|e| format!("{}: {e}", file.display()))?;
+            let answer = runtime()?.block_on(ask("POST", &server, "/v2/runs", Some(body)))?;
+            println!("{answer}");
+            Ok(())
+        }
+        Some(Command::Status { server, id }) => {
+            let path = format!("/v2/runs/{}", job(&id)?);
+            println!("{}", runtime()?.block_on(ask("GET", &server, &path, None))?);
+            Ok(())
+        }
+        Some(Command::Cancel { server, id }) => {
+            let path = format!("/v2/runs/{}/cancel", job(&id)?);
+            let body = Some(b"{}".to_vec());
+            println!(
+                "{}",
+                runtime()?.block_on(ask("POST", &server, &path, body))?
+            );
+            Ok(())
+        }
+    }
+}
+
+fn job(id: &str) -> Result<&str, String> {
+    match cherryyard_wire::job::job_number(id) {
+        Some(_) => Ok(id),
+        None => Err(format!("id: `{id}` is not a job id such as j-000412")),
+    }
+}
+
+/// Runs the program.
+pub fn run() -> ExitCode {
+    match execute(Cli::parse()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("cherryyard: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/cherryyard/src/main.rs
+++ b/crates/cherryyard/src/main.rs
@@ -1,1 +1,12 @@
-fn main(){}
+//! cherryyard: a cluster scheduler.
+
+mod app;
+mod cli;
+mod operator;
+mod routes;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cli::run()
+}
--- /dev/null
+++ b/crates/cherryyard/src/routes.rs
@@ -0,0 +1,310 @@
+//! The HTTP interface of users and workers.
+
+use crate::app::App;
+use cherryyard_core::admit::{Reject, admit};
+use cherryyard_core::mirror::OpenJob;
+use cherryyard_core::{Outcome, Reply};
+use cherryyard_wire::job::{JobSpec, JobStatus, JobView, job_number};
+use cherryyard_wire::record::{End, Key, LEAD, job_key};
+use cherryyard_wire::state::{Apply, Commit};
+use cherryyard_wire::worker::{Misdirected, Report};
+use cherryyard_wire::{MAX_BODY, parse_object};
+use salvo::fuse::FuseConfig;
+use salvo::http::StatusCode;
+use salvo::prelude::*;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// Tries of one user's write before the user is told to come back.
+const TRIES: u64 = 4;
+
+/// An answer: a status and a JSON body.
+struct Answer(StatusCode, serde_json::Value);
+
+impl Answer {
+    fn view(status: StatusCode, view: &JobView) -> Self {
+        Self(status, serde_json::json!(view))
+    }
+
+    fn error(status: StatusCode, reason: impl Into<String>) -> Self {
+        Self(status, serde_json::json!({ "error": reason.into() }))
+    }
+
+    fn later(reason: &str) -> Self {
+        Self::error(StatusCode::SERVICE_UNAVAILABLE, reason)
+    }
+
+    fn write(self, res: &mut Response) {
+        res.status_code(self.0);
+        if self.0 == StatusCode::SERVICE_UNAVAILABLE {
+            res.headers_mut()
+                .insert("retry-after", salvo::http::HeaderValue::from_static("1"));
+        }
+        res.render(Json(self.1));
+    }
+}
+
+/// Reads a body of at most [`MAX_BODY`] bytes; the rest is not buffered.
+async fn body(req: &mut Request) -> Result<bytes::Bytes, Answer> {
+    let length = req.header::<u64>("content-length").unwrap_or(0);
+    if length > MAX_BODY as u64 {
+        let text = "the body is larger than 64 KiB";
+        return Err(Answer::error(StatusCode::PAYLOAD_TOO_LARGE, text));
+    }
+    req.payload_with_max_size(MAX_BODY)
+        .await
+        .cloned()
+        .map_err(|e| {
+            let status = match e {
+                salvo::http::ParseError::PayloadTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+                _ => StatusCode::BAD_REQUEST,
+            };
+            Answer::error(status, "the body cannot be read, or is larger than 64 KiB")
+        })
+}
+
+struct Submit(Arc<App>);
+struct Poll(Arc<App>);
+struct Cancel(Arc<App>);
+struct Ready(Arc<App>);
+struct Hello(Arc<App>);
+
+#[async_trait]
+impl Handler for Submit {
+    async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
+        let answer = match body(req).await {
+            Ok(body) => submit(&self.0, &body).await,
+            Err(answer) => answer,
+        };
+        answer.write(res);
+    }
+}
+
+#[async_trait]
+impl Handler for Poll {
+    async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
+        poll(&self.0, &req.param::<String>("id").unwrap_or_default())
+            .await
+            .write(res);
+    }
+}
+
+#[async_trait]
+impl Handler for Cancel {
+    async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
+        cancel(&self.0, &req.param::<String>("id").unwrap_or_default())
+            .await
+            .write(res);
+    }
+}
+
+#[async_trait]
+impl Handler for Ready {
+    async fn handle(&self, _: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
+        let ready = self.0.with(|n, now| n.ready(now));
+        let answer = if ready {
+            Answer(StatusCode::OK, serde_json::json!({ "ready": true }))
+        } else {
+            Answer::later("not ready: the state service or the machine types are out of reach")
+        };
+        answer.write(res);
+    }
+}
+
+#[async_trait]
+impl Handler for Hello {
+    async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
+        let answer = match body(req).await {
+            Err(answer) => answer,
+            Ok(body) => match parse_object::<Report>(&body) {
+                Err(e) => Answer::error(StatusCode::BAD_REQUEST, e),
+                Ok(report) => match self.0.with(|n, now| n.report(&report, now)) {
+                    Reply::Answer(a) => Answer(StatusCode::OK, serde_json::json!(a)),
+                    Reply::Elsewhere(foreman) => Answer(
+                        StatusCode::MISDIRECTED_REQUEST,
+                        serde_json::json!(Misdirected { foreman }),
+                    ),
+                    Reply::Unavailable => Answer::later("this part has no owner yet"),
+                },
+            },
+        };
+        answer.write(res);
+    }
+}
+
+fn short(view: &JobView) -> serde_json::Value {
+    serde_json::json!(view)
+}
+
+fn terminal(view: &JobView) -> bool {
+    matches!(view.status, JobStatus::Done | JobStatus::Cancelled)
+}
+
+/// The job's view: a final state at once, any other after a barrier.
+async fn look_up(app: &Arc<App>, job: u64) -> Result<Option<JobView>, Answer> {
+    if let Some(view) = app.with(|n, _| n.mirror.view(job))
+        && terminal(&view)
+    {
+        return Ok(Some(view));
+    }
+    if !app.caught_up().await {
+        return Err(Answer::later("the state service cannot be reached"));
+    }
+    Ok(app.with(|n, _| n.mirror.view(job)))
+}
+
+async fn submit(app: &Arc<App>, body: &[u8]) -> Answer {
+    let mut spec = match JobSpec::parse(body) {
+        Ok(spec) => spec,
+        Err(e) => return Answer::error(StatusCode::BAD_REQUEST, e),
+    };
+    let Some(job) = job_number(&spec.id) else {
+        return Answer::error(StatusCode::BAD_REQUEST, "id: not a job id");
+    };
+    if app.with(|n, _| n.mirror.view(job)).is_some() {
+        return match look_up(app, job).await {
+            Ok(Some(view)) => Answer(StatusCode::OK, short(&view)),
+            Ok(None) => Answer::later("the job's state is not known yet"),
+            Err(answer) => answer,
+        };
+    }
+    let (verdict, fresh) =
+        app.with(|n, now| (admit(&mut spec, &n.mirror, &n.config), n.state_fresh(now)));
+    if !fresh {
+        return Answer::later("the state service cannot be reached");
+    }
+    match verdict {
+        Ok(()) => {}
+        Err(Reject::NotYet(why)) => return Answer::later(why),
+        Err(Reject::Malformed(why)) => return Answer::error(StatusCode::BAD_REQUEST, why),
+        Err(Reject::Never(why)) => {
+            // Accepted elsewhere, it must not be refused here.
+            return match look_up(app, job).await {
+                Ok(Some(view)) => Answer(StatusCode::OK, short(&view)),
+                Ok(None) => Answer::error(StatusCode::UNPROCESSABLE_ENTITY, why),
+                Err(answer) => answer,
+            };
+        }
+    }
+    let id = spec.id.clone();
+    let at = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |d| d.as_millis() as u64);
+    let mut open = OpenJob {
+        stamp: 0,
+        team: app
+            .with(|n, _| n.config.team_names.get(&spec.owner))
+            .unwrap_or(0),
+        spec,
+        at,
+        div: Vec::new(),
+        zone: None,
+        caps: Vec::new(),
+    };
+    for attempt in 0..TRIES {
+        let mut commit = Commit::default();
+        commit.require(job_key(job), 0);
+        app.with(|n, now| {
+            open.div = Vec::new();
+            if let Some(stamp) = n.lead_stamp()
+                && attempt == 0
+            {
+                n.divide_at_once(&mut open, now);
+                if open.divided() {
+                    commit.require(LEAD, stamp);
+                }
+            }
+        });
+        commit
+            .apply
+            .push(Apply::set(job_key(job), serde_json::json!(open.record())));
+        match app.commit(&commit).await {
+            Outcome::Applied(epoch) => {
+                app.with(|n, now| n.user_committed(&commit, epoch, now));
+                return Answer(
+                    StatusCode::CREATED,
+                    serde_json::json!({ "id": id, "status": "queued" }),
+                );
+            }
+            Outcome::Conflict(_) => match look_up(app, job).await {
+                Ok(Some(view)) => return Answer(StatusCode::OK, short(&view)),
+                Ok(None) => {}
+                Err(answer) => return answer,
+            },
+            Outcome::Refused => {
+                tokio::time::sleep(Duration::from_millis(60 + 60 * attempt)).await;
+            }
+            Outcome::NoLease | Outcome::Unknown => break,
+        }
+    }
+    Answer::later("the state service did not take the job")
+}
+
+async fn poll(app: &Arc<App>, id: &str) -> Answer {
+    let Some(job) = job_number(id) else {
+        return Answer::error(StatusCode::NOT_FOUND, "no such job");
+    };
+    match look_up(app, job).await {
+        Ok(Some(view)) => Answer::view(StatusCode::OK, &view),
+        Ok(None) => Answer::error(StatusCode::NOT_FOUND, "no such job"),
+        Err(answer) => answer,
+    }
+}
+
+async fn cancel(app: &Arc<App>, id: &str) -> Answer {
+    let Some(job) = job_number(id) else {
+        return Answer::error(StatusCode::NOT_FOUND, "no such job");
+    };
+    for attempt in 0..TRIES {
+        match look_up(app, job).await {
+            Err(answer) => return answer,
+            Ok(None) => return Answer::error(StatusCode::NOT_FOUND, "no such job"),
+            Ok(Some(view)) if terminal(&view) => return Answer(StatusCode::OK, short(&view)),
+            Ok(Some(_)) => {}
+        }
+        let commit = app.with(|n, _| {
+            let open = n.mirror.open.get(&job)?;
+            let mut commit = Commit::default();
+            n.mirror.require(&mut commit, Key::Job(job));
+            let record = serde_json::json!(open.ended(End::Cancelled));
+            commit.apply.push(Apply::set(job_key(job), record));
+            Some(commit)
+        });
+        let Some(commit) = commit else { continue };
+        match app.commit(&commit).await {
+            Outcome::Applied(epoch) => app.with(|n, now| n.user_committed(&commit, epoch, now)),
+            Outcome::Conflict(_) => {}
+            Outcome::Refused => {
+                tokio::time::sleep(Duration::from_millis(60 + 60 * attempt)).await;
+            }
+            Outcome::NoLease | Outcome::Unknown => break,
+        }
+    }
+    Answer::later("the state service did not take the cancellation")
+}
+
+/// Serves until the process is killed.
+pub async fn serve<A: salvo::conn::Acceptor + Send>(acceptor: A, app: Arc<App>, sockets: usize) {
+    let router = Router::new()
+        .push(Router::with_path("ready").get(Ready(app.clone())))
+        .push(Router::with_path("hello").post(Hello(app.clone())))
+        .push(
+            Router::with_path("v2/runs").post(Submit(app.clone())).push(
+                Router::with_path("{id}")
+                    .get(Poll(app.clone()))
+                    .push(Router::with_path("cancel").post(Cancel(app))),
+            ),
+        );
+    // Slow or idle clients cost a bounded amount, and a quarter of the sockets
+    // stays free for what this controller connects to itself.
+    let fuse = FuseConfig::default()
+        .with_http1_header_timeout(Duration::from_secs(30))
+        .with_connection_idle_timeout(Duration::from_secs(60))
+        .with_request_body_timeout(Duration::from_secs(5))
+        .with_write_stall_timeout(Duration::from_secs(10));
+    Server::new(acceptor)
+        .fuse_config(fuse)
+        .max_connections(sockets * 3 / 4)
+        .serve(router)
+        .await;
+}
