--- a/crates/cherryyard-core/src/leader.rs
+++ b/crates/cherryyard-core/src/leader.rs
@@ -408,8 +408,8 @@
                     })
                 })
                 .collect();
-            for (p, n) in divide(half, &weights).into_iter().enumerate() {
-                caps[p][z] = n;
+            for (cap, n) in caps.iter_mut().zip(divide(half, &weights)) {
+                cap[z] = n;
             }
         }
         caps
--- a/crates/cherryyard-core/src/owner.rs
+++ b/crates/cherryyard-core/src/owner.rs
@@ -92,6 +92,9 @@
     }
 }
 
+/// What making room on a machine costs, whom it stops, and where.
+type Eviction = (f64, Vec<(Task, u64)>, u32);
+
 /// A round in the making.
 struct Round {
     edits: BTreeMap<(u64, u32), Chunk>,
@@ -529,7 +532,7 @@
                 continue;
             }
             // By machine: the work to stop, least lost first.
-            let mut best: Option<(f64, Vec<(Task, u64)>, u32)> = None;
+            let mut best: Option<Eviction> = None;
             for m in self
                 .machines
                 .values()
--- a/crates/cherryyard-wire/src/record.rs
+++ b/crates/cherryyard-wire/src/record.rs
@@ -135,12 +135,15 @@
     pub ram: f64,
 }
 
+/// A machine, a session on it, and numbers with their attempts.
+pub type MarkGroup = (String, u64, Vec<(u32, u64)>);
+
 /// One chunk of a job's marks in a part.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MarkRecord {
     /// Marks by machine and session: `[machine, tenure, [[number, attempt], ...]]`.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub m: Vec<(String, u64, Vec<(u32, u64)>)>,
+    pub m: Vec<MarkGroup>,
     /// Numbers done.
     #[serde(default, skip_serializing_if = "RangeSet::is_empty")]
     pub d: RangeSet,
