--- a/crates/cherryyard-core/src/owner.rs
+++ b/crates/cherryyard-core/src/owner.rs
@@ -58,6 +58,8 @@
     pub pending: Option<Pending>,
     pub retry_after: Millis,
     pub preempted: HashMap<Task, Preempted>,
+    /// Machines kept for a task that others were stopped for.
+    pub reserved: HashMap<u32, (Task, Millis)>,
     pub trouble: HashMap<u64, JobTrouble>,
     pub waiting_since: HashMap<u64, Millis>,
     pub owned_since: Millis,
@@ -77,6 +79,7 @@
             pending: None,
             retry_after: now,
             preempted: HashMap::new(),
+            reserved: HashMap::new(),
             trouble: HashMap::new(),
             waiting_since: HashMap::new(),
             owned_since: now,
@@ -86,6 +89,7 @@
 
     pub(crate) fn clear(&mut self) {
         self.preempted.clear();
+        self.reserved.clear();
         self.waiting_since.clear();
         self.trouble.clear();
         self.bump = false;
@@ -271,6 +275,7 @@
             return;
         }
         let commit = self.round_commit(p, token, &round);
+        tracing::debug!(part = p, marks = commit.apply.len(), "a round of marks");
         self.parts[p].pending = Some(pending);
         self.effects.push(Effect::Commit(Ticket::Owner(p), commit));
     }
@@ -377,6 +382,8 @@
         part.waiting_since
             .retain(|job, _| waiting_jobs.contains(job));
         part.preempted.retain(|_, x| x.until > now);
+        let (mirror, held) = (&self.mirror, &mut part.reserved);
+        held.retain(|_, (task, until)| *until > now && mirror.waiting(p, task.0).contains(task.1));
         for &(job, _) in &queue {
             part.waiting_since.entry(job).or_insert(now);
         }
@@ -425,6 +432,10 @@
                         needs.fits(free)
                             && self.allowed(open, m)
                             && !m.seen.contains_key(&(*job, number))
+                            && self.parts[p]
+                                .reserved
+                                .get(host)
+                                .is_none_or(|(task, _)| *task == (*job, number))
                             && self.zone_open(p, open, &m.zone, &zones)
                     })
                     .max_by(|(_, a), (_, b)| {
@@ -528,7 +539,12 @@
         let silence = self.silence_ms();
         let mut chosen: Vec<(Task, Preempted, u32)> = Vec::new();
         for &number in numbers.iter().take(4) {
-            if covered.contains(&(job, number)) {
+            if covered.contains(&(job, number))
+                || self.parts[p]
+                    .reserved
+                    .values()
+                    .any(|r| r.0 == (job, number))
+            {
                 continue;
             }
             // By machine: the work to stop, least lost first.
@@ -541,6 +557,7 @@
                 if !self.allowed(open, m)
                     || m.seen.contains_key(&(job, number))
                     || chosen.iter().any(|c| c.2 == m.host)
+                    || self.parts[p].reserved.contains_key(&m.host)
                     || !self.zone_open(p, open, &m.zone, &self.zone_counts(p, job, round))
                     || self
                         .mirror
@@ -605,9 +622,17 @@
                 chosen.push((task, x, host));
             }
         }
+        // All victims of a machine are noted before the first is stopped, and
+        // the machine is kept for whom they make room: else the first freed
+        // cores went to a waiting task of less importance, over and over.
+        let mut hosts = BTreeSet::new();
         for (task, x, host) in chosen {
             tracing::debug!(job, victim = task.0, "stop a task to make room");
             self.parts[p].preempted.insert(task, x);
+            self.parts[p].reserved.insert(host, (x.for_task, x.until));
+            hosts.insert(host);
+        }
+        for host in hosts {
             self.push(host, now);
         }
     }
@@ -891,7 +916,7 @@
             return;
         };
         m.pushing = true;
-        m.push_after = now + 300.0;
+        m.push_after = now + 50.0;
         let session = m.newest.0;
         for order in &orders {
             if let Order::Start { piece, attempt } = order
@@ -908,6 +933,7 @@
                 });
             }
         }
+        tracing::debug!(machine = %m.addr, ?orders, "direct commands");
         let request = DoRequest {
             baton: token,
             tenure: session,
--- a/crates/cherryyard/src/cli.rs
+++ b/crates/cherryyard/src/cli.rs
@@ -85,14 +85,25 @@
 }
 
 fn start_log() {
+    use tracing_subscriber::filter::{LevelFilter, Targets};
+    use tracing_subscriber::layer::SubscriberExt;
+    use tracing_subscriber::util::SubscriberInitExt;
     let level = std::env::var("LOG_LEVEL").unwrap_or_default();
-    let level = level.parse().unwrap_or(tracing::Level::INFO);
-    tracing_subscriber::fmt()
+    let level: LevelFilter = level.parse().unwrap_or(LevelFilter::INFO);
+    // The libraries' own messages say nothing that an operator can act on.
+    let targets = Targets::new()
+        .with_default(level.min(LevelFilter::WARN))
+        .with_target("cherryyard", level)
+        .with_target("cherryyard_core", level)
+        .with_target("cherryyard_io", level);
+    let format = tracing_subscriber::fmt::layer()
         .with_writer(std::io::stderr)
-        .with_max_level(level)
         .with_ansi(false)
         .without_time()
-        .with_target(false)
+        .with_target(false);
+    tracing_subscriber::registry()
+        .with(targets)
+        .with(format)
         .init();
 }
 
