--- a/crates/cherryyard-core/src/node.rs
+++ b/crates/cherryyard-core/src/node.rs
@@ -11,7 +11,7 @@
 use cherryyard_wire::worker::{DoRequest, Order, Report, ReportAnswer};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 /// Which of this controller's transactions an outcome belongs to. There is at
 /// most one of each under way.
@@ -148,7 +148,7 @@
     /// What the state service holds.
     pub mirror: Mirror,
     pub(crate) parts: Vec<Part>,
-    pub(crate) machines: HashMap<u32, Machine>,
+    pub(crate) machines: BTreeMap<u32, Machine>,
     pub(crate) leader: Leader,
     pub(crate) peers: Vec<Option<PeerState>>,
     pub(crate) hold: Option<u64>,
@@ -180,7 +180,7 @@
             leader: Leader::new(&config, now),
             mirror,
             parts,
-            machines: HashMap::new(),
+            machines: BTreeMap::new(),
             peers,
             hold: None,
             effects: Vec::new(),
--- a/crates/cherryyard-core/src/owner.rs
+++ b/crates/cherryyard-core/src/owner.rs
@@ -59,7 +59,7 @@
     pub retry_after: Millis,
     pub preempted: HashMap<Task, Preempted>,
     /// Machines kept for a task that others were stopped for.
-    pub reserved: HashMap<u32, (Task, Millis)>,
+    pub reserved: BTreeMap<u32, (Task, Millis)>,
     pub trouble: HashMap<u64, JobTrouble>,
     pub waiting_since: HashMap<u64, Millis>,
     pub owned_since: Millis,
@@ -79,7 +79,7 @@
             pending: None,
             retry_after: now,
             preempted: HashMap::new(),
-            reserved: HashMap::new(),
+            reserved: BTreeMap::new(),
             trouble: HashMap::new(),
             waiting_since: HashMap::new(),
             owned_since: now,
@@ -270,11 +270,19 @@
         let mut pending = Pending::default();
         self.collect(p, now, &mut round, &mut pending);
         self.place(p, now, &mut round, &mut pending);
-        self.sweep_marks(p, &mut round);
-        if round.edits.is_empty() {
+        let finished = self.finished(p, &round);
+        if finished.is_empty() {
+            self.sweep_marks(p, &mut round);
+        }
+        if round.edits.is_empty() && finished.is_empty() {
             return;
         }
-        let commit = self.round_commit(p, token, &round);
+        let mut commit = self.round_commit(p, token, &round);
+        for job in finished {
+            self.mirror.require(&mut commit, Key::Job(job));
+            let value = serde_json::json!(self.mirror.open[&job].ended(End::Done));
+            commit.apply.push(Apply::set(record::job_key(job), value));
+        }
         tracing::debug!(part = p, marks = commit.apply.len(), "a round of marks");
         self.parts[p].pending = Some(pending);
         self.effects.push(Effect::Commit(Ticket::Owner(p), commit));
@@ -648,8 +656,36 @@
         all
     }
 
+    /// Jobs whose tasks are all done but which are not over: two parts that
+    /// wrote their last done numbers at once did not see each other's. The
+    /// first part with marks writes the end.
+    fn finished(&self, p: usize, round: &Round) -> Vec<u64> {
+        let free = round
+            .max_ops
+            .saturating_sub(round.edits.len() + round.ends.len());
+        self.mirror
+            .open
+            .iter()
+            .filter(|(job, o)| {
+                o.spec.shape == Shape::Sweep
+                    && self.mirror.done(**job) >= o.spec.pieces
+                    && !round.ends.contains(*job)
+                    && (0..self.parts.len()).find(|&q| {
+                        self.mirror.parts[q].is_some()
+                            && self.mirror.marks.contains_key(&(q, **job))
+                    }) == Some(p)
+            })
+            .map(|(&job, _)| job)
+            .take(free)
+            .collect()
+    }
+
     /// Deletes marks of jobs that are over once nothing of them is left.
     fn sweep_marks(&self, p: usize, round: &mut Round) {
+        if !round.edits.is_empty() {
+            // Nobody waits for this; it takes its turn when nothing else does.
+            return;
+        }
         let mut swept = 0;
         for (&(_, job), chunks) in self.mirror.marks.range((p, 0)..=(p, u64::MAX)) {
             if self.mirror.end(job).is_none() {
--- /dev/null
+++ b/crates/cherryyard-rehearsal/src/state.rs
@@ -0,0 +1,144 @@
+//! Stand-in of the state service.
+
+use cherryyard_core::Outcome;
+use cherryyard_wire::state::{Apply, Change, Commit, News, Pair};
+use serde_json::Value;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Keys, revisions and leases.
+#[derive(Debug, Default)]
+pub struct StateStandIn {
+    epoch: u64,
+    keys: BTreeMap<String, (Value, u64, Option<u64>)>,
+    holds: BTreeMap<u64, f64>,
+    next_hold: u64,
+    changes: Vec<Change>,
+    largest: BTreeMap<String, usize>,
+}
+
+impl StateStandIn {
+    /// The newest revision.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// A key's value and stamp.
+    pub fn get(&self, key: &str) -> Option<(&Value, u64)> {
+        self.keys.get(key).map(|(v, stamp, _)| (v, *stamp))
+    }
+
+    /// All keys.
+    pub fn pairs(&self) -> Vec<Pair> {
+        self.keys
+            .iter()
+            .map(|(key, (v, stamp, _))| Pair {
+                key: key.clone(),
+                v: v.clone(),
+                stamp: *stamp,
+            })
+            .collect()
+    }
+
+    /// What has changed after `since`.
+    pub fn news(&self, since: u64) -> News {
+        let news = self
+            .changes
+            .iter()
+            .filter(|c| c.stamp > since)
+            .cloned()
+            .collect();
+        News {
+            epoch: self.epoch,
+            news,
+        }
+    }
+
+    /// The largest value that was ever put under a key with this prefix.
+    pub fn largest(&self, prefix: &str) -> usize {
+        self.largest
+            .iter()
+            .filter(|(k, _)| k.starts_with(prefix))
+            .map(|(_, n)| *n)
+            .max()
+            .unwrap_or(0)
+    }
+
+    /// A new lease that lasts until `until`.
+    pub fn hold(&mut self, until: f64) -> u64 {
+        self.next_hold += 1;
+        self.holds.insert(self.next_hold, until);
+        self.next_hold
+    }
+
+    /// Renews a lease; false if it is over.
+    pub fn touch(&mut self, hold: u64, until: f64) -> bool {
+        self.holds.get_mut(&hold).map(|u| *u = until).is_some()
+    }
+
+    /// Lets leases run out.
+    pub fn expire(&mut self, now: f64) {
+        let over: BTreeSet<u64> = self
+            .holds
+            .iter()
+            .filter(|(_, u)| **u < now)
+            .map(|(h, _)| *h)
+            .collect();
+        self.holds.retain(|h, _| !over.contains(h));
+        let gone: Vec<String> = self
+            .keys
+            .iter()
+            .filter(|(_, (_, _, hold))| hold.is_some_and(|h| over.contains(&h)))
+            .map(|(k, _)| k.clone())
+            .collect();
+        for key in gone {
+            self.epoch += 1;
+            self.drop_key(&key);
+        }
+    }
+
+    fn drop_key(&mut self, key: &str) {
+        if self.keys.remove(key).is_some() {
+            self.changes.push(Change {
+                set: None,
+                delete: Some(key.to_string()),
+                v: Value::Null,
+                stamp: self.epoch,
+            });
+        }
+    }
+
+    /// Applies a transaction, if its conditions hold.
+    pub fn commit(&mut self, commit: &Commit) -> Outcome {
+        let holds = |key: &str, stamp: u64| self.keys.get(key).map_or(0, |k| k.1) == stamp;
+        if !commit.when.iter().all(|w| holds(&w.key, w.stamp)) {
+            return Outcome::Conflict(self.epoch);
+        }
+        for change in &commit.apply {
+            if let Apply::Set { hold: Some(h), .. } = change
+                && !self.holds.contains_key(h)
+            {
+                return Outcome::NoLease;
+            }
+        }
+        self.epoch += 1;
+        for change in &commit.apply {
+            match change {
+                Apply::Set { set, v, hold } => {
+                    let size = v.to_string().len();
+                    let largest = self.largest.entry(set.clone()).or_default();
+                    *largest = (*largest).max(size);
+                    self.keys
+                        .insert(set.clone(), (v.clone(), self.epoch, *hold));
+                    self.changes.push(Change {
+                        set: Some(set.clone()),
+                        delete: None,
+                        v: v.clone(),
+                        stamp: self.epoch,
+                    });
+                }
+                Apply::Delete { delete } => self.drop_key(delete),
+            }
+        }
+        Outcome::Applied(self.epoch)
+    }
+}
--- /dev/null
+++ b/crates/cherryyard-rehearsal/src/worker.rs
@@ -0,0 +1,180 @@
+//! Stand-in of a worker.
+
+use cherryyard_wire::worker::{
+    Cause, DoRequest, Order, PieceReport, PieceStatus, Report, ReportAnswer,
+};
+use std::collections::BTreeMap;
+
+/// One machine's worker.
+#[derive(Debug)]
+pub struct WorkerStandIn {
+    /// Its name.
+    pub host: String,
+    /// Its zone.
+    pub yard: String,
+    /// Its session.
+    pub tenure: u64,
+    tick: u64,
+    /// The highest token it has seen.
+    pub baton: u64,
+    /// Its tasks: attempt, since when, and why it ended.
+    pub pieces: BTreeMap<String, (u64, f64, Option<Cause>)>,
+    /// When the last answered report was sent, or the session began.
+    renewed_at: f64,
+    /// The controller it reports to.
+    pub node: usize,
+    /// When it reports next.
+    pub report_at: f64,
+    /// How long its tasks run; infinite for replicas.
+    pub run_ms: f64,
+    /// Whether its tasks fail.
+    pub faulty: bool,
+    /// How long an answered report keeps its tasks; infinite stands for an old
+    /// owner that nobody else sees and that goes on answering.
+    pub lease_ms: f64,
+}
+
+impl WorkerStandIn {
+    /// A worker that has just started.
+    pub fn new(host: &str, yard: &str, node: usize, lease_ms: f64, now: f64) -> Self {
+        Self {
+            host: host.into(),
+            yard: yard.into(),
+            tenure: 1,
+            tick: 0,
+            baton: 0,
+            pieces: BTreeMap::new(),
+            renewed_at: now,
+            node,
+            report_at: now,
+            run_ms: f64::INFINITY,
+            faulty: false,
+            lease_ms,
+        }
+    }
+
+    /// Lets time pass: tasks end, and the lease may run out.
+    pub fn advance(&mut self, now: f64) -> Vec<String> {
+        let mut log = Vec::new();
+        if now - self.renewed_at > self.lease_ms {
+            let lost: Vec<&String> = self
+                .pieces
+                .iter()
+                .filter(|p| p.1.2.is_none())
+                .map(|p| p.0)
+                .collect();
+            if !lost.is_empty() {
+                log.push(format!("{} loses its lease and {lost:?}", self.host));
+            }
+            self.pieces.clear();
+            self.tenure += 1;
+            self.tick = 0;
+            self.renewed_at = now;
+        }
+        for (name, piece) in &mut self.pieces {
+            if piece.2.is_none() && now - piece.1 >= self.run_ms {
+                piece.2 = Some(if self.faulty {
+                    Cause::Error
+                } else {
+                    Cause::Done
+                });
+                log.push(format!("{} ends {name} try {}", self.host, piece.0));
+                self.report_at = now;
+            }
+        }
+        log
+    }
+
+    /// Whether it runs this task.
+    pub fn runs(&self, piece: &str) -> bool {
+        self.pieces.get(piece).is_some_and(|p| p.2.is_none())
+    }
+
+    /// Its report.
+    pub fn report(&mut self) -> Report {
+        self.tick += 1;
+        Report {
+            host: self.host.clone(),
+            addr: format!("{}:9000", self.host),
+            host_kind: "m4".into(),
+            yard: self.yard.clone(),
+            borrowed: false,
+            tenure: self.tenure,
+            tick: self.tick,
+            baton: self.baton,
+            recall_s: None,
+            pieces: self
+                .pieces
+                .iter()
+                .map(|(name, (attempt, _, cause))| PieceReport {
+                    piece: name.clone(),
+                    attempt: *attempt,
+                    status: if cause.is_some() {
+                        PieceStatus::Ended
+                    } else {
+                        PieceStatus::Running
+                    },
+                    cause: *cause,
+                    kept: false,
+                })
+                .collect(),
+        }
+    }
+
+    /// Takes the answer to a report that was sent at `sent_at`.
+    pub fn answered(&mut self, answer: &ReportAnswer, sent_at: f64, now: f64) -> Vec<String> {
+        if answer.baton < self.baton {
+            return Vec::new();
+        }
+        if answer.baton > self.baton {
+            self.report_at = now + 500.0;
+        }
+        self.baton = answer.baton;
+        self.renewed_at = self.renewed_at.max(sent_at);
+        self.execute(&answer.orders, now)
+    }
+
+    /// Takes direct commands; the flag tells whether they were executed.
+    pub fn direct(&mut self, request: &DoRequest, now: f64) -> (bool, Vec<String>) {
+        if request.baton < self.baton || request.tenure != self.tenure {
+            return (false, Vec::new());
+        }
+        self.baton = request.baton;
+        (true, self.execute(&request.orders, now))
+    }
+
+    fn execute(&mut self, orders: &[Order], now: f64) -> Vec<String> {
+        let mut log = Vec::new();
+        for order in orders {
+            match order {
+                Order::Start { piece, attempt } => {
+                    let known = self.pieces.get(piece);
+                    if known.is_none_or(|p| p.0 != *attempt && p.2.is_some()) {
+                        self.pieces.insert(piece.clone(), (*attempt, now, None));
+                        log.push(format!("{} starts {piece} try {attempt}", self.host));
+                    }
+                }
+                Order::Kill { piece, attempt, .. } => {
+                    if let Some(p) = self.pieces.get_mut(piece)
+                        && p.0 == *attempt
+                        && p.2.is_none()
+                    {
+                        p.2 = Some(Cause::Halted);
+                        log.push(format!("{} stops {piece} try {attempt}", self.host));
+                        self.report_at = now;
+                    }
+                }
+                Order::Clear { piece, attempt } => {
+                    if self
+                        .pieces
+                        .get(piece)
+                        .is_some_and(|p| p.0 == *attempt && p.2.is_some())
+                    {
+                        self.pieces.remove(piece);
+                    }
+                }
+            }
+        }
+        log
+    }
+}
--- /dev/null
+++ b/crates/cherryyard-rehearsal/src/world.rs
@@ -0,0 +1,494 @@
+//! A whole cluster: controllers, state service, workers, and what cuts them off.
+
+use crate::{StateStandIn, WorkerStandIn};
+use cherryyard_core::{Config, Effect, Node, Outcome, PushOutcome, Reply, Ticket, Tuning};
+use cherryyard_wire::cloud::HostKind;
+use cherryyard_wire::job::{JobSpec, JobView, job_number};
+use cherryyard_wire::record::{End, Key, job_key};
+use cherryyard_wire::settings::Settings;
+use cherryyard_wire::state::{Apply, Commit};
+use cherryyard_wire::worker::DoRequest;
+use serde_json::json;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Milliseconds between two steps of the clock.
+const STEP: f64 = 50.0;
+/// How long a controller's state lease lasts.
+const TTL: f64 = 5000.0;
+
+/// What a rehearsal starts with.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// Zone of each controller.
+    pub zones: Vec<&'static str>,
+    /// Machines per zone, 4 cores each.
+    pub machines: Vec<(&'static str, usize)>,
+    /// The team's limit in cores; 0: none.
+    pub limit: f64,
+    /// Largest value of the state service.
+    pub value_kb: f64,
+    /// Most changes in a transaction.
+    pub txn_ops: usize,
+}
+
+impl Default for Setup {
+    fn default() -> Self {
+        Self {
+            zones: vec!["a", "b", "c"],
+            machines: vec![("a", 1), ("b", 1), ("c", 1)],
+            limit: 0.0,
+            value_kb: 4.0,
+            txn_ops: 8,
+        }
+    }
+}
+
+/// A cluster under rehearsal.
+pub struct World {
+    /// The state service.
+    pub state: StateStandIn,
+    /// Controllers; `None` while one is down.
+    pub nodes: Vec<Option<Node>>,
+    /// Workers by name.
+    pub workers: BTreeMap<String, WorkerStandIn>,
+    /// Controllers that the state service refuses.
+    pub refused: BTreeSet<usize>,
+    /// Controllers that no other controller reaches.
+    pub alone: BTreeSet<usize>,
+    /// Machines that nobody reaches.
+    pub unreachable: BTreeSet<String>,
+    /// Machines to which direct commands are held back.
+    pub slow_direct: BTreeSet<String>,
+    /// Direct commands held back.
+    pub held_direct: Vec<(String, DoRequest)>,
+    /// Owners' transactions get no answer and are held back.
+    pub hold_commits: BTreeSet<usize>,
+    /// Transactions held back.
+    pub held_commits: Vec<Commit>,
+    /// The time.
+    pub now: f64,
+    /// What happened.
+    pub trace: Vec<String>,
+    /// Rules seen broken.
+    pub broken: Vec<String>,
+    /// Most cores that tasks took at any time.
+    pub most_cores: f64,
+    setup: Setup,
+    starts: u64,
+}
+
+impl World {
+    /// A cluster whose controllers have just started.
+    pub fn new(setup: Setup) -> Self {
+        let mut world = Self {
+            state: StateStandIn::default(),
+            nodes: Vec::new(),
+            workers: BTreeMap::new(),
+            refused: BTreeSet::new(),
+            alone: BTreeSet::new(),
+            unreachable: BTreeSet::new(),
+            slow_direct: BTreeSet::new(),
+            held_direct: Vec::new(),
+            hold_commits: BTreeSet::new(),
+            held_commits: Vec::new(),
+            now: 0.0,
+            trace: Vec::new(),
+            broken: Vec::new(),
+            most_cores: 0.0,
+            setup: setup.clone(),
+            starts: 0,
+        };
+        for i in 0..setup.zones.len() {
+            let node = world.new_node(i);
+            world.nodes.push(Some(node));
+        }
+        let mut number = 0;
+        for (zone, count) in &setup.machines {
+            for _ in 0..*count {
+                let name = format!("host-{number:06}");
+                let node = number % setup.zones.len();
+                world.workers.insert(
+                    name.clone(),
+                    WorkerStandIn::new(&name, zone, node, 10_000.0, 0.0),
+                );
+                number += 1;
+            }
+        }
+        world
+    }
+
+    fn settings(&self, me: usize) -> Settings {
+        let setup = &self.setup;
+        let zones: BTreeSet<&str> = setup
+            .zones
+            .iter()
+            .copied()
+            .chain(setup.machines.iter().map(|m| m.0))
+            .collect();
+        let known: Vec<_> = (0..setup.zones.len())
+            .filter(|&i| i != me)
+            .map(|i| {
+                json!({ "label": format!("node-{i}"), "domain": setup.zones[i],
+                        "endpoint": format!("127.0.0.1:{}", 9000 + i) })
+            })
+            .collect();
+        let text = json!({
+            "label": format!("node-{me}"), "domain": setup.zones[me],
+            "public_addr": "127.0.0.1:1", "peer_listen": "127.0.0.1:2", "known": known,
+            "services": { "cloud": "127.0.0.1:3", "state": "127.0.0.1:4" },
+            "cluster": {
+                "zones": zones,
+                "teams": [{ "name": "team", "cpus": 0.0, "cpus_max": setup.limit }],
+                "workers": { "report_s": 2.0, "lease_s": 10.0, "cancel_s": 40.0 },
+                "state": { "rps": 80.0, "write_rps": 20.0, "value_kb": setup.value_kb,
+                           "txn_ops": setup.txn_ops },
+                "cloud": { "rps": 4.0, "list_lag_s": 6.0 },
+                "limits": { "sockets": 1000 }
+            }
+        })
+        .to_string();
+        Settings::parse(text.as_bytes()).expect("the rehearsal's settings are good")
+    }
+
+    fn new_node(&mut self, i: usize) -> Node {
+        self.starts += 1;
+        let config = Config::new(&self.settings(i), Tuning::default());
+        let mut node = Node::new(config, self.starts, self.now);
+        let zones: Vec<String> = self
+            .setup
+            .machines
+            .iter()
+            .map(|m| m.0.to_string())
+            .collect();
+        node.kinds(
+            vec![HostKind {
+                sku: "m4".into(),
+                cores: 4.0,
+                accelerators: 0.0,
+                ram_gb: 16.0,
+                cache_gb: 40.0,
+                fetch_gb_per_s: 1.0,
+                price: 0.0,
+                low_price: 0.0,
+                ready_s: 30.0,
+                yards: zones,
+            }],
+            self.now,
+        );
+        node
+    }
+
+    /// A controller ends.
+    pub fn kill(&mut self, i: usize) {
+        self.say(format!("node-{i} ends"));
+        self.nodes[i] = None;
+    }
+
+    /// A controller starts again.
+    pub fn start(&mut self, i: usize) {
+        self.say(format!("node-{i} starts"));
+        let node = self.new_node(i);
+        self.nodes[i] = Some(node);
+    }
+
+    /// Writes a line into the trace.
+    pub fn say(&mut self, text: impl AsRef<str>) {
+        self.trace
+            .push(format!("{:7.2} {}", self.now / 1000.0, text.as_ref()));
+    }
+
+    /// A job of `pieces` tasks of 2 cores.
+    pub fn spec(id: &str, shape: &str, pieces: u32) -> JobSpec {
+        let text = json!({
+            "id": id, "jobclass": "class", "owner": "team", "shape": shape, "rank": "standard",
+            "pieces": pieces, "cores": 2.0, "accelerators": 0.0, "ram_gb": 1.0, "bundle": "img",
+            "image_gb": 1.0, "kinds_of_host": null, "yard": null, "together": false,
+            "apart": false, "borrowed": false, "expected_s": 20.0, "snapshot_every_s": 0.0,
+            "snapshot_cost_s": 0.0, "due_s": null
+        });
+        JobSpec::parse(text.to_string().as_bytes()).expect("the rehearsal's job is good")
+    }
+
+    /// A user's submission takes effect.
+    pub fn submit(&mut self, spec: &JobSpec) {
+        let job = job_number(&spec.id).expect("a good id");
+        let mut commit = Commit::default();
+        commit.require(job_key(job), 0);
+        let record = json!({ "spec": spec, "at": self.now as u64 });
+        commit.apply.push(Apply::set(job_key(job), record));
+        let outcome = self.state.commit(&commit);
+        self.say(format!("{} submitted: {outcome:?}", spec.id));
+    }
+
+    /// A user's cancellation through controller `i` takes effect.
+    pub fn cancel(&mut self, i: usize, id: &str) {
+        let job = job_number(id).expect("a good id");
+        let now = self.now;
+        let epoch = self.state.epoch();
+        let node = self.nodes[i].as_mut().expect("a running controller");
+        let news = self.state.news(node.mirror.epoch);
+        node.news(&news, now, now);
+        let mut commit = Commit::default();
+        node.mirror.require(&mut commit, Key::Job(job));
+        let record = json!(node.mirror.open[&job].ended(End::Cancelled));
+        commit.apply.push(Apply::set(job_key(job), record));
+        let outcome = self.state.commit(&commit);
+        if let Outcome::Applied(e) = outcome {
+            node.user_committed(&commit, e, now);
+        }
+        assert!(
+            matches!(outcome, Outcome::Applied(e) if e > epoch),
+            "{outcome:?}"
+        );
+        self.say(format!("{id} cancelled through node-{i}"));
+    }
+
+    /// What controller `i` would tell a user, after a barrier if it can.
+    pub fn view(&mut self, i: usize, id: &str) -> Option<JobView> {
+        let now = self.now;
+        let node = self.nodes[i].as_mut()?;
+        if !self.refused.contains(&i) {
+            let news = self.state.news(node.mirror.epoch);
+            node.news(&news, now, now);
+        }
+        node.mirror.view(job_number(id)?)
+    }
+
+    /// Lets `seconds` pass.
+    pub fn run(&mut self, seconds: f64) {
+        let end = self.now + seconds * 1000.0;
+        while self.now + STEP <= end + 1e-6 {
+            self.now += STEP;
+            self.step();
+        }
+    }
+
+    /// Lets time pass until `done` holds, at most `seconds`.
+    pub fn run_until(&mut self, seconds: f64, done: impl Fn(&Self) -> bool) {
+        let end = self.now + seconds * 1000.0;
+        while !done(self) {
+            assert!(
+                self.now < end,
+                "not within {seconds} s:\n{}",
+                self.trace.join("\n")
+            );
+            self.now += STEP;
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        let now = self.now;
+        self.state.expire(now);
+        for i in 0..self.nodes.len() {
+            let Some(node) = &mut self.nodes[i] else {
+                continue;
+            };
+            if !self.refused.contains(&i) {
+                if node.mirror.loaded {
+                    node.news(&self.state.news(node.mirror.epoch), now, now);
+                } else {
+                    node.load(&self.state.pairs(), self.state.epoch(), now, now);
+                }
+                match node.hold() {
+                    Some(h) if self.state.touch(h, now + TTL) => {}
+                    _ => node.lease(Some(self.state.hold(now + TTL)), now),
+                }
+            }
+            node.tick(now);
+            self.effects(i);
+        }
+        if ((now / STEP) as u64).is_multiple_of(10) {
+            self.beats();
+        }
+        let names: Vec<String> = self.workers.keys().cloned().collect();
+        for name in names {
+            self.worker_step(&name);
+        }
+        self.check();
+    }
+
+    fn beats(&mut self) {
+        let now = self.now;
+        for i in 0..self.nodes.len() {
+            let Some(node) = &mut self.nodes[i] else {
+                continue;
+            };
+            let beat = node.beat_out(now);
+            for k in 0..self.nodes.len() {
+                if k != i && !self.alone.contains(&i) && !self.alone.contains(&k) {
+                    if let Some(other) = &mut self.nodes[k] {
+                        other.beat_in(beat.clone(), now);
+                    }
+                    self.effects(k);
+                }
+            }
+        }
+    }
+
+    fn worker_step(&mut self, name: &str) {
+        let now = self.now;
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        let mut log = worker.advance(now);
+        if now >= worker.report_at && !self.unreachable.contains(name) {
+            worker.report_at = now + 2000.0;
+            let i = worker.node;
+            let report = worker.report();
+            let reply = self.nodes[i].as_mut().map(|n| n.report(&report, now));
+            match reply {
+                Some(Reply::Answer(answer)) => log.extend(worker.answered(&answer, now, now)),
+                Some(Reply::Elsewhere(Some(label))) => {
+                    worker.node = label.trim_start_matches("node-").parse().expect("a label");
+                    worker.report_at = now + 100.0;
+                }
+                _ => {
+                    worker.node = (i + 1) % self.nodes.len();
+                    worker.report_at = now + 1000.0;
+                }
+            }
+            self.effects(i);
+        }
+        for line in log {
+            self.say(line);
+        }
+    }
+
+    fn effects(&mut self, i: usize) {
+        let now = self.now;
+        for _ in 0..100 {
+            let Some(node) = &mut self.nodes[i] else {
+                return;
+            };
+            let effects = node.effects();
+            if effects.is_empty() {
+                return;
+            }
+            for effect in effects {
+                match effect {
+                    Effect::Commit(ticket, commit) => self.commit(i, ticket, &commit),
+                    Effect::Push {
+                        host,
+                        addr,
+                        request,
+                    } => self.push(i, host, &addr, request),
+                    Effect::Release(hosts) => {
+                        for name in &hosts {
+                            self.say(format!("node-{i} releases {name}"));
+                            self.workers.remove(name);
+                        }
+                        if let Some(n) = &mut self.nodes[i] {
+                            n.released(&hosts, true, now);
+                        }
+                    }
+                    Effect::Hire(request) => {
+                        if let Some(n) = &mut self.nodes[i] {
+                            n.hired(&request, Err(true), now);
+                        }
+                    }
+                    Effect::Refresh | Effect::Beat => {}
+                }
+            }
+        }
+    }
+
+    fn commit(&mut self, i: usize, ticket: Ticket, commit: &Commit) {
+        let now = self.now;
+        let outcome = if self.refused.contains(&i) {
+            Outcome::Refused
+        } else if self.hold_commits.contains(&i) && matches!(ticket, Ticket::Owner(_)) {
+            self.held_commits.push(commit.clone());
+            Outcome::Unknown
+        } else {
+            self.state.commit(commit)
+        };
+        if matches!(ticket, Ticket::Claim(_)) {
+            let keys: Vec<&str> = commit.apply.iter().map(|a| a.key()).collect();
+            self.say(format!("node-{i} claims {}: {outcome:?}", keys.join(" ")));
+        }
+        if let Some(node) = &mut self.nodes[i] {
+            node.committed(ticket, commit, outcome, now);
+        }
+    }
+
+    fn push(&mut self, i: usize, host: u32, addr: &str, request: DoRequest) {
+        let now = self.now;
+        let name = addr.trim_end_matches(":9000").to_string();
+        let mut log = Vec::new();
+        let outcome = if self.slow_direct.contains(&name) || self.unreachable.contains(&name) {
+            self.held_direct.push((name, request.clone()));
+            PushOutcome::Unknown
+        } else if let Some(worker) = self.workers.get_mut(&name) {
+            log = worker.direct(&request, now).1;
+            PushOutcome::Answered(Box::new(worker.report()))
+        } else {
+            PushOutcome::Unsent
+        };
+        for line in log {
+            self.say(line);
+        }
+        if let Some(node) = &mut self.nodes[i] {
+            node.pushed(host, &request, outcome, now);
+        }
+    }
+
+    /// Delivers the direct commands that were held back; says how many of them
+    /// a worker executed.
+    pub fn deliver_direct(&mut self) -> usize {
+        let now = self.now;
+        let mut executed = 0;
+        for (name, request) in std::mem::take(&mut self.held_direct) {
+            if let Some(worker) = self.workers.get_mut(&name) {
+                let (done, log) = worker.direct(&request, now);
+                executed += usize::from(done);
+                for line in log {
+                    self.say(format!("late: {line}"));
+                }
+            }
+        }
+        self.check();
+        executed
+    }
+
+    /// Applies the transactions that were held back; says how they came out.
+    pub fn deliver_commits(&mut self) -> Vec<Outcome> {
+        std::mem::take(&mut self.held_commits)
+            .iter()
+            .map(|c| self.state.commit(c))
+            .collect()
+    }
+
+    /// How many machines run this task.
+    pub fn copies(&self, piece: &str) -> usize {
+        self.workers.values().filter(|w| w.runs(piece)).count()
+    }
+
+    /// How many tasks run.
+    pub fn running(&self) -> usize {
+        self.workers
+            .values()
+            .map(|w| w.pieces.values().filter(|p| p.2.is_none()).count())
+            .sum()
+    }
+
+    fn check(&mut self) {
+        let mut seen = BTreeSet::new();
+        let mut twice = BTreeSet::new();
+        for worker in self.workers.values() {
+            for (name, piece) in &worker.pieces {
+                if piece.2.is_none() && !seen.insert(name.clone()) {
+                    twice.insert(name.clone());
+                }
+            }
+        }
+        for name in twice {
+            let text = format!("{name} is on two machines");
+            if !self.broken.contains(&text) {
+                self.say(&text);
+                self.broken.push(text);
+            }
+        }
+        self.most_cores = self.most_cores.max(seen.len() as f64 * 2.0);
+    }
+}
--- /dev/null
+++ b/crates/cherryyard-rehearsal/tests/rules.rs
@@ -0,0 +1,386 @@
+//! The rules, rehearsed: each test is a failure that could break one.
+
+use cherryyard_core::{Outcome, Tuning};
+use cherryyard_rehearsal::{Setup, World};
+use cherryyard_wire::job::{JobStatus, Rank};
+use cherryyard_wire::record::{JobRecord, job_key};
+use cherryyard_wire::state::{Change, News};
+use serde::Deserialize;
+
+/// A running cluster whose parts are owned and whose machines have reported.
+fn settled(setup: Setup) -> World {
+    let mut w = World::new(setup);
+    w.run(5.0);
+    w
+}
+
+fn starts(w: &World, piece: &str) -> Vec<String> {
+    let needle = format!("starts {piece} ");
+    w.trace
+        .iter()
+        .filter(|l| l.contains(&needle))
+        .cloned()
+        .collect()
+}
+
+/// A number that a dead owner had marked on a machine that cannot be reached
+/// is started elsewhere only once the machine is released: the new owner never
+/// showed that machine its token, so silence proves nothing.
+#[test]
+fn dead_owners_number_waits_for_proof() {
+    let mut w = settled(Setup::default());
+    w.submit(&World::spec("j-000001", "service", 1));
+    w.run_until(5.0, |w| w.running() == 1);
+    let host = w
+        .workers
+        .values()
+        .find(|x| x.runs("j-000001/0"))
+        .unwrap()
+        .host
+        .clone();
+    let owner = usize::from(host.as_bytes()[10] - b'0');
+    w.unreachable.insert(host.clone());
+    w.workers.get_mut(&host).unwrap().lease_ms = f64::INFINITY;
+    w.kill(owner);
+    w.run(120.0);
+    assert_eq!(starts(&w, "j-000001/0").len(), 1, "{}", w.trace.join("\n"));
+    assert!(w.broken.is_empty());
+    // The list no longer shows the machine; its release is the proof.
+    let now = w.now;
+    for node in w.nodes.iter_mut().flatten() {
+        node.listed(Vec::new(), now);
+    }
+    w.run_until(40.0, |w| starts(w, "j-000001/0").len() == 2);
+    assert!(!w.workers.contains_key(&host));
+    assert!(w.broken.is_empty(), "{:?}", w.broken);
+}
+
+/// An old owner's transaction that is applied late changes nothing.
+#[test]
+fn late_transaction_dies() {
+    let mut w = settled(Setup {
+        machines: vec![("a", 2)],
+        ..Setup::default()
+    });
+    w.hold_commits.insert(0);
+    w.submit(&World::spec("j-000001", "service", 1));
+    w.run_until(5.0, |w| !w.held_commits.is_empty());
+    w.kill(0);
+    w.hold_commits.clear();
+    w.run_until(30.0, |w| w.running() == 1);
+    let epoch = w.state.epoch();
+    let outcomes = w.deliver_commits();
+    assert!(!outcomes.is_empty());
+    assert!(
+        outcomes.iter().all(|o| matches!(o, Outcome::Conflict(_))),
+        "{outcomes:?}"
+    );
+    assert_eq!(w.state.epoch(), epoch);
+    w.run(20.0);
+    assert_eq!(w.copies("j-000001/0"), 1);
+    assert!(w.broken.is_empty(), "{:?}", w.broken);
+}
+
+/// An old owner's direct command that arrives late is not executed.
+#[test]
+fn late_direct_command_dies() {
+    let mut w = settled(Setup {
+        machines: vec![("a", 2)],
+        ..Setup::default()
+    });
+    w.slow_direct
+        .extend(["host-000000".to_string(), "host-000001".to_string()]);
+    w.submit(&World::spec("j-000001", "service", 1));
+    w.run_until(5.0, |w| !w.held_direct.is_empty());
+    w.kill(0);
+    let old = std::mem::take(&mut w.held_direct);
+    w.slow_direct.clear();
+    w.run_until(25.0, |w| w.running() == 1);
+    w.held_direct = old;
+    assert_eq!(w.deliver_direct(), 0);
+    assert!(w.broken.is_empty(), "{:?}", w.broken);
+}
+
+/// A direct start whose answer is lost, of a job cancelled meanwhile: the owner
+/// takes a new token, so that the start dies wherever it is.
+#[test]
+fn cancel_against_a_start_in_flight() {
+    let mut w = settled(Setup {
+        machines: vec![("a", 1)],
+        ..Setup::default()
+    });
+    w.slow_direct.insert("host-000000".into());
+    w.submit(&World::spec("j-000001", "service", 1));
+    w.run_until(5.0, |w| !w.held_direct.is_empty());
+    w.unreachable.insert("host-000000".into());
+    w.cancel(1, "j-000001");
+    w.run(1.0);
+    w.unreachable.clear();
+    w.run(10.0);
+    assert_eq!(w.deliver_direct(), 0, "{}", w.trace.join("\n"));
+    w.run(5.0);
+    assert_eq!(w.running(), 0);
+    // Nothing of the job is left in the state service but its end.
+    let left: Vec<String> = w
+        .state
+        .pairs()
+        .into_iter()
+        .map(|p| p.key)
+        .filter(|k| k.contains("mark"))
+        .collect();
+    assert!(left.is_empty(), "{left:?}");
+}
+
+/// An owner that the state service refuses, and that no peer reaches, cannot
+/// see a cancellation. It stops answering in time for every lease to end.
+#[test]
+fn cancel_against_an_owner_cut_off() {
+    let mut w = settled(Setup {
+        machines: vec![("a", 1)],
+        ..Setup::default()
+    });
+    w.submit(&World::spec("j-000001", "service", 1));
+    w.run_until(5.0, |w| w.running() == 1);
+    w.refused.insert(0);
+    w.alone.insert(0);
+    w.run(0.5);
+    w.cancel(1, "j-000001");
+    w.run(20.0);
+    assert_eq!(
+        w.running(),
+        1,
+        "as long as it may, the owner keeps its workers"
+    );
+    w.run(20.0);
+    assert_eq!(w.running(), 0, "{}", w.trace.join("\n"));
+}
+
+/// While the state service answers nobody, nobody can cancel: workers are
+/// answered for as long as it takes, and nothing new starts.
+#[test]
+fn outage_for_all_keeps_what_runs() {
+    let mut w = settled(Setup::default());
+    w.submit(&World::spec("j-000001", "service", 3));
+    w.run_until(5.0, |w| w.running() == 3);
+    w.submit(&World::spec("j-000002", "service", 1));
+    w.refused.extend([0, 1, 2]);
+    w.run(90.0);
+    assert_eq!(w.running(), 3, "{}", w.trace.join("\n"));
+    w.refused.clear();
+    w.run(10.0);
+    assert_eq!(w.running(), 4, "{}", w.trace.join("\n"));
+    assert!(w.broken.is_empty(), "{:?}", w.broken);
+}
+
+/// A view once told is never older at another controller, nor at one that is
+/// cut off afterwards, nor after a late change from the watch.
+#[test]
+fn reads_never_go_back() {
+    let mut w = settled(Setup::default());
+    w.submit(&World::spec("j-000001", "service", 1));
+    w.run(2.0);
+    let old = w.state.news(0);
+    w.cancel(0, "j-000001");
+    for i in [1, 2, 0] {
+        let status = w.view(i, "j-000001").map(|v| v.status);
+        assert_eq!(status, Some(JobStatus::Cancelled), "node-{i}");
+    }
+    w.refused.insert(1);
+    let now = w.now;
+    let node = w.nodes[1].as_mut().unwrap();
+    node.news(&old, now, now);
+    let late = Change {
+        set: Some(job_key(1)),
+        delete: None,
+        v: old
+            .news
+            .iter()
+            .find(|c| c.set == Some(job_key(1)))
+            .unwrap()
+            .v
+            .clone(),
+        stamp: node.mirror.epoch + 5,
+    };
+    node.news(
+        &News {
+            epoch: node.mirror.epoch + 5,
+            news: vec![late],
+        },
+        now,
+        now,
+    );
+    assert_eq!(
+        w.view(1, "j-000001").map(|v| v.status),
+        Some(JobStatus::Cancelled)
+    );
+}
+
+/// A team's limit holds over three parts, and all of it can be used by one.
+#[test]
+fn team_limit_over_three_parts() {
+    let machines = vec![("a", 4), ("b", 4), ("c", 4)];
+    let mut w = settled(Setup {
+        machines,
+        limit: 12.0,
+        ..Setup::default()
+    });
+    for x in w.workers.values_mut() {
+        x.run_ms = 4000.0;
+    }
+    w.submit(&World::spec("j-000001", "sweep", 40));
+    w.run_until(120.0, |w| {
+        w.state
+            .pairs()
+            .iter()
+            .any(|p| p.v.to_string().contains("done"))
+    });
+    assert_eq!(w.most_cores, 12.0);
+    w.most_cores = 0.0;
+    let mut spec = World::spec("j-000002", "sweep", 12);
+    spec.yard = Some("a".into());
+    w.submit(&spec);
+    w.run(60.0);
+    assert_eq!(
+        w.most_cores, 12.0,
+        "the other parts give back what they do not use"
+    );
+    let view = w.view(1, "j-000002").unwrap();
+    assert_eq!((view.status, view.done), (JobStatus::Done, 12));
+}
+
+/// After the delay a part loses waiting numbers to parts with room, and only
+/// those that it has not marked.
+#[test]
+fn overflow_moves_only_unmarked_numbers() {
+    let mut w = settled(Setup::default());
+    w.submit(&World::spec("j-000001", "sweep", 12));
+    w.run_until(5.0, |w| w.running() == 6);
+    w.run(0.5);
+    let record = |w: &World| {
+        let v = w.state.get(&job_key(1)).unwrap().0.clone();
+        match JobRecord::deserialize(v).unwrap() {
+            JobRecord::Open { div, .. } => div,
+            JobRecord::Ended { .. } => panic!("not over yet"),
+        }
+    };
+    let before = record(&w);
+    let marked: Vec<Vec<u32>> = (0..3)
+        .map(|p| {
+            let node = w.nodes[0].as_ref().unwrap();
+            let marks = &node.mirror.marks[&(p, 1)];
+            marks
+                .values()
+                .flat_map(|c| c.marks.keys().copied())
+                .collect()
+        })
+        .collect();
+    for n in 10..13 {
+        let name = format!("host-{n:06}");
+        let worker = cherryyard_rehearsal::WorkerStandIn::new(&name, "c", 2, 10_000.0, w.now);
+        w.workers.insert(name, worker);
+    }
+    w.run(Tuning::default().autoscale_multi_cluster_delay_s / 2.0);
+    assert_eq!(record(&w)[0], before[0], "not before the delay");
+    w.run(20.0);
+    let after = record(&w);
+    assert_eq!(w.running(), 12, "{}", w.trace.join("\n"));
+    for p in 0..3 {
+        for &n in &marked[p] {
+            assert!(after[p].contains(n), "{n} was marked in part {p}");
+        }
+    }
+    assert!(after[2].len() > before[2].len());
+    assert!(w.broken.is_empty(), "{:?}", w.broken);
+}
+
+/// Records stay below the smallest value limit, whatever a job's size.
+#[test]
+fn chunks_at_the_smallest_value_limit() {
+    let machines = vec![("a", 3), ("b", 3), ("c", 3)];
+    let setup = Setup {
+        machines,
+        value_kb: 1.0,
+        txn_ops: 2,
+        ..Setup::default()
+    };
+    let mut w = settled(setup);
+    for x in w.workers.values_mut() {
+        x.run_ms = 500.0;
+    }
+    w.submit(&World::spec("j-000001", "sweep", 150));
+    w.run(90.0);
+    let view = w.view(0, "j-000001").unwrap();
+    assert_eq!(
+        (view.status, view.done),
+        (JobStatus::Done, 150),
+        "{}",
+        w.trace.join("\n")
+    );
+    for prefix in ["c/mark", "c/job"] {
+        let largest = w.state.largest(prefix);
+        assert!((20..=1024).contains(&largest), "{prefix}: {largest} bytes");
+    }
+}
+
+/// A job that fails everywhere neither spins nor costs machines.
+#[test]
+fn a_job_that_always_fails_is_held_off() {
+    let mut w = settled(Setup::default());
+    for x in w.workers.values_mut() {
+        x.run_ms = 200.0;
+        x.faulty = true;
+    }
+    w.submit(&World::spec("j-000001", "sweep", 1));
+    w.run(120.0);
+    let n = starts(&w, "j-000001/0").len();
+    assert!((3..=20).contains(&n), "{n} starts");
+    assert_eq!(w.workers.len(), 3);
+}
+
+/// The trace of a service that needs a whole machine: both tasks there are
+/// stopped, and the machine is kept for it. Once, the first freed cores went
+/// to a waiting task, and the service never started.
+#[test]
+fn trace_of_making_room() {
+    let mut w = settled(Setup {
+        machines: vec![("a", 1)],
+        ..Setup::default()
+    });
+    w.submit(&World::spec("j-000001", "sweep", 6));
+    w.run(2.0);
+    let mut spec = World::spec("j-000002", "service", 1);
+    spec.cores = 4.0;
+    spec.rank = Rank::High;
+    w.submit(&spec);
+    w.run(8.0);
+    w.cancel(0, "j-000002");
+    w.run(4.0);
+    insta::assert_snapshot!(w.trace.join("\n"));
+}
+
+/// The trace of a rolling restart: what runs goes on, a restarted controller
+/// has its part back at once, and the job completes.
+#[test]
+fn trace_of_a_rolling_restart() {
+    let mut w = settled(Setup::default());
+    for x in w.workers.values_mut() {
+        x.run_ms = 9000.0;
+    }
+    w.submit(&World::spec("j-000001", "sweep", 9));
+    for i in 0..3 {
+        w.run(2.0);
+        w.kill(i);
+        w.run(4.0);
+        w.start(i);
+    }
+    w.run(30.0);
+    let view = w.view(2, "j-000001").unwrap();
+    assert_eq!(
+        (view.status, view.done),
+        (JobStatus::Done, 9),
+        "{}",
+        w.trace.join("\n")
+    );
+    assert!(w.broken.is_empty(), "{:?}", w.broken);
+    insta::assert_snapshot!(w.trace.join("\n"));
+}
