--- a/crates/cherryyard-core/src/config.rs
+++ b/crates/cherryyard-core/src/config.rs
@@ -3,6 +3,7 @@
 use crate::names::Names;
 use crate::parting::Parting;
 use cherryyard_wire::settings::Settings;
+use std::collections::HashMap;
 
 /// Operators' own settings, each with a default.
 #[derive(Clone, Debug, PartialEq)]
@@ -78,6 +79,8 @@
     pub list_lag_ms: f64,
     /// How many task numbers share one marks key.
     pub chunk: u32,
+    /// For each class with deadlines, the multiples of them that count, in order.
+    pub deadline_times: HashMap<String, Vec<f64>>,
     /// Operators' settings.
     pub tuning: Tuning,
 }
@@ -88,6 +91,14 @@
         let controllers = settings.controllers();
         let c = &settings.cluster;
         let most = |x: f64| if x > 0.0 { x } else { f64::INFINITY };
+        let mut deadline_times: HashMap<String, Vec<f64>> = HashMap::new();
+        for aim in c.objectives.iter().filter(|o| o.kind == "deadline") {
+            let times = if aim.times > 0.0 { aim.times } else { 1.0 };
+            deadline_times.entry(aim.class.clone()).or_default().push(times);
+        }
+        for times in deadline_times.values_mut() {
+            times.sort_by(f64::total_cmp);
+        }
         let value_bytes = (c.state.value_kb * 1024.0) as usize;
         Self {
             me: controllers
@@ -115,6 +126,7 @@
             value_bytes,
             list_lag_ms: c.cloud.list_lag_s * 1000.0,
             chunk: chunk_size(value_bytes),
+            deadline_times,
             tuning,
         }
     }
--- a/crates/cherryyard-core/src/node.rs
+++ b/crates/cherryyard-core/src/node.rs
@@ -168,6 +168,8 @@
     pub(crate) newest_epoch: u64,
     /// The time of the event at hand.
     pub(crate) clock: Millis,
+    /// Time of day less steady clock, in milliseconds.
+    pub wall_offset: f64,
 }
 
 impl Node {
@@ -195,6 +197,7 @@
             listed_at: f64::NEG_INFINITY,
             newest_epoch: 0,
             clock: now,
+            wall_offset: 0.0,
             config,
         }
     }
--- a/crates/cherryyard-core/src/owner.rs
+++ b/crates/cherryyard-core/src/owner.rs
@@ -349,8 +349,22 @@
         })
     }
 
+    /// Which of the deadline's multiples the job can still make if its waiting
+    /// tasks start now; the later ones only come after all that can still make
+    /// an earlier one, so that a job that is late anyway delays no other.
+    fn hope(&self, o: &OpenJob, wall: f64) -> usize {
+        let Some(due) = o.spec.due_s else { return 0 };
+        let once = vec![1.0];
+        let times = self.config.deadline_times.get(&o.spec.jobclass).unwrap_or(&once);
+        let end = wall + o.spec.expected_s * 1000.0 * 0.8;
+        times
+            .iter()
+            .position(|t| end <= o.at as f64 + due * t * 1000.0)
+            .unwrap_or(times.len())
+    }
+
     /// Open jobs with waiting numbers, in the order in which they are served.
-    fn queue(&self, p: usize) -> Vec<(u64, cherryyard_wire::RangeSet)> {
+    fn queue(&self, p: usize, now: Millis) -> Vec<(u64, cherryyard_wire::RangeSet)> {
         let mut all: Vec<_> = self
             .mirror
             .open
@@ -361,10 +375,19 @@
                 (!waiting.is_empty()).then_some((job, o, waiting))
             })
             .collect();
+        let wall = now + self.wall_offset;
         all.sort_by(|a, b| {
-            let key = |o: &OpenJob| (std::cmp::Reverse(o.spec.rank), o.spec.shape == Shape::Sweep);
+            let key = |o: &OpenJob| {
+                let sweep = o.spec.shape == Shape::Sweep;
+                (std::cmp::Reverse(o.spec.rank), sweep, self.hope(o, wall))
+            };
+            let work = |job: u64, o: &OpenJob| {
+                let left = o.spec.pieces.saturating_sub(self.mirror.done(job));
+                f64::from(left) * o.spec.expected_s * o.spec.cores
+            };
             key(a.1)
                 .cmp(&key(b.1))
+                .then(work(a.0, a.1).total_cmp(&work(b.0, b.1)))
                 .then(a.1.due_ms().total_cmp(&b.1.due_ms()))
                 .then(a.1.at.cmp(&b.1.at))
                 .then(a.0.cmp(&b.0))
@@ -384,7 +407,7 @@
     }
 
     fn place(&mut self, p: usize, now: Millis, round: &mut Round, pending: &mut Pending) {
-        let queue = self.queue(p);
+        let queue = self.queue(p, now);
         let waiting_jobs: HashSet<u64> = queue.iter().map(|q| q.0).collect();
         let part = &mut self.parts[p];
         part.waiting_since
@@ -1008,7 +1031,7 @@
         let used = self.mirror.usage(p);
         let mut wants = used.clone();
         let mut waiting = Vec::new();
-        for (job, set) in self.queue(p).into_iter().take(500) {
+        for (job, set) in self.queue(p, now).into_iter().take(500) {
             let since = self.parts[p]
                 .waiting_since
                 .get(&job)
--- a/crates/cherryyard-wire/src/settings.rs
+++ b/crates/cherryyard-wire/src/settings.rs
@@ -98,6 +98,9 @@
     /// The share that should make it.
     #[serde(default)]
     pub share: f64,
+    /// Multiple of the deadline that counts.
+    #[serde(default)]
+    pub times: f64,
 }
 
 /// Workers' timing.
--- a/crates/cherryyard/src/app.rs
+++ b/crates/cherryyard/src/app.rs
@@ -11,7 +11,7 @@
 use cherryyard_wire::state::Commit;
 use salvo::conn::Listener;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::sync::{Notify, oneshot, watch};
 
 /// What all tasks share.
@@ -42,6 +42,11 @@
     Duration::from_millis(rand::rng().random_range(ms / 2..=ms + ms / 2))
 }
 
+/// Milliseconds of the day's clock.
+pub fn wall_ms() -> f64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64() * 1000.0)
+}
+
 impl App {
     /// Milliseconds on the steady clock.
     pub fn now(&self) -> f64 {
@@ -240,7 +245,11 @@
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             ticks.tick().await;
-            self.with(|n, now| n.tick(now));
+            let wall = wall_ms();
+            self.with(|n, now| {
+                n.wall_offset = wall - now;
+                n.tick(now);
+            });
         }
     }
 
--- a/crates/cherryyard/src/routes.rs
+++ b/crates/cherryyard/src/routes.rs
@@ -1,6 +1,6 @@
 //! The HTTP interface of users and workers.
 
-use crate::app::App;
+use crate::app::{App, wall_ms};
 use cherryyard_core::admit::{Reject, admit};
 use cherryyard_core::mirror::OpenJob;
 use cherryyard_core::{Outcome, Reply};
@@ -13,7 +13,7 @@
 use salvo::http::StatusCode;
 use salvo::prelude::*;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 /// Tries of one user's write before the user is told to come back.
 const TRIES: u64 = 4;
@@ -187,9 +187,7 @@
         }
     }
     let id = spec.id.clone();
-    let at = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(0, |d| d.as_millis() as u64);
+    let at = wall_ms() as u64;
     let mut open = OpenJob {
         stamp: 0,
         team: app
