--- a/crates/cherryyard-core/src/leader.rs
+++ b/crates/cherryyard-core/src/leader.rs
@@ -343,7 +343,19 @@
                 return None;
             }
         }
-        let shares = divide(open.spec.pieces, &weights);
+        let room: f64 = weights.iter().sum();
+        let within = open.spec.pieces.min(room as u32);
+        let mut shares = divide(within, &weights);
+        if within < open.spec.pieces {
+            // What has no free room follows machine counts, as a job does that
+            // finds none at all: weights of a few free cores would heap a large
+            // job onto one part.
+            let counts = self.counts(open, now);
+            let rest = if counts.iter().sum::<f64>() > 0.0 { &counts } else { &weights };
+            for (share, more) in shares.iter_mut().zip(divide(open.spec.pieces - within, rest)) {
+                *share += more;
+            }
+        }
         let mut next = 0;
         let sets = shares
             .iter()
