--- a/crates/cherryyard-core/src/config.rs
+++ b/crates/cherryyard-core/src/config.rs
@@ -94,7 +94,10 @@
         let mut deadline_times: HashMap<String, Vec<f64>> = HashMap::new();
         for aim in c.objectives.iter().filter(|o| o.kind == "deadline") {
             let times = if aim.times > 0.0 { aim.times } else { 1.0 };
-            deadline_times.entry(aim.class.clone()).or_default().push(times);
+            deadline_times
+                .entry(aim.class.clone())
+                .or_default()
+                .push(times);
         }
         for times in deadline_times.values_mut() {
             times.sort_by(f64::total_cmp);
--- a/crates/cherryyard-core/src/leader.rs
+++ b/crates/cherryyard-core/src/leader.rs
@@ -351,8 +351,15 @@
             // finds none at all: weights of a few free cores would heap a large
             // job onto one part.
             let counts = self.counts(open, now);
-            let rest = if counts.iter().sum::<f64>() > 0.0 { &counts } else { &weights };
-            for (share, more) in shares.iter_mut().zip(divide(open.spec.pieces - within, rest)) {
+            let rest = if counts.iter().sum::<f64>() > 0.0 {
+                &counts
+            } else {
+                &weights
+            };
+            for (share, more) in shares
+                .iter_mut()
+                .zip(divide(open.spec.pieces - within, rest))
+            {
                 *share += more;
             }
         }
--- a/crates/cherryyard-core/src/owner.rs
+++ b/crates/cherryyard-core/src/owner.rs
@@ -257,6 +257,7 @@
         self.parts[p].dirty = false;
         self.parts[p].planned_at = now;
         self.expire(p, now);
+        self.return_silent(p, now);
         self.push_due(p, now);
         if !self.state_fresh(now) {
             return;
@@ -355,7 +356,11 @@
     fn hope(&self, o: &OpenJob, wall: f64) -> usize {
         let Some(due) = o.spec.due_s else { return 0 };
         let once = vec![1.0];
-        let times = self.config.deadline_times.get(&o.spec.jobclass).unwrap_or(&once);
+        let times = self
+            .config
+            .deadline_times
+            .get(&o.spec.jobclass)
+            .unwrap_or(&once);
         let end = wall + o.spec.expected_s * 1000.0 * 0.8;
         times
             .iter()
@@ -1206,6 +1211,56 @@
         self.return_unlisted(now);
     }
 
+    /// A machine that has fallen silent with replicas on it is released at
+    /// once: the answer proves them gone well before the lease would, if the
+    /// machine is dead. Arrays wait for the lease, as their machine may come
+    /// back with its work. When many are silent, the fault is between us and
+    /// them, and nothing is released.
+    fn return_silent(&mut self, p: usize, now: Millis) {
+        let limit = self.config.report_ms * 2.4 + 1000.0;
+        if !self.state_fresh(now) || now - self.parts[p].owned_since < 2.0 * limit {
+            return;
+        }
+        let known = |m: &&Machine| m.part == p && m.token_ours();
+        let all = self.machines.values().filter(known).count();
+        let silent: Vec<u32> = self
+            .machines
+            .values()
+            .filter(known)
+            .filter(|m| {
+                now - m.heard_at > limit
+                    && !m.lease_over
+                    && matches!(m.state, HostState::Ready | HostState::Returning)
+            })
+            .map(|m| m.host)
+            .collect();
+        if silent.is_empty() || silent.len() > (all / 5).max(1) {
+            return;
+        }
+        let mut release = Vec::new();
+        for host in silent {
+            let serves = self.mirror.on_host(host).any(|((job, _), _)| {
+                self.mirror
+                    .open
+                    .get(&job)
+                    .is_some_and(|o| o.spec.shape == Shape::Service)
+            });
+            let Some(m) = self.machines.get_mut(&host) else {
+                continue;
+            };
+            if serves && now >= m.release_after {
+                let name = self.mirror.hosts.name(host).to_string();
+                tracing::info!(machine = %name, "return a silent machine with replicas");
+                m.change(HostEvent::ReleaseAsked);
+                m.release_after = now + 3000.0;
+                release.push(name);
+            }
+        }
+        if !release.is_empty() {
+            self.effects.push(Effect::Release(release));
+        }
+    }
+
     /// Marks may name machines that neither report nor are listed (they were
     /// taken, or died and were dropped from the list); only a release proves
     /// that nothing of them is left.
--- a/crates/cherryyard/src/app.rs
+++ b/crates/cherryyard/src/app.rs
@@ -44,7 +44,9 @@
 
 /// Milliseconds of the day's clock.
 pub fn wall_ms() -> f64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64() * 1000.0)
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0.0, |d| d.as_secs_f64() * 1000.0)
 }
 
 impl App {
