--- /dev/null
+++ b/examples/operator.hcl
@@ -0,0 +1,14 @@
+# Operators' own settings; each may be left out. These are the defaults.
+
+# How long a part may keep tasks waiting before the leader moves them
+# (the proposal's AutoscaleMultiClusterDelay).
+autoscale_multi_cluster_delay_s = 10
+
+# Seconds between two reports of free room to the leader.
+room_report_s = 5
+
+# Share of the fleet's cores that renting ahead keeps free.
+headroom_share = 0.2
+
+# Seconds without work after which a machine may be returned.
+idle_return_s = 150
