--- a/crates/cherryyard-core/src/leader.rs
+++ b/crates/cherryyard-core/src/leader.rs
@@ -7,7 +7,7 @@
 use crate::{Config, Millis, Mirror, admit};
 use cherryyard_wire::RangeSet;
 use cherryyard_wire::cloud::{HireRequest, HostStatus};
-use cherryyard_wire::job::Shape;
+use cherryyard_wire::job::{Rank, Shape};
 use cherryyard_wire::peer::{MachineRoom, PartReport};
 use cherryyard_wire::record::{self, Claim, Grant, Key};
 use cherryyard_wire::state::{Apply, Commit};
@@ -281,7 +281,34 @@
     }
 
     /// How many of the job's tasks fit into each part's free room.
+    ///
+    /// A service counts only machines that hold its image, while these have
+    /// room for it, arrays making way if its rank allows: elsewhere a replica
+    /// would wait for the image, and inside its part the image decides too.
     fn weights(&self, open: &OpenJob, now: Millis) -> Vec<f64> {
+        let all = |weights: &[f64]| weights.iter().sum::<f64>() >= f64::from(open.spec.pieces);
+        if open.spec.shape == Shape::Service {
+            let holds = |m: &MachineRoom| m.images.contains(&open.spec.bundle);
+            let free = self.fits(open, now, |m| holds(m).then_some(m.free));
+            if all(&free) {
+                return free;
+            }
+            if open.spec.rank > Rank::Standard {
+                let yielding = self.fits(open, now, |m| holds(m).then_some(m.yielding));
+                if all(&yielding) {
+                    return yielding;
+                }
+            }
+        }
+        self.fits(open, now, |m| Some(m.free))
+    }
+
+    fn fits(
+        &self,
+        open: &OpenJob,
+        now: Millis,
+        room_of: impl Fn(&MachineRoom) -> Option<(f32, f32, f32)>,
+    ) -> Vec<f64> {
         let needs = open.needs();
         (0..self.parts.len())
             .map(|p| {
@@ -293,8 +320,8 @@
                     .machines
                     .iter()
                     .filter(|m| Self::room_allowed(open, m))
-                    .map(|m| {
-                        let (cores, acc, ram) = m.free;
+                    .filter_map(&room_of)
+                    .map(|(cores, acc, ram)| {
                         needs.times_in(&Needs {
                             cores: cores.into(),
                             acc: acc.into(),
--- a/crates/cherryyard-core/src/machine.rs
+++ b/crates/cherryyard-core/src/machine.rs
@@ -69,6 +69,17 @@
     pub session: u64,
 }
 
+/// An image on a machine.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Image {
+    /// Its name.
+    pub name: String,
+    /// Its size.
+    pub gb: f64,
+    /// Whether it is there, not on its way.
+    pub whole: bool,
+}
+
 /// One machine.
 #[derive(Clone, Debug)]
 pub struct Machine {
@@ -110,8 +121,8 @@
     pub pushing: bool,
     /// No direct command before this time.
     pub push_after: Millis,
-    /// Images it has, the most recently used last.
-    pub images: Vec<(String, f64)>,
+    /// Images it has or fetches, the most recently used last.
+    pub images: Vec<Image>,
     /// Not used for new tasks before this time, after failures.
     pub avoid_until: Millis,
     /// Failures without a completion in between.
@@ -264,18 +275,32 @@
     }
 
     /// Notes that an image was used, and drops what no longer fits the cache.
-    pub fn use_image(&mut self, image: &str, gb: f64, cache_gb: f64) {
-        self.images.retain(|(name, _)| name != image);
-        self.images.push((image.to_string(), gb));
-        let mut total: f64 = self.images.iter().map(|i| i.1).sum();
+    pub fn use_image(&mut self, name: &str, gb: f64, whole: bool, cache_gb: f64) {
+        let before = self.images.iter().position(|i| i.name == name);
+        let before = before.map(|i| self.images.remove(i));
+        let whole = whole || before.is_some_and(|i| i.whole);
+        self.images.push(Image {
+            name: name.to_string(),
+            gb,
+            whole,
+        });
+        let mut total: f64 = self.images.iter().map(|i| i.gb).sum();
         while total > cache_gb && self.images.len() > 1 {
-            total -= self.images.remove(0).1;
+            total -= self.images.remove(0).gb;
         }
     }
 
-    /// Whether the machine holds an image.
-    pub fn has_image(&self, image: &str) -> bool {
-        self.images.iter().any(|(name, _)| name == image)
+    /// 2 if the machine holds an image, 1 if it fetches it, else 0.
+    pub fn image(&self, name: &str) -> u8 {
+        self.images
+            .iter()
+            .find(|i| i.name == name)
+            .map_or(0, |i| 1 + u8::from(i.whole))
+    }
+
+    /// Whether the machine holds or fetches an image.
+    pub fn has_image(&self, name: &str) -> bool {
+        self.image(name) > 0
     }
 
     /// Whether new tasks may be placed here.
--- a/crates/cherryyard-core/src/owner.rs
+++ b/crates/cherryyard-core/src/owner.rs
@@ -444,7 +444,7 @@
             if trouble.until > now {
                 continue;
             }
-            let team_cfg = &self.config.teams[team];
+            let team_cfg = self.config.teams[team].clone();
             let grant = self.mirror.grants[team][p].0;
             let mut zones = self.zone_counts(p, *job, round);
             let mut unplaced = Vec::new();
@@ -460,12 +460,19 @@
                         continue 'jobs;
                     }
                 }
+                let kept = self.parts[p]
+                    .reserved
+                    .iter()
+                    .find(|(_, (task, _))| *task == (*job, number))
+                    .map(|(&host, _)| host);
+                let open = &self.mirror.open[job];
                 let best = rooms
                     .iter()
                     .enumerate()
                     .filter(|(_, (host, free))| {
                         let m = &self.machines[host];
                         needs.fits(free)
+                            && kept.is_none_or(|k| k == *host)
                             && self.allowed(open, m)
                             && !m.seen.contains_key(&(*job, number))
                             && self.parts[p]
@@ -477,7 +484,11 @@
                     .max_by(|(_, a), (_, b)| {
                         let key = |r: &(u32, Needs)| {
                             let m = &self.machines[&r.0];
-                            (m.has_image(&open.spec.bundle), open.spec.borrowed && m.spot)
+                            let image = match open.spec.shape {
+                                Shape::Service => m.image(&open.spec.bundle),
+                                Shape::Sweep => u8::from(m.has_image(&open.spec.bundle)),
+                            };
+                            (image, open.spec.borrowed && m.spot)
                         };
                         key(a)
                             .cmp(&key(b))
@@ -494,6 +505,17 @@
                     continue;
                 };
                 let host = rooms[i].0;
+                if open.spec.shape == Shape::Service
+                    && kept.is_none()
+                    && self.fetch_s(open, host) > 1.5
+                {
+                    // Where the image is, the replica runs at once; the arrays
+                    // there can make way more easily than it can wait.
+                    let job = *job;
+                    if self.preempt(p, job, &[number], round, now, true) {
+                        continue;
+                    }
+                }
                 let m = &self.machines[&host];
                 // Above every attempt before: each of those was at most the
                 // revision of its own mark, which has been seen since.
@@ -514,9 +536,9 @@
                 pending.hosts.insert(host);
                 placed += 1;
             }
-            if !unplaced.is_empty() && open.spec.rank > Rank::BestEffort {
+            if !unplaced.is_empty() && self.mirror.open[job].spec.rank > Rank::BestEffort {
                 let job = *job;
-                self.preempt(p, job, &unplaced, round, now);
+                self.preempt(p, job, &unplaced, round, now, false);
             }
         }
     }
@@ -561,8 +583,33 @@
         counts.get(zone).copied().unwrap_or(0) < cap
     }
 
-    /// Stops less important work so that waiting numbers of `job` fit.
-    fn preempt(&mut self, p: usize, job: u64, numbers: &[u32], round: &Round, now: Millis) {
+    /// Seconds until the job's image would be on a machine.
+    fn fetch_s(&self, open: &OpenJob, host: u32) -> f64 {
+        let m = &self.machines[&host];
+        if m.image(&open.spec.bundle) == 2 {
+            return 0.0;
+        }
+        let kind = self.mirror.kinds.iter().find(|k| k.sku == m.kind);
+        let rate = kind.map_or(0.0, |k| k.fetch_gb_per_s);
+        if rate > 0.0 {
+            open.spec.image_gb / rate
+        } else {
+            0.0
+        }
+    }
+
+    /// Stops less important work so that waiting numbers of `job` fit; with
+    /// `holding`, only on machines that hold its image. Says whether a machine
+    /// is now kept for any of them.
+    fn preempt(
+        &mut self,
+        p: usize,
+        job: u64,
+        numbers: &[u32],
+        round: &Round,
+        now: Millis,
+        holding: bool,
+    ) -> bool {
         let open = &self.mirror.open[&job];
         let needs = open.needs();
         let totals = self.team_totals();
@@ -591,6 +638,7 @@
                 .filter(|m| m.part == p && m.usable(now, silence))
             {
                 if !self.allowed(open, m)
+                    || (holding && m.image(&open.spec.bundle) < 2)
                     || m.seen.contains_key(&(job, number))
                     || chosen.iter().any(|c| c.2 == m.host)
                     || self.parts[p].reserved.contains_key(&m.host)
@@ -639,7 +687,7 @@
                 if !needs.fits(&free) || list.is_empty() {
                     continue;
                 }
-                let image = if m.has_image(&open.spec.bundle) {
+                let image = if m.image(&open.spec.bundle) == 2 {
                     0.0
                 } else {
                     1.5e6
@@ -653,7 +701,7 @@
                 let x = Preempted {
                     attempt,
                     for_task: (job, number),
-                    until: now + 6000.0,
+                    until: now + 4000.0,
                 };
                 chosen.push((task, x, host));
             }
@@ -668,9 +716,11 @@
             self.parts[p].reserved.insert(host, (x.for_task, x.until));
             hosts.insert(host);
         }
+        let kept = !hosts.is_empty();
         for host in hosts {
             self.push(host, now);
         }
+        kept
     }
 
     /// What each team uses everywhere.
@@ -840,19 +890,20 @@
     }
 
     fn note_images(&mut self, host: u32) {
-        let tasks: Vec<u64> = self.mirror.on_host(host).map(|((job, _), _)| job).collect();
+        let tasks: Vec<Task> = self.mirror.on_host(host).map(|(task, _)| task).collect();
         let Some(m) = self.machines.get_mut(&host) else {
             return;
         };
-        let cache = self
-            .mirror
-            .kinds
-            .iter()
-            .find(|k| k.sku == m.kind)
-            .map_or(0.0, |k| k.cache_gb);
-        for job in tasks {
-            if let Some(open) = self.mirror.open.get(&job) {
-                m.use_image(&open.spec.bundle, open.spec.image_gb, cache);
+        let kind = self.mirror.kinds.iter().find(|k| k.sku == m.kind);
+        let cache = kind.map_or(0.0, |k| k.cache_gb);
+        for task in tasks {
+            if let Some(open) = self.mirror.open.get(&task.0) {
+                // A task runs, or has completed, only once its image is there.
+                let whole = m.seen.get(&task).is_some_and(|s| {
+                    matches!(s.status, PieceStatus::Running | PieceStatus::Saving)
+                        || s.cause == Some(Cause::Done)
+                });
+                m.use_image(&open.spec.bundle, open.spec.image_gb, whole, cache);
             }
         }
     }
@@ -864,7 +915,7 @@
         };
         let p = m.part;
         self.parts[p].dirty = true;
-        if m.images.is_empty() && !m.seen.is_empty() {
+        if !m.seen.is_empty() {
             self.note_images(host);
         }
         self.plan_part(p, now);
@@ -1024,6 +1075,19 @@
         }
     }
 
+    /// Free room if arrays of ordinary rank or below made way.
+    fn yielding(&self, m: &Machine, mut free: Needs) -> (f32, f32, f32) {
+        for ((job, _), _) in self.mirror.on_host(m.host) {
+            if let Some(o) = self.mirror.open.get(&job)
+                && o.spec.shape == Shape::Sweep
+                && o.spec.rank <= Rank::Standard
+            {
+                free.give(&o.needs());
+            }
+        }
+        (free.cores as f32, free.acc as f32, free.ram as f32)
+    }
+
     /// Free room and waiting tasks, for the leader.
     pub(crate) fn part_report(&self, p: usize, now: Millis) -> PartReport {
         let silence = self.silence_ms();
@@ -1063,6 +1127,13 @@
                         zone: m.zone.clone(),
                         spot: m.spot,
                         free: (free.cores as f32, free.acc as f32, free.ram as f32),
+                        yielding: self.yielding(m, free),
+                        images: m
+                            .images
+                            .iter()
+                            .filter(|i| i.whole)
+                            .map(|i| i.name.clone())
+                            .collect(),
                     })
                 })
                 .collect(),
--- a/crates/cherryyard-wire/src/peer.rs
+++ b/crates/cherryyard-wire/src/peer.rs
@@ -6,7 +6,7 @@
 use bitcode::{Decode, Encode};
 
 /// The version of the frames.
-pub const VERSION: u8 = 1;
+pub const VERSION: u8 = 2;
 /// Largest frame in bytes.
 pub const MAX_FRAME: usize = 256 * 1024;
 
@@ -53,6 +53,10 @@
     pub spot: bool,
     /// Free cores, accelerators and memory.
     pub free: (f32, f32, f32),
+    /// The same if arrays of ordinary rank or below made way.
+    pub yielding: (f32, f32, f32),
+    /// Images that it holds whole.
+    pub images: Vec<String>,
 }
 
 /// Puts a beat into a frame's payload.
@@ -93,6 +97,6 @@
         }
         let mut foreign = whole.clone();
         foreign[0] = 9;
-        assert_eq!(decode(&foreign), Err("version 9 instead of 1".into()));
+        assert_eq!(decode(&foreign), Err("version 9 instead of 2".into()));
     }
 }
