--- a/crates/cherryyard-core/src/owner.rs
+++ b/crates/cherryyard-core/src/owner.rs
@@ -507,7 +507,7 @@
                 let host = rooms[i].0;
                 if open.spec.shape == Shape::Service
                     && kept.is_none()
-                    && self.fetch_s(open, host) > 9.0
+                    && self.fetch_s(open, host) > 1.5
                 {
                     // Where the image is, the replica runs at once; the arrays
                     // there can make way more easily than it can wait.
