--- a/crates/cherryyard-core/src/owner.rs
+++ b/crates/cherryyard-core/src/owner.rs
@@ -663,13 +663,10 @@
                         let beyond = vt != t
                             && totals[vt].cores > self.config.teams[vt].cores + 1e-6
                             && totals[t].cores + needs.cores <= self.config.teams[t].cores + 1e-6;
-                        // Work of a job that is late anyway is lost first; then
-                        // what was marked last, as it has done least.
-                        let hope = self.hope(v, now + self.wall_offset).min(3) as f64;
-                        let cost = 1e6 * (1.0 - 0.25 * hope) - (mark.attempt as f64).min(2e5);
+                        // What is marked by a later attempt has lost least.
                         (lower || beyond).then_some((
                             v.spec.rank,
-                            cost,
+                            -(mark.attempt as f64),
                             task,
                             mark.attempt,
                             v.needs(),
@@ -679,13 +676,13 @@
                 victims.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
                 let mut list = Vec::new();
                 let mut cost = 0.0;
-                for (_, loss, task, attempt, size) in victims {
+                for (_, age, task, attempt, size) in victims {
                     if needs.fits(&free) {
                         break;
                     }
                     free.give(&size);
                     list.push((task, attempt));
-                    cost += loss;
+                    cost += 1e6 + age;
                 }
                 if !needs.fits(&free) || list.is_empty() {
                     continue;
