--- a/crates/cherryyard-core/src/config.rs
+++ b/crates/cherryyard-core/src/config.rs
@@ -22,7 +22,7 @@
 impl Default for Tuning {
     fn default() -> Self {
         Self {
-            autoscale_multi_cluster_delay_s: 4.0,
+            autoscale_multi_cluster_delay_s: 10.0,
             room_report_s: 5.0,
             headroom_share: 0.2,
             idle_return_s: 150.0,
