--- a/crates/cherryyard-core/src/owner.rs
+++ b/crates/cherryyard-core/src/owner.rs
@@ -435,6 +435,20 @@
             .collect();
         rooms.sort_by_key(|r| r.0);
         let mut used = self.mirror.usage(p);
+        for (&(job, chunk), edited) in &round.edits {
+            // What this very round proves gone makes room under the limit too.
+            let Some((team, needs)) = self.mirror.uses(job) else {
+                continue;
+            };
+            let before = self.mirror.marks.get(&(p, job)).and_then(|m| m.get(&chunk));
+            for number in before.into_iter().flat_map(|c| c.marks.keys()) {
+                if !edited.marks.contains_key(number)
+                    && let Some(u) = used.get_mut(team as usize)
+                {
+                    u.take(&needs);
+                }
+            }
+        }
         let mut placed = 0;
         'jobs: for (job, waiting) in &queue {
             let open = &self.mirror.open[job];
@@ -1115,6 +1129,16 @@
                 w.acc += needs.acc * n;
             }
         }
+        // A part cannot use more of a limit than its machines have; what it
+        // holds beyond that is another part's to use.
+        let mut whole = Needs::default();
+        for m in &machines {
+            whole.give(&self.whole(m).unwrap_or_default());
+        }
+        for (want, used) in wants.iter_mut().zip(&used) {
+            want.cores = want.cores.min(whole.cores).max(used.cores);
+            want.acc = want.acc.min(whole.acc).max(used.acc);
+        }
         PartReport {
             part: p as u32,
             stamp: self.mirror.stamp(Key::Part(p)),
@@ -1169,9 +1193,19 @@
                 let (grant, stamp) = self.mirror.grants[t][p];
                 let wants = report.wants.get(t).map_or((0.0, 0.0), |w| (w.1, w.2));
                 // Never below what is marked: wants include it.
+                // Half of the rest is kept, so that the part's next job need not
+                // wait for the leader.
+                let half = |have: f64, want: f64| {
+                    let rest = (have - want) / 2.0;
+                    if rest < 1.0 {
+                        have.min(want)
+                    } else {
+                        want + rest
+                    }
+                };
                 let keep = Grant {
-                    cores: grant.cores.min(wants.0),
-                    acc: grant.acc.min(wants.1),
+                    cores: half(grant.cores, wants.0),
+                    acc: half(grant.acc, wants.1),
                 };
                 if stamp != 0 && (keep.cores < grant.cores - 1e-6 || keep.acc < grant.acc - 1e-6) {
                     commit.require(record::grant_key(t, p), stamp);
