--- a/crates/cherryyard-core/src/leader.rs
+++ b/crates/cherryyard-core/src/leader.rs
@@ -935,6 +935,7 @@
                 self.leader.hire_after = now + 300.0;
             }
             Err(true) => {
+                tracing::debug!(zone = %request.yard, spot = request.borrowed, "no machines to rent");
                 self.leader.refused.insert(key, now + 15_000.0);
                 if known {
                     self.leader.hiring = None;
--- a/crates/cherryyard-core/src/mirror.rs
+++ b/crates/cherryyard-core/src/mirror.rs
@@ -8,7 +8,7 @@
 use crate::names::Names;
 use cherryyard_wire::cloud::HostKind;
 use cherryyard_wire::job::{JobSpec, JobStatus, JobView, job_id};
-use cherryyard_wire::record::{Claim, End, Grant, JobRecord, Key, MarkRecord, Use};
+use cherryyard_wire::record::{Claim, End, Grant, ImagesRecord, JobRecord, Key, MarkRecord, Use};
 use cherryyard_wire::state::{Apply, Commit, News, Pair};
 use cherryyard_wire::{RangeSet, record};
 use serde_json::Value;
@@ -214,6 +214,8 @@
     pub open: BTreeMap<u64, OpenJob>,
     /// Marks by part and job.
     pub marks: BTreeMap<(usize, u64), Marks>,
+    /// Images held in each part, as last stored, and the record's stamp.
+    pub images: Vec<(ImagesRecord, u64)>,
     /// What each part may use of each team's limit: by team, then part.
     pub grants: Vec<Vec<(Grant, u64)>>,
     ended: HashMap<u64, EndedJob>,
@@ -238,6 +240,7 @@
             kinds_stamp: 0,
             open: BTreeMap::new(),
             marks: BTreeMap::new(),
+            images: vec![(ImagesRecord::default(), 0); parts],
             grants: vec![vec![(Grant::default(), 0); parts]; config.teams.len()],
             ended: HashMap::new(),
             on_host: HashMap::new(),
@@ -330,6 +333,7 @@
                 .get(p)
                 .and_then(Option::as_ref)
                 .map_or(0, |c| c.stamp),
+            Key::Images(p) => self.images.get(p).map_or(0, |i| i.1),
             Key::Job(j) => self.open.get(&j).map_or(0, |o| o.stamp),
             Key::Mark { part, job, chunk } => self
                 .marks
@@ -353,6 +357,11 @@
                     *claim = None;
                 }
             }
+            Key::Images(p) => {
+                if let Some(images) = self.images.get_mut(p) {
+                    *images = (ImagesRecord::default(), 0);
+                }
+            }
             Key::Job(j) => {
                 self.open.remove(&j);
             }
@@ -408,6 +417,18 @@
                 let label = read::<Claim>(value)?.label;
                 *self.parts.get_mut(p).ok_or("no such part")? = Some(ClaimState { label, stamp });
             }
+            Key::Images(p) => {
+                let record: ImagesRecord = read(value)?;
+                if record
+                    .h
+                    .iter()
+                    .flat_map(|h| &h.1)
+                    .any(|&i| i >= record.i.len())
+                {
+                    return Err("no such image".into());
+                }
+                *self.images.get_mut(p).ok_or("no such part")? = (record, stamp);
+            }
             Key::Job(j) => self.put_job(j, read(value)?, stamp)?,
             Key::Mark { part, job, chunk } => {
                 let record: MarkRecord = read(value)?;
@@ -671,6 +692,7 @@
             Key::Lead => record::LEAD.to_string(),
             Key::Kinds => record::KINDS.to_string(),
             Key::Part(p) => record::part_key(p),
+            Key::Images(p) => record::images_key(p),
             Key::Job(j) => record::job_key(j),
             Key::Mark { part, job, chunk } => record::mark_key(part, job, chunk),
             Key::Grant { team, part } => record::grant_key(team, part),
--- a/crates/cherryyard-core/src/node.rs
+++ b/crates/cherryyard-core/src/node.rs
@@ -387,10 +387,10 @@
             return Reply::Unavailable;
         }
         let host = self.mirror.hosts.intern(&report.host);
-        let machine = self
-            .machines
-            .entry(host)
-            .or_insert_with(|| Machine::new(host, p, report, now));
+        self.meet(host, p, report, now);
+        let Some(machine) = self.machines.get_mut(&host) else {
+            return Reply::Unavailable;
+        };
         if machine.state == HostState::Gone {
             return Reply::Unavailable;
         }
--- a/crates/cherryyard-core/src/owner.rs
+++ b/crates/cherryyard-core/src/owner.rs
@@ -11,9 +11,11 @@
 use cherryyard_wire::cloud::HostStatus;
 use cherryyard_wire::job::{Rank, Shape};
 use cherryyard_wire::peer::{MachineRoom, PartReport};
-use cherryyard_wire::record::{self, End, Grant, Key};
+use cherryyard_wire::record::{self, End, Grant, ImagesRecord, Key};
 use cherryyard_wire::state::{Apply, Commit};
-use cherryyard_wire::worker::{Cause, DoRequest, Order, PieceStatus, piece_name, piece_numbers};
+use cherryyard_wire::worker::{
+    Cause, DoRequest, Order, PieceStatus, Report, piece_name, piece_numbers,
+};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 /// Bytes that a transaction's values may have together.
@@ -63,6 +65,7 @@
     pub trouble: HashMap<u64, JobTrouble>,
     pub waiting_since: HashMap<u64, Millis>,
     pub owned_since: Millis,
+    pub images_at: Millis,
     pub wait_epoch: u64,
 }
 
@@ -83,6 +86,7 @@
             trouble: HashMap::new(),
             waiting_since: HashMap::new(),
             owned_since: now,
+            images_at: now,
             wait_epoch: 0,
         }
     }
@@ -276,6 +280,10 @@
             self.sweep_marks(p, &mut round);
         }
         if round.edits.is_empty() && finished.is_empty() {
+            if let Some(commit) = self.images_commit(p, token, now) {
+                self.parts[p].pending = Some(Pending::default());
+                self.effects.push(Effect::Commit(Ticket::Owner(p), commit));
+            }
             return;
         }
         let mut commit = self.round_commit(p, token, &round);
@@ -922,6 +930,57 @@
         }
     }
 
+    /// Takes note of a machine that reports for the first time, with the images
+    /// that its owner before knew it to hold.
+    pub(crate) fn meet(&mut self, host: u32, p: usize, report: &Report, now: Millis) {
+        if self.machines.contains_key(&host) {
+            return;
+        }
+        let mut m = Machine::new(host, p, report, now);
+        let record = &self.mirror.images[p].0;
+        if let Some((_, held)) = record.h.iter().find(|(name, _)| *name == report.host) {
+            for (name, gb) in held.iter().filter_map(|&i| record.i.get(i)) {
+                m.use_image(name, *gb, true, f64::INFINITY);
+            }
+        }
+        self.machines.insert(host, m);
+    }
+
+    /// The record of the part's images, if it is due and has changed. It costs
+    /// a write that others may need more, so it is a rare one.
+    fn images_commit(&mut self, p: usize, token: u64, now: Millis) -> Option<Commit> {
+        if now - self.parts[p].images_at < 10_000.0 {
+            return None;
+        }
+        self.parts[p].images_at = now;
+        let mut record = ImagesRecord::default();
+        for m in self
+            .machines
+            .values()
+            .filter(|m| m.part == p && m.token_ours())
+        {
+            let mut held = Vec::new();
+            for image in m.images.iter().filter(|i| i.whole) {
+                let known = record.i.iter().position(|(name, _)| *name == image.name);
+                held.push(known.unwrap_or_else(|| {
+                    record.i.push((image.name.clone(), image.gb));
+                    record.i.len() - 1
+                }));
+            }
+            record
+                .h
+                .push((self.mirror.hosts.name(m.host).to_string(), held));
+        }
+        let value = serde_json::json!(record);
+        if record == self.mirror.images[p].0 || value.to_string().len() > self.config.value_bytes {
+            return None;
+        }
+        let mut commit = Commit::default();
+        commit.require(record::part_key(p), token);
+        commit.apply.push(Apply::set(record::images_key(p), value));
+        Some(commit)
+    }
+
     /// After any message of a machine: the owner's round is due.
     pub(crate) fn after_message(&mut self, host: u32, now: Millis) {
         let Some(m) = self.machines.get(&host) else {
--- a/crates/cherryyard-wire/src/record.rs
+++ b/crates/cherryyard-wire/src/record.rs
@@ -33,6 +33,11 @@
     format!("c/grant/{team}/{part}")
 }
 
+/// Key of what is known of the images in part `part`.
+pub fn images_key(part: usize) -> String {
+    format!("c/images/{part}")
+}
+
 /// A parsed key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 #[allow(missing_docs)]
@@ -40,6 +45,7 @@
     Lead,
     Kinds,
     Part(usize),
+    Images(usize),
     Job(u64),
     Mark { part: usize, job: u64, chunk: u32 },
     Grant { team: usize, part: usize },
@@ -57,6 +63,7 @@
         let mut words = key.strip_prefix(PREFIX)?.split('/');
         let parsed = match words.next()? {
             "part" => Self::Part(words.next()?.parse().ok()?),
+            "images" => Self::Images(words.next()?.parse().ok()?),
             "job" => Self::Job(crate::job::job_number(words.next()?)?),
             "mark" => Self::Mark {
                 part: words.next()?.parse().ok()?,
@@ -157,3 +164,12 @@
     /// Accelerators.
     pub acc: f64,
 }
+
+/// Images that a part's machines hold, so that a restarted owner knows them.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ImagesRecord {
+    /// Images and their sizes.
+    pub i: Vec<(String, f64)>,
+    /// Machines, and which of the images each holds, last used last.
+    pub h: Vec<(String, Vec<usize>)>,
+}
