--- a/crates/cherryyard-core/src/owner.rs
+++ b/crates/cherryyard-core/src/owner.rs
@@ -261,7 +261,7 @@
         self.parts[p].dirty = false;
         self.parts[p].planned_at = now;
         self.expire(p, now);
-        self.return_silent(p, now);
+        // self.return_silent(p, now);
         self.push_due(p, now);
         if !self.state_fresh(now) {
             return;
