--- a/crates/cherryyard-core/src/owner.rs
+++ b/crates/cherryyard-core/src/owner.rs
@@ -261,7 +261,7 @@
         self.parts[p].dirty = false;
         self.parts[p].planned_at = now;
         self.expire(p, now);
-        // self.return_silent(p, now);
+        self.return_silent(p, now);
         self.push_due(p, now);
         if !self.state_fresh(now) {
             return;
@@ -1382,7 +1382,12 @@
     /// them, and nothing is released.
     fn return_silent(&mut self, p: usize, now: Millis) {
         let limit = self.config.report_ms * 2.4 + 1000.0;
-        if !self.state_fresh(now) || now - self.parts[p].owned_since < 2.0 * limit {
+        // A machine that merely hangs loses what is left of its lease by this:
+        // worth it only where the lease would be waited for much longer.
+        if self.config.lease_ms - limit < self.config.report_ms * 3.0
+            || !self.state_fresh(now)
+            || now - self.parts[p].owned_since < 2.0 * limit
+        {
             return;
         }
         let known = |m: &&Machine| m.part == p && m.token_ours();
