--- a/crates/cherryyard-core/src/owner.rs
+++ b/crates/cherryyard-core/src/owner.rs
@@ -1381,7 +1381,7 @@
     /// back with its work. When many are silent, the fault is between us and
     /// them, and nothing is released.
     fn return_silent(&mut self, p: usize, now: Millis) {
-        let limit = self.config.report_ms * 2.4 + 1000.0;
+        let limit = self.config.report_ms * 1.25 + 2000.0;
         // A machine that merely hangs loses what is left of its lease by this:
         // worth it only where the lease would be waited for much longer.
         if self.config.lease_ms - limit < self.config.report_ms * 3.0
