--- a/crates/cherryyard-core/src/machine.rs
+++ b/crates/cherryyard-core/src/machine.rs
@@ -2,6 +2,7 @@
 
 use crate::Millis;
 use crate::mirror::Needs;
+use cherryyard_wire::cloud::HostEntry;
 use cherryyard_wire::worker::{Cause, PieceStatus, Report, piece_numbers};
 use std::collections::BTreeMap;
 
@@ -167,6 +168,23 @@
         }
     }
 
+    /// A machine that has not reported, as the cloud lists it.
+    pub fn unheard(host: u32, part: usize, entry: &HostEntry, now: Millis) -> Self {
+        let report = Report {
+            host: entry.id.clone(),
+            addr: entry.addr.clone(),
+            host_kind: entry.host_kind.clone(),
+            yard: entry.yard.clone(),
+            borrowed: entry.borrowed,
+            tenure: 0,
+            tick: 0,
+            baton: 0,
+            recall_s: None,
+            pieces: Vec::new(),
+        };
+        Self::new(host, part, &report, now)
+    }
+
     /// The one place where a machine's state changes.
     pub fn change(&mut self, event: HostEvent) {
         use HostEvent::*;
--- a/crates/cherryyard-core/src/node.rs
+++ b/crates/cherryyard-core/src/node.rs
@@ -674,6 +674,13 @@
     pub fn listed(&mut self, hosts: Vec<HostEntry>, now: Millis) {
         self.listed = hosts.into_iter().map(|h| (h.id.clone(), h)).collect();
         self.listed_at = now;
+        // Machines long gone are forgotten, unless something still names them.
+        let mirror = &self.mirror;
+        self.machines.retain(|&host, m| {
+            m.state != HostState::Gone
+                || now - m.heard_at < 600_000.0
+                || mirror.on_host(host).next().is_some()
+        });
         self.return_listed(now);
     }
 
--- a/crates/cherryyard-core/src/owner.rs
+++ b/crates/cherryyard-core/src/owner.rs
@@ -8,7 +8,7 @@
 use crate::mirror::{Chunk, Mark, Needs, OpenJob};
 use crate::node::{Effect, Node, Outcome, Tenancy, Ticket};
 use crate::{Millis, admit};
-use cherryyard_wire::cloud::HostStatus;
+use cherryyard_wire::cloud::{HostEntry, HostStatus};
 use cherryyard_wire::job::{Rank, Shape};
 use cherryyard_wire::peer::{MachineRoom, PartReport};
 use cherryyard_wire::record::{self, End, Grant, ImagesRecord, Key};
@@ -1351,21 +1351,10 @@
             let entry = &self.listed[name];
             let p = self.config.parting.part(&entry.yard, name);
             let host = self.mirror.hosts.intern(name);
-            let m = self.machines.entry(host).or_insert_with(|| {
-                let report = cherryyard_wire::worker::Report {
-                    host: name.clone(),
-                    addr: entry.addr.clone(),
-                    host_kind: entry.host_kind.clone(),
-                    yard: entry.yard.clone(),
-                    borrowed: entry.borrowed,
-                    tenure: 0,
-                    tick: 0,
-                    baton: 0,
-                    recall_s: None,
-                    pieces: Vec::new(),
-                };
-                Machine::new(host, p, &report, now)
-            });
+            let m = self
+                .machines
+                .entry(host)
+                .or_insert_with(|| Machine::unheard(host, p, entry, now));
             m.change(HostEvent::ReleaseAsked);
             m.release_after = now + 10_000.0;
         }
@@ -1468,19 +1457,16 @@
                 continue;
             }
             let m = self.machines.entry(host).or_insert_with(|| {
-                let report = cherryyard_wire::worker::Report {
-                    host: name.clone(),
+                let entry = HostEntry {
+                    id: name.clone(),
                     addr: String::new(),
                     host_kind: String::new(),
                     yard: String::new(),
                     borrowed: false,
-                    tenure: 0,
-                    tick: 0,
-                    baton: 0,
-                    recall_s: None,
-                    pieces: Vec::new(),
+                    status: HostStatus::Other,
+                    held_s: 0.0,
                 };
-                Machine::new(host, p, &report, now)
+                Machine::unheard(host, p, &entry, now)
             });
             m.change(HostEvent::ReleaseAsked);
             m.release_after = now + 10_000.0;
--- a/crates/cherryyard/src/app.rs
+++ b/crates/cherryyard/src/app.rs
@@ -9,6 +9,7 @@
 use cherryyard_io::{peer, worker};
 use cherryyard_wire::settings::Settings;
 use cherryyard_wire::state::Commit;
+use hdrhistogram::Histogram;
 use salvo::conn::Listener;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -23,6 +24,8 @@
     workers: Http,
     born: Instant,
     barrier: Mutex<Vec<oneshot::Sender<bool>>>,
+    /// How long users' requests took since the last log line, in milliseconds.
+    latency: Mutex<Histogram<u64>>,
     barrier_wanted: Notify,
     beat_wanted: Notify,
     /// The least time between two reads of one kind, from the request budget.
@@ -242,6 +245,31 @@
         }
     }
 
+    /// Notes how long a user's request took.
+    pub fn took(&self, since: Instant) {
+        let ms = since.elapsed().as_millis() as u64;
+        let mut latency = self.latency.lock().unwrap_or_else(PoisonError::into_inner);
+        latency.saturating_record(ms.max(1));
+    }
+
+    /// Tells now and then how long users' requests take.
+    async fn tell_latency(self: Arc<Self>) {
+        loop {
+            tokio::time::sleep(Duration::from_secs(60)).await;
+            let mut latency = self.latency.lock().unwrap_or_else(PoisonError::into_inner);
+            if !latency.is_empty() {
+                tracing::info!(
+                    requests = latency.len(),
+                    p50_ms = latency.value_at_quantile(0.5),
+                    p95_ms = latency.value_at_quantile(0.95),
+                    max_ms = latency.max(),
+                    "users' requests"
+                );
+                latency.reset();
+            }
+        }
+    }
+
     async fn clock(self: Arc<Self>) {
         let mut ticks = tokio::time::interval(Duration::from_millis(100));
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -311,6 +339,9 @@
         workers: Http::new(Duration::from_millis(1000), 1),
         born: Instant::now(),
         barrier: Mutex::new(Vec::new()),
+        latency: Mutex::new(
+            Histogram::new_with_bounds(1, 60_000, 2).map_err(|e| format!("cannot start: {e}"))?,
+        ),
         barrier_wanted: Notify::new(),
         beat_wanted: Notify::new(),
         pace,
@@ -337,6 +368,7 @@
     tokio::spawn(app.clone().serve_barriers());
     tokio::spawn(app.clone().lease());
     tokio::spawn(app.clone().clock());
+    tokio::spawn(app.clone().tell_latency());
     tokio::spawn(app.clone().watch_cloud());
 
     let acceptor = salvo::conn::TcpListener::new(settings.public_addr.clone())
--- a/crates/cherryyard/src/routes.rs
+++ b/crates/cherryyard/src/routes.rs
@@ -13,7 +13,7 @@
 use salvo::http::StatusCode;
 use salvo::prelude::*;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Tries of one user's write before the user is told to come back.
 const TRIES: u64 = 4;
@@ -72,10 +72,12 @@
 #[async_trait]
 impl Handler for Submit {
     async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
+        let since = Instant::now();
         let answer = match body(req).await {
             Ok(body) => submit(&self.0, &body).await,
             Err(answer) => answer,
         };
+        self.0.took(since);
         answer.write(res);
     }
 }
@@ -83,18 +85,22 @@
 #[async_trait]
 impl Handler for Poll {
     async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
-        poll(&self.0, &req.param::<String>("id").unwrap_or_default())
-            .await
-            .write(res);
+        let since = Instant::now();
+        let id = req.param::<String>("id").unwrap_or_default();
+        let answer = poll(&self.0, &id).await;
+        self.0.took(since);
+        answer.write(res);
     }
 }
 
 #[async_trait]
 impl Handler for Cancel {
     async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
-        cancel(&self.0, &req.param::<String>("id").unwrap_or_default())
-            .await
-            .write(res);
+        let since = Instant::now();
+        let id = req.param::<String>("id").unwrap_or_default();
+        let answer = cancel(&self.0, &id).await;
+        self.0.took(since);
+        answer.write(res);
     }
 }
 
