--- a/crates/cherryyard-rehearsal/tests/rules.rs
+++ b/crates/cherryyard-rehearsal/tests/rules.rs
@@ -81,6 +81,68 @@
     assert!(w.broken.is_empty(), "{:?}", w.broken);
 }
 
+/// The same before the new owner has written anything: the claim alone decides.
+#[test]
+fn late_transaction_dies_by_the_claim() {
+    let mut w = settled(Setup {
+        machines: vec![("a", 2)],
+        ..Setup::default()
+    });
+    w.hold_commits.extend([0, 1, 2]);
+    w.submit(&World::spec("j-000001", "service", 1));
+    w.run_until(5.0, |w| !w.held_commits.is_empty());
+    w.kill(0);
+    let old = std::mem::take(&mut w.held_commits);
+    w.run_until(15.0, |w| {
+        w.trace
+            .iter()
+            .any(|l| l.contains("node-1 claims c/part/0: Applied"))
+    });
+    for commit in old {
+        let outcome = w.state.commit(&commit);
+        assert!(
+            matches!(outcome, Outcome::Conflict(_)),
+            "{outcome:?}: {commit:?}"
+        );
+    }
+}
+
+/// A machine that has reported to its new owner, but not yet under the new
+/// token, is not given up when it falls silent: the old owner may have answered
+/// it since.
+#[test]
+fn silence_before_the_token_is_shown_proves_nothing() {
+    let mut w = settled(Setup {
+        machines: vec![("a", 2)],
+        ..Setup::default()
+    });
+    w.submit(&World::spec("j-000001", "service", 1));
+    w.run_until(5.0, |w| w.running() == 1);
+    let host = w
+        .workers
+        .values()
+        .find(|x| x.runs("j-000001/0"))
+        .unwrap()
+        .host
+        .clone();
+    w.unreachable.insert(host.clone());
+    w.workers.get_mut(&host).unwrap().lease_ms = f64::INFINITY;
+    w.kill(0);
+    w.run_until(15.0, |w| {
+        w.trace
+            .iter()
+            .any(|l| l.contains("node-1 claims c/part/0: Applied"))
+    });
+    w.run(0.5);
+    // Its report gets through; the answer, and with it the token, is lost.
+    let report = w.workers.get_mut(&host).unwrap().report();
+    let now = w.now;
+    w.nodes[1].as_mut().unwrap().report(&report, now);
+    w.run(60.0);
+    assert_eq!(starts(&w, "j-000001/0").len(), 1, "{}", w.trace.join("\n"));
+    assert!(w.broken.is_empty(), "{:?}", w.broken);
+}
+
 /// An old owner's direct command that arrives late is not executed.
 #[test]
 fn late_direct_command_dies() {
