--- a/crates/cherryyard-core/src/config.rs
+++ b/crates/cherryyard-core/src/config.rs
@@ -24,7 +24,7 @@
         Self {
             autoscale_multi_cluster_delay_s: 10.0,
             room_report_s: 5.0,
-            headroom_share: 0.2,
+            headroom_share: 0.5,
             idle_return_s: 150.0,
         }
     }
--- a/crates/cherryyard-core/src/leader.rs
+++ b/crates/cherryyard-core/src/leader.rs
@@ -843,7 +843,8 @@
         }
         let mut waiting = 0.0;
         let mut service_waiting = 0.0;
-        let mut borrowable = 0.0;
+        // Spot machines are rented ahead too, while there are jobs for them.
+        let borrowable = self.mirror.open.values().any(|o| o.spec.borrowed);
         for (&job, open) in &self.mirror.open {
             let marked: usize = (0..self.parts.len())
                 .filter_map(|p| self.mirror.marks.get(&(p, job)))
@@ -859,9 +860,6 @@
             if open.spec.shape == Shape::Service {
                 service_waiting += cores;
             }
-            if open.spec.borrowed {
-                borrowable += cores;
-            }
         }
         let headroom = total * self.config.tuning.headroom_share;
         let need = waiting + headroom - free - booting;
@@ -876,7 +874,7 @@
                 for spot in [false, true] {
                     let key = (kind.sku.clone(), zone.clone(), spot);
                     if !self.leader.refused.contains_key(&key)
-                        && (!spot || (borrowable > 0.0 && need > service_waiting))
+                        && (!spot || (borrowable && need > service_waiting))
                     {
                         options.push((spot, kind.cores, here, &kind.sku, zone, kind.ready_s));
                     }
--- a/examples/operator.hcl
+++ b/examples/operator.hcl
@@ -8,7 +8,7 @@
 room_report_s = 5
 
 # Share of the fleet's cores that renting ahead keeps free.
-headroom_share = 0.2
+headroom_share = 0.5
 
 # Seconds without work after which a machine may be returned.
 idle_return_s = 150
