--- a/crates/cherryyard-core/src/node.rs
+++ b/crates/cherryyard-core/src/node.rs
@@ -21,6 +21,8 @@
     Claim(usize),
     /// An owner's round.
     Owner(usize),
+    /// An owner gives its part up.
+    Yield(usize),
     /// A claim on the lead.
     Lead,
     /// A leader's round.
@@ -168,6 +170,8 @@
     pub(crate) newest_epoch: u64,
     /// The time of the event at hand.
     pub(crate) clock: Millis,
+    /// Workers of others' parts that reported here: by part and name, when.
+    pub(crate) strays: BTreeMap<(usize, String), Millis>,
     /// Time of day less steady clock, in milliseconds.
     pub wall_offset: f64,
 }
@@ -197,6 +201,7 @@
             listed_at: f64::NEG_INFINITY,
             newest_epoch: 0,
             clock: now,
+            strays: BTreeMap::new(),
             wall_offset: 0.0,
             config,
         }
@@ -372,6 +377,9 @@
     pub fn report(&mut self, report: &Report, now: Millis) -> Reply {
         let p = self.config.parting.part(&report.yard, &report.host);
         let Some(token) = self.answering(p, now) else {
+            if self.strays.len() < 1000 && report.host.len() <= 100 {
+                self.strays.insert((p, report.host.clone()), now);
+            }
             return match self.owner_elsewhere(p, now) {
                 Some(label) => Reply::Elsewhere(Some(label)),
                 None => Reply::Unavailable,
@@ -513,7 +521,16 @@
                 self.leader.hear(report.clone(), now);
             }
         }
+        self.strays.retain(|_, at| now - *at < 4000.0);
+        let mut strays: Vec<(u32, u32)> = Vec::new();
+        for (p, _) in self.strays.keys() {
+            match strays.last_mut() {
+                Some(last) if last.0 == *p as u32 => last.1 += 1,
+                _ => strays.push((*p as u32, 1)),
+            }
+        }
         Beat {
+            strays,
             label: self.config.labels[self.config.me].clone(),
             cut_off: now - self.state_ok_at > 2500.0,
             epoch: self.mirror.epoch,
@@ -556,6 +573,15 @@
                 }
             }
             Ticket::Owner(p) => self.owner_committed(p, outcome, now),
+            Ticket::Yield(p) => {
+                self.parts[p].claiming = false;
+                if let Outcome::Applied(_) = outcome {
+                    let part = &mut self.parts[p];
+                    part.yields += 1;
+                    part.claim_after = now + 20_000.0 * f64::from(1u32 << part.yields.min(3));
+                    self.change_tenancy(p, TenancyEvent::ClaimGone);
+                }
+            }
             Ticket::Lead => self.lead_committed(outcome, now),
             Ticket::Leader => self.leader_committed(outcome, now),
         }
@@ -603,6 +629,7 @@
         }
         self.check_claims();
         self.claim_parts(now);
+        self.yield_parts(now);
         self.claim_lead(now);
         for p in 0..self.parts.len() {
             if self.parts[p].dirty {
@@ -670,6 +697,57 @@
         }
     }
 
+    /// Gives up a part whose workers cannot reach this controller but do reach
+    /// another: the state service alone would keep the claim alive while every
+    /// lease in the part runs out.
+    fn yield_parts(&mut self, now: Millis) {
+        let limit = self.config.report_ms * 1.25 + 2000.0;
+        for p in 0..self.parts.len() {
+            let Some(token) = self.owned(p) else { continue };
+            if self.parts[p].claiming
+                || self.parts[p].pending.is_some()
+                || now - self.parts[p].owned_since < 2.0 * limit
+                || !self.state_fresh(now)
+            {
+                continue;
+            }
+            let mut all = 0u32;
+            let mut silent = 0u32;
+            for m in self
+                .machines
+                .values()
+                .filter(|m| m.part == p && matches!(m.state, HostState::Ready | HostState::Expired))
+            {
+                all += 1;
+                silent += u32::from(now - m.heard_at > limit);
+            }
+            let elsewhere = self
+                .peers
+                .iter()
+                .flatten()
+                .filter(|s| now - s.heard_at < 2000.0 && !s.beat.cut_off)
+                .flat_map(|s| &s.beat.strays)
+                .filter(|x| x.0 as usize == p)
+                .map(|x| x.1)
+                .max()
+                .unwrap_or(0);
+            if all < 2 || silent * 2 < all || elsewhere < 2 || elsewhere * 3 < all {
+                continue;
+            }
+            tracing::info!(
+                part = p,
+                silent,
+                elsewhere,
+                "give up a part whose workers report elsewhere"
+            );
+            let mut commit = Commit::default();
+            commit.require(record::part_key(p), token);
+            commit.apply.push(Apply::delete(record::part_key(p)));
+            self.parts[p].claiming = true;
+            self.effects.push(Effect::Commit(Ticket::Yield(p), commit));
+        }
+    }
+
     /// Takes a reading of the cloud's machine list.
     pub fn listed(&mut self, hosts: Vec<HostEntry>, now: Millis) {
         self.listed = hosts.into_iter().map(|h| (h.id.clone(), h)).collect();
--- a/crates/cherryyard-core/src/owner.rs
+++ b/crates/cherryyard-core/src/owner.rs
@@ -66,6 +66,7 @@
     pub waiting_since: HashMap<u64, Millis>,
     pub owned_since: Millis,
     pub images_at: Millis,
+    pub yields: u32,
     pub wait_epoch: u64,
 }
 
@@ -87,6 +88,7 @@
             waiting_since: HashMap::new(),
             owned_since: now,
             images_at: now,
+            yields: 0,
             wait_epoch: 0,
         }
     }
--- a/crates/cherryyard-rehearsal/src/world.rs
+++ b/crates/cherryyard-rehearsal/src/world.rs
@@ -55,6 +55,8 @@
     pub refused: BTreeSet<usize>,
     /// Controllers that no other controller reaches.
     pub alone: BTreeSet<usize>,
+    /// Controllers that no worker reaches.
+    pub deaf: BTreeSet<usize>,
     /// Machines that nobody reaches.
     pub unreachable: BTreeSet<String>,
     /// Machines to which direct commands are held back.
@@ -86,6 +88,7 @@
             workers: BTreeMap::new(),
             refused: BTreeSet::new(),
             alone: BTreeSet::new(),
+            deaf: BTreeSet::new(),
             unreachable: BTreeSet::new(),
             slow_direct: BTreeSet::new(),
             held_direct: Vec::new(),
@@ -336,7 +339,9 @@
             worker.report_at = now + 2000.0;
             let i = worker.node;
             let report = worker.report();
-            let reply = self.nodes[i].as_mut().map(|n| n.report(&report, now));
+            let hears = !self.deaf.contains(&i);
+            let node = self.nodes[i].as_mut().filter(|_| hears);
+            let reply = node.map(|n| n.report(&report, now));
             match reply {
                 Some(Reply::Answer(answer)) => log.extend(worker.answered(&answer, now, now)),
                 Some(Reply::Elsewhere(Some(label))) => {
--- a/crates/cherryyard-rehearsal/tests/rules.rs
+++ b/crates/cherryyard-rehearsal/tests/rules.rs
@@ -217,6 +217,32 @@
     assert_eq!(w.running(), 0, "{}", w.trace.join("\n"));
 }
 
+/// An owner that only the workers cannot reach gives its part up in time for
+/// another to keep their leases.
+#[test]
+fn owner_cut_off_from_workers_yields() {
+    let mut w = settled(Setup {
+        machines: vec![("a", 4)],
+        ..Setup::default()
+    });
+    w.run(12.0);
+    for x in w.workers.values_mut() {
+        x.lease_ms = 20_000.0;
+    }
+    w.submit(&World::spec("j-000001", "service", 8));
+    w.run_until(5.0, |w| w.running() == 8);
+    w.deaf.insert(0);
+    w.run(18.0);
+    assert_eq!(w.running(), 8);
+    w.run(40.0);
+    assert!(
+        w.trace.iter().all(|l| !l.contains("loses its lease")),
+        "{}",
+        w.trace.join("\n")
+    );
+    assert!(w.broken.is_empty(), "{:?}", w.broken);
+}
+
 /// While the state service answers nobody, nobody can cancel: workers are
 /// answered for as long as it takes, and nothing new starts.
 #[test]
--- a/crates/cherryyard-wire/src/peer.rs
+++ b/crates/cherryyard-wire/src/peer.rs
@@ -6,7 +6,7 @@
 use bitcode::{Decode, Encode};
 
 /// The version of the frames.
-pub const VERSION: u8 = 2;
+pub const VERSION: u8 = 3;
 /// Largest frame in bytes.
 pub const MAX_FRAME: usize = 256 * 1024;
 
@@ -25,6 +25,8 @@
     pub parts: Vec<PartReport>,
     /// Teams that are short of their grants, told by the leader.
     pub short: Vec<String>,
+    /// Parts of others whose workers have lately reported here: part, how many.
+    pub strays: Vec<(u32, u32)>,
 }
 
 /// Free room and waiting tasks of a part.
@@ -89,6 +91,7 @@
             claims: vec![(0, 3, "a".into())],
             parts: vec![],
             short: vec![],
+            strays: vec![],
         };
         let whole = encode(&beat);
         assert_eq!(decode(&whole).as_ref(), Ok(&beat));
@@ -97,6 +100,6 @@
         }
         let mut foreign = whole.clone();
         foreign[0] = 9;
-        assert_eq!(decode(&foreign), Err("version 9 instead of 2".into()));
+        assert_eq!(decode(&foreign), Err("version 9 instead of 3".into()));
     }
 }
