--- a/crates/cherryyard-rehearsal/tests/rules.rs
+++ b/crates/cherryyard-rehearsal/tests/rules.rs
@@ -472,3 +472,52 @@
     assert!(w.broken.is_empty(), "{:?}", w.broken);
     insta::assert_snapshot!(w.trace.join("\n"));
 }
+
+/// What exceeds all free room follows machine counts: by the weights of a few
+/// free cores, a large array was heaped onto one part.
+#[test]
+fn excess_is_not_heaped_onto_one_part() {
+    let mut w = settled(Setup::default());
+    w.submit(&World::spec("j-000001", "sweep", 5));
+    w.run(3.0);
+    assert_eq!(w.running(), 5);
+    w.submit(&World::spec("j-000002", "sweep", 31));
+    w.run(2.0);
+    let record = w.state.get(&job_key(2)).unwrap().0.clone();
+    let JobRecord::Open { div, .. } = JobRecord::deserialize(record).unwrap() else {
+        panic!("not over yet");
+    };
+    let shares: Vec<u32> = div.iter().map(|s| s.len()).collect();
+    assert_eq!(shares.iter().sum::<u32>(), 31);
+    assert!(shares.iter().all(|n| (10..=11).contains(n)), "{shares:?}");
+}
+
+/// A job that can no longer make its deadline comes after one that can, though
+/// it was submitted first and is due first.
+#[test]
+fn late_jobs_delay_no_others() {
+    let mut w = settled(Setup {
+        machines: vec![("a", 1)],
+        ..Setup::default()
+    });
+    w.workers.get_mut("host-000000").unwrap().run_ms = 5000.0;
+    w.submit(&World::spec("j-000001", "sweep", 2));
+    w.run(1.0);
+    for (id, due) in [("j-000002", 5.0), ("j-000003", 100.0)] {
+        let mut spec = World::spec(id, "sweep", 2);
+        spec.due_s = Some(due);
+        w.submit(&spec);
+    }
+    w.run(20.0);
+    let first = |id: &str| {
+        w.trace
+            .iter()
+            .position(|l| l.contains(&format!("starts {id}/0")))
+            .expect("it started")
+    };
+    assert!(
+        first("j-000003") < first("j-000002"),
+        "{}",
+        w.trace.join("\n")
+    );
+}
