--- a/crates/cherryyard-rehearsal/tests/rules.rs
+++ b/crates/cherryyard-rehearsal/tests/rules.rs
@@ -301,6 +301,8 @@
         w.view(1, "j-000001").map(|v| v.status),
         Some(JobStatus::Cancelled)
     );
+    let open = &w.nodes[1].as_ref().unwrap().mirror.open;
+    assert!(!open.contains_key(&1), "nothing may start it again");
 }
 
 /// A team's limit holds over three parts, and all of it can be used by one.
