--- /dev/null
+++ b/crates/cherryyard-core/src/leader/division.rs
@@ -0,0 +1,304 @@
+//! Division of a job's numbers among the parts.
+
+use super::*;
+
+impl Node {
+    /// Whether a job's rules allow this sort of machine.
+    pub(crate) fn room_allowed(open: &OpenJob, m: &MachineRoom) -> bool {
+        (open.spec.borrowed || !m.spot)
+            && admit::allows_kind(&open.spec, &m.kind)
+            && open.spec.yard.as_ref().is_none_or(|y| *y == m.zone)
+            && open.zone.as_ref().is_none_or(|z| *z == m.zone)
+    }
+
+    pub(crate) fn current_room(&self, p: usize, now: Millis) -> Option<&Room> {
+        let room = self.leader.rooms[p].as_ref()?;
+        let fresh = now - room.at <= self.config.tuning.room_report_s * 2000.0 + 2000.0;
+        (fresh && self.mirror.stamp(Key::Part(p)) == room.report.stamp).then_some(room)
+    }
+
+    /// How many of the job's tasks fit into each part's free room.
+    ///
+    /// A service counts only machines that hold its image, while these have
+    /// room for it, arrays making way if its rank allows: elsewhere a replica
+    /// would wait for the image, and inside its part the image decides too.
+    pub(crate) fn weights(&self, open: &OpenJob, now: Millis) -> Vec<f64> {
+        let all = |weights: &[f64]| weights.iter().sum::<f64>() >= f64::from(open.spec.pieces);
+        if open.spec.shape == Shape::Service {
+            let holds = |m: &MachineRoom| m.images.contains(&open.spec.bundle);
+            let free = self.fits(open, now, |m| holds(m).then_some(m.free));
+            if all(&free) {
+                return free;
+            }
+            if open.spec.rank > Rank::Standard {
+                let yielding = self.fits(open, now, |m| holds(m).then_some(m.yielding));
+                if all(&yielding) {
+                    return yielding;
+                }
+            }
+        }
+        self.fits(open, now, |m| Some(m.free))
+    }
+
+    pub(crate) fn fits(
+        &self,
+        open: &OpenJob,
+        now: Millis,
+        room_of: impl Fn(&MachineRoom) -> Option<(f32, f32, f32)>,
+    ) -> Vec<f64> {
+        let needs = open.needs();
+        (0..self.parts.len())
+            .map(|p| {
+                let Some(room) = self.current_room(p, now) else {
+                    return 0.0;
+                };
+                let fits: u32 = room
+                    .report
+                    .machines
+                    .iter()
+                    .filter(|m| Self::room_allowed(open, m))
+                    .filter_map(&room_of)
+                    .map(|(cores, acc, ram)| {
+                        needs.times_in(&Needs {
+                            cores: cores.into(),
+                            acc: acc.into(),
+                            ram: ram.into(),
+                        })
+                    })
+                    .sum();
+                let given: f64 = room.debits.iter().map(|d| d.1.cores).sum();
+                (f64::from(fits) - given / needs.cores).max(0.0).floor()
+            })
+            .collect()
+    }
+
+    /// Machines that could run the job, for when there is no free room.
+    pub(crate) fn counts(&self, open: &OpenJob, now: Millis) -> Vec<f64> {
+        (0..self.parts.len())
+            .map(|p| {
+                self.current_room(p, now).map_or(0.0, |r| {
+                    r.report
+                        .machines
+                        .iter()
+                        .filter(|m| Self::room_allowed(open, m))
+                        .count() as f64
+                })
+            })
+            .collect()
+    }
+
+    /// The parts' shares of a job's numbers, if anything is known to go by.
+    pub(crate) fn division(
+        &self,
+        open: &OpenJob,
+        now: Millis,
+    ) -> Option<(Vec<RangeSet>, Vec<f64>)> {
+        let mut weights = self.weights(open, now);
+        if weights.iter().sum::<f64>() <= 0.0 {
+            weights = self.counts(open, now);
+        }
+        if weights.iter().sum::<f64>() <= 0.0 {
+            weights = (0..self.parts.len())
+                .map(|p| {
+                    if self.mirror.parts[p].is_some() {
+                        1.0
+                    } else {
+                        0.0
+                    }
+                })
+                .collect();
+            if now - self.leader.since < 2500.0 || weights.iter().sum::<f64>() <= 0.0 {
+                return None;
+            }
+        }
+        let room: f64 = weights.iter().sum();
+        let within = open.spec.pieces.min(room as u32);
+        let mut shares = divide(within, &weights);
+        if within < open.spec.pieces {
+            // What has no free room follows machine counts, as a job does that
+            // finds none at all: weights of a few free cores would heap a large
+            // job onto one part.
+            let counts = self.counts(open, now);
+            let rest = if counts.iter().sum::<f64>() > 0.0 {
+                &counts
+            } else {
+                &weights
+            };
+            for (share, more) in shares
+                .iter_mut()
+                .zip(divide(open.spec.pieces - within, rest))
+            {
+                *share += more;
+            }
+        }
+        let mut next = 0;
+        let sets = shares
+            .iter()
+            .map(|&n| {
+                let set = if n == 0 {
+                    RangeSet::new()
+                } else {
+                    RangeSet::span(next, next + n - 1)
+                };
+                next += n;
+                set
+            })
+            .collect();
+        Some((sets, weights))
+    }
+
+    /// The zone with the most room for a job whose tasks must be together.
+    pub(crate) fn pin_zone(&self, open: &OpenJob, now: Millis) -> Option<String> {
+        if let Some(yard) = &open.spec.yard {
+            return Some(yard.clone());
+        }
+        let mut best: Option<(u32, usize, String)> = None;
+        for z in 0..self.config.zones.len() as u32 {
+            let zone = self.config.zones.name(z);
+            let (mut fits, mut count) = (0, 0);
+            for p in 0..self.parts.len() {
+                let Some(room) = self.current_room(p, now) else {
+                    continue;
+                };
+                for m in &room.report.machines {
+                    if m.zone == zone && Self::room_allowed(open, m) {
+                        let (cores, acc, ram) = m.free;
+                        fits += open.needs().times_in(&Needs {
+                            cores: cores.into(),
+                            acc: acc.into(),
+                            ram: ram.into(),
+                        });
+                        count += 1;
+                    }
+                }
+            }
+            let fits = fits.min(open.spec.pieces);
+            if count > 0 && best.as_ref().is_none_or(|b| (fits, count) > (b.0, b.1)) {
+                best = Some((fits, count, zone.to_string()));
+            }
+        }
+        best.map(|b| b.2)
+    }
+
+    /// Per part and zone, how many tasks may be there, so that no zone ever
+    /// holds more than half: a zone's cap is split among the parts by machines.
+    pub(crate) fn zone_caps(&self, open: &OpenJob, now: Millis) -> Vec<Vec<u32>> {
+        let half = open.spec.pieces.div_ceil(2);
+        let zones = self.config.zones.len();
+        let mut caps = vec![vec![0; zones]; self.parts.len()];
+        for z in 0..zones {
+            let zone = self.config.zones.name(z as u32);
+            let weights: Vec<f64> = (0..self.parts.len())
+                .map(|p| {
+                    self.current_room(p, now).map_or(0.0, |r| {
+                        r.report.machines.iter().filter(|m| m.zone == zone).count() as f64
+                    })
+                })
+                .collect();
+            for (cap, n) in caps.iter_mut().zip(divide(half, &weights)) {
+                cap[z] = n;
+            }
+        }
+        caps
+    }
+
+    pub(crate) fn divide_new(&mut self, now: Millis) -> Option<Commit> {
+        let new: Vec<u64> = self
+            .mirror
+            .open
+            .iter()
+            .filter(|(_, o)| !o.divided())
+            .map(|(&j, _)| j)
+            .collect();
+        let mut order: Vec<_> = new
+            .iter()
+            .map(|j| {
+                (
+                    std::cmp::Reverse(self.mirror.open[j].spec.rank),
+                    self.mirror.open[j].at,
+                    *j,
+                )
+            })
+            .collect();
+        order.sort_unstable();
+        let mut commit = Commit::default();
+        let mut bytes = 0;
+        for (_, _, job) in order {
+            if commit.apply.len() >= self.config.txn_ops || bytes > 40 * 1024 {
+                break;
+            }
+            let mut open = self.mirror.open[&job].clone();
+            if !self.fill_division(&mut open, now) {
+                continue;
+            }
+            commit.require(record::job_key(job), open.stamp);
+            let value = serde_json::json!(open.record());
+            bytes += value.to_string().len();
+            commit.apply.push(Apply::set(record::job_key(job), value));
+        }
+        (!commit.apply.is_empty()).then_some(commit)
+    }
+
+    /// Divides one job; false if nothing is known to divide by.
+    pub(crate) fn fill_division(&mut self, open: &mut OpenJob, now: Millis) -> bool {
+        if open.spec.together && open.zone.is_none() {
+            match self.pin_zone(open, now) {
+                Some(zone) => open.zone = Some(zone),
+                None => return false,
+            }
+        }
+        let Some((mut sets, _)) = self.division(open, now) else {
+            return false;
+        };
+        if open.spec.apart && open.spec.pieces > 1 {
+            open.caps = self.zone_caps(open, now);
+            let weights: Vec<f64> = open
+                .caps
+                .iter()
+                .map(|c| f64::from(c.iter().sum::<u32>()))
+                .collect();
+            let shares = divide(open.spec.pieces, &weights);
+            let mut next = 0;
+            sets = shares
+                .iter()
+                .map(|&n| {
+                    next += n;
+                    if n == 0 {
+                        RangeSet::new()
+                    } else {
+                        RangeSet::span(next - n, next - 1)
+                    }
+                })
+                .collect();
+            if next == 0 {
+                return false;
+            }
+        }
+        let needs = open.needs();
+        for (p, set) in sets.iter().enumerate() {
+            if let Some(room) = &mut self.leader.rooms[p]
+                && !set.is_empty()
+            {
+                let n = f64::from(set.len());
+                room.debits.push((
+                    now,
+                    Needs {
+                        cores: needs.cores * n,
+                        acc: needs.acc * n,
+                        ram: needs.ram * n,
+                    },
+                ));
+            }
+        }
+        open.div = sets;
+        true
+    }
+
+    /// The division of a job at its submission, if this controller leads; it
+    /// saves the second write.
+    pub fn divide_at_once(&mut self, open: &mut OpenJob, now: Millis) {
+        if self.leader.leads(&self.mirror) && self.state_fresh(now) {
+            self.fill_division(open, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/cherryyard-core/src/leader/limits.rs
@@ -0,0 +1,88 @@
+//! Team limits, handed out to the parts.
+
+use super::*;
+
+impl Node {
+    /// Teams whose limit is spread so that some part lacks room under it.
+    pub(crate) fn short_teams(&self, now: Millis) -> Vec<String> {
+        let mut short = Vec::new();
+        for (t, team) in self.config.teams.iter().enumerate() {
+            if !team.limited() {
+                continue;
+            }
+            let lacking = (0..self.parts.len()).any(|p| {
+                let grant = self.mirror.grants[t][p].0;
+                self.current_room(p, now).is_some_and(|r| {
+                    r.report.wants.get(t).is_some_and(|w| {
+                        w.1 > grant.cores + 1e-6 && team.cores_max.is_finite()
+                            || w.2 > grant.acc + 1e-6 && team.acc_max.is_finite()
+                    })
+                })
+            });
+            if lacking {
+                short.push(self.config.team_names.name(t as u32).to_string());
+            }
+        }
+        short
+    }
+
+    /// Hands out what nobody holds of the teams' limits.
+    pub(crate) fn hand_out_grants(&mut self, now: Millis) -> Option<Commit> {
+        let n = self.parts.len();
+        let mut commit = Commit::default();
+        for t in 0..self.config.teams.len() {
+            let team = &self.config.teams[t];
+            if !team.limited() {
+                continue;
+            }
+            let grants = &self.mirror.grants[t];
+            let fresh = grants.iter().all(|g| g.1 == 0);
+            let held: Grant = grants.iter().fold(Grant::default(), |a, g| Grant {
+                cores: a.cores + g.0.cores,
+                acc: a.acc + g.0.acc,
+            });
+            let most = |x: f64| if x.is_finite() { x } else { 0.0 };
+            let mut free_cores = most(team.cores_max) - held.cores;
+            let mut free_acc = most(team.acc_max) - held.acc;
+            let mut changes = Vec::new();
+            for (p, (grant, _)) in grants.iter().enumerate() {
+                let mut new = *grant;
+                if fresh {
+                    new.cores += most(team.cores_max) / n as f64;
+                    new.acc += most(team.acc_max) / n as f64;
+                } else if let Some(r) = self.current_room(p, now)
+                    && let Some(w) = r.report.wants.get(t)
+                {
+                    let more = (w.1 - new.cores).min(free_cores).max(0.0);
+                    let more_acc = (w.2 - new.acc).min(free_acc).max(0.0);
+                    new.cores += more;
+                    new.acc += more_acc;
+                    free_cores -= more;
+                    free_acc -= more_acc;
+                }
+                if fresh || new.cores > grant.cores + 1e-6 || new.acc > grant.acc + 1e-6 {
+                    changes.push((p, new));
+                }
+            }
+            if changes.is_empty() || commit.apply.len() + changes.len() > self.config.txn_ops {
+                continue;
+            }
+            // Depends on every part's grant, so that the sum stays within the
+            // limit whoever else writes.
+            for p in 0..n {
+                self.mirror
+                    .require(&mut commit, Key::Grant { team: t, part: p });
+            }
+            for (p, grant) in changes {
+                commit.apply.push(Apply::set(
+                    record::grant_key(t, p),
+                    serde_json::json!(grant),
+                ));
+            }
+            if commit.when.len() + n + 1 > self.config.txn_ops * 4 {
+                break;
+            }
+        }
+        (!commit.apply.is_empty()).then_some(commit)
+    }
+}
--- /dev/null
+++ b/crates/cherryyard-core/src/leader/mod.rs
@@ -0,0 +1,333 @@
+//! The leader: divides jobs among the parts, moves what waits, hands out team
+//! limits, rents machines.
+
+mod division;
+mod limits;
+mod overflow;
+mod rent;
+
+use crate::divide::divide;
+use crate::mirror::{Needs, OpenJob};
+use crate::node::{Effect, Node, Outcome, Ticket};
+use crate::{Config, Millis, Mirror, admit};
+use cherryyard_wire::RangeSet;
+use cherryyard_wire::cloud::{HireRequest, HostStatus};
+use cherryyard_wire::job::{Rank, Shape};
+use cherryyard_wire::peer::{MachineRoom, PartReport};
+use cherryyard_wire::record::{self, Claim, Grant, Key};
+use cherryyard_wire::state::{Apply, Commit};
+use std::collections::HashMap;
+
+/// Whether this controller leads.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LeadPhase {
+    /// Someone else leads, or nobody.
+    Follower,
+    /// Our claim is under way.
+    Claiming,
+    /// We lead, with this stamp.
+    Leading(u64),
+}
+
+/// What moves a controller from one phase to another.
+#[derive(Clone, Copy, Debug)]
+pub enum LeadEvent {
+    /// We have sent a claim.
+    ClaimSent,
+    /// It was applied.
+    ClaimApplied(u64),
+    /// It was not.
+    ClaimFailed,
+    /// The state service shows another claim, or none.
+    ClaimGone,
+}
+
+impl LeadPhase {
+    /// The one place where the phase changes.
+    pub fn after(self, event: LeadEvent) -> Self {
+        match (self, event) {
+            (Self::Follower, LeadEvent::ClaimSent) => Self::Claiming,
+            (_, LeadEvent::ClaimApplied(stamp)) => Self::Leading(stamp),
+            (Self::Claiming, LeadEvent::ClaimFailed) => Self::Follower,
+            (Self::Leading(_), LeadEvent::ClaimGone) => Self::Follower,
+            (same, _) => same,
+        }
+    }
+}
+
+/// A part's last report, and what has been given to it since.
+#[derive(Clone, Debug)]
+pub(crate) struct Room {
+    report: PartReport,
+    at: Millis,
+    debits: Vec<(Millis, Needs)>,
+}
+
+/// A rental under way or answered.
+#[derive(Clone, Debug)]
+struct Hired {
+    at: Millis,
+    kind: String,
+    /// Machine names, once answered.
+    hosts: Vec<String>,
+}
+
+/// The leader's state; every controller keeps one, so that taking over is quick.
+#[derive(Debug)]
+pub struct Leader {
+    phase: LeadPhase,
+    claim_after: Millis,
+    leaderless_since: Option<Millis>,
+    rooms: Vec<Option<Room>>,
+    pending: bool,
+    retry_after: Millis,
+    wait_epoch: u64,
+    pub(crate) dirty: bool,
+    pub(crate) planned_at: Millis,
+    since: Millis,
+    hire_counter: u64,
+    hiring: Option<HireRequest>,
+    hire_after: Millis,
+    refused: HashMap<(String, String, bool), Millis>,
+    hired: Vec<Hired>,
+    ownerless: HashMap<usize, Millis>,
+}
+
+impl Leader {
+    pub(crate) fn new(config: &Config, now: Millis) -> Self {
+        Self {
+            phase: LeadPhase::Follower,
+            claim_after: now,
+            leaderless_since: None,
+            rooms: vec![None; config.parts()],
+            pending: false,
+            retry_after: now,
+            wait_epoch: 0,
+            dirty: true,
+            planned_at: now,
+            since: now,
+            hire_counter: 0,
+            hiring: None,
+            hire_after: now + 8000.0,
+            refused: HashMap::new(),
+            hired: Vec::new(),
+            ownerless: HashMap::new(),
+        }
+    }
+
+    /// Whether we lead beyond doubt.
+    pub(crate) fn leads(&self, mirror: &Mirror) -> bool {
+        matches!(self.phase, LeadPhase::Leading(s)
+            if mirror.stamp(Key::Lead) == s && mirror.epoch >= s)
+    }
+
+    pub(crate) fn is_label(&self, mirror: &Mirror, label: &str) -> bool {
+        mirror.lead.as_ref().is_some_and(|c| c.label == label)
+    }
+
+    pub(crate) fn check_claim(&mut self, mirror: &Mirror) {
+        if let LeadPhase::Leading(stamp) = self.phase
+            && mirror.stamp(Key::Lead) != stamp
+        {
+            self.phase = self.phase.after(LeadEvent::ClaimGone);
+        }
+    }
+
+    /// Takes a part's report, unless it is from an owner before.
+    pub(crate) fn hear(&mut self, report: PartReport, now: Millis) {
+        let Some(place) = self.rooms.get_mut(report.part as usize) else {
+            return;
+        };
+        if place
+            .as_ref()
+            .is_some_and(|r| r.report.stamp > report.stamp)
+        {
+            return;
+        }
+        let debits = place
+            .take()
+            .map(|r| r.debits.into_iter().filter(|d| now - d.0 < 700.0).collect())
+            .unwrap_or_default();
+        *place = Some(Room {
+            report,
+            at: now,
+            debits,
+        });
+        self.dirty = true;
+    }
+}
+
+impl Node {
+    pub(crate) fn claim_lead(&mut self, now: Millis) {
+        let Some(hold) = self.hold else { return };
+        let me = self.config.me;
+        let n = self.parts.len();
+        if self.leader.phase == LeadPhase::Claiming || now < self.leader.claim_after {
+            return;
+        }
+        let label = &self.config.labels[me];
+        let wanted = match &self.mirror.lead {
+            Some(c) if c.label == *label => {
+                !matches!(self.leader.phase, LeadPhase::Leading(s) if s == c.stamp)
+            }
+            Some(c) => {
+                // A leader that has fallen silent is replaced before its lease
+                // is over. That is safe, as its writes carry its claim's stamp.
+                let silent = self
+                    .config
+                    .labels
+                    .iter()
+                    .position(|l| *l == c.label)
+                    .and_then(|i| self.peers[i].as_ref().map(|p| now - p.heard_at));
+                let rank = self.successor_rank(&c.label, now);
+                let limit = 1800.0 + 500.0 * rank as f64;
+                match silent {
+                    Some(ms) => ms > limit && now - self.started_at > 4000.0,
+                    None => now - self.started_at > 4000.0 + limit,
+                }
+            }
+            None => {
+                let since = *self.leader.leaderless_since.get_or_insert(now);
+                now - since >= 150.0 * ((me + n - (self.mirror.epoch as usize % n)) % n) as f64
+            }
+        };
+        if self.mirror.lead.is_some() {
+            self.leader.leaderless_since = None;
+        }
+        if !wanted || !self.state_fresh(now) {
+            return;
+        }
+        let mut commit = Commit::default();
+        self.mirror.require(&mut commit, Key::Lead);
+        let claim = Claim {
+            label: self.config.labels[me].clone(),
+        };
+        commit.apply.push(Apply::Set {
+            set: record::LEAD.into(),
+            v: serde_json::json!(claim),
+            hold: Some(hold),
+        });
+        if matches!(self.leader.phase, LeadPhase::Leading(_)) {
+            self.leader.phase = self.leader.phase.after(LeadEvent::ClaimGone);
+        }
+        self.leader.phase = self.leader.phase.after(LeadEvent::ClaimSent);
+        self.effects.push(Effect::Commit(Ticket::Lead, commit));
+    }
+
+    /// This controller's place among those that could follow `gone`.
+    pub(crate) fn successor_rank(&self, gone: &str, now: Millis) -> usize {
+        let n = self.config.labels.len();
+        let from = self
+            .config
+            .labels
+            .iter()
+            .position(|l| l == gone)
+            .unwrap_or(0);
+        (1..n)
+            .map(|k| (from + k) % n)
+            .take_while(|&i| i != self.config.me)
+            .filter(|&i| {
+                self.peers[i]
+                    .as_ref()
+                    .is_some_and(|p| now - p.heard_at < 1500.0)
+            })
+            .count()
+    }
+
+    pub(crate) fn lead_committed(&mut self, outcome: Outcome, now: Millis) {
+        match outcome {
+            Outcome::Applied(stamp) => {
+                tracing::info!(stamp, "lead");
+                self.leader.phase = self.leader.phase.after(LeadEvent::ClaimApplied(stamp));
+                self.leader.since = now;
+                self.leader.hire_after = now + 5000.0;
+                self.leader.hiring = None;
+                self.leader.hire_counter = 0;
+                self.leader.claim_after = now + 8000.0;
+                self.effects.push(Effect::Beat);
+            }
+            _ => {
+                self.leader.phase = self.leader.phase.after(LeadEvent::ClaimFailed);
+                self.leader.claim_after = now + self.jitter(300.0, 900.0);
+            }
+        }
+        self.leader.dirty = true;
+    }
+
+    pub(crate) fn leader_committed(&mut self, outcome: Outcome, now: Millis) {
+        self.leader.pending = false;
+        self.leader.dirty = true;
+        match outcome {
+            Outcome::Applied(_) => {
+                for part in &mut self.parts {
+                    part.dirty = true;
+                }
+            }
+            Outcome::Conflict(epoch) => {
+                self.leader.wait_epoch = epoch;
+                self.leader.retry_after = now + 30.0;
+            }
+            _ => self.leader.retry_after = now + self.jitter(150.0, 400.0),
+        }
+    }
+
+    /// One round of the leader.
+    pub(crate) fn plan_lead(&mut self, now: Millis) {
+        self.leader.planned_at = now;
+        if !self.leader.leads(&self.mirror)
+            || self.leader.pending
+            || now < self.leader.retry_after
+            || self.mirror.epoch < self.leader.wait_epoch
+            || !self.state_fresh(now)
+        {
+            return;
+        }
+        self.leader.dirty = false;
+        for p in 0..self.parts.len() {
+            if self.current_room(p, now).is_some() {
+                self.leader.ownerless.remove(&p);
+            } else {
+                self.leader.ownerless.entry(p).or_insert(now);
+            }
+        }
+        let commit = self
+            .store_kinds()
+            .or_else(|| self.divide_new(now))
+            .or_else(|| self.hand_out_grants(now))
+            .or_else(|| self.move_waiting(now));
+        if let Some(mut commit) = commit {
+            self.mirror.require(&mut commit, Key::Lead);
+            self.leader.pending = true;
+            self.effects.push(Effect::Commit(Ticket::Leader, commit));
+        }
+        self.rent(now);
+    }
+
+    pub(crate) fn store_kinds(&mut self) -> Option<Commit> {
+        let kinds = self.types_from_cloud.take()?;
+        let mut named = kinds.clone();
+        for kind in &mut named {
+            // Prices move all the time, and nothing here depends on them.
+            (kind.price, kind.low_price) = (0.0, 0.0);
+        }
+        if self.mirror.kinds_stamp != 0 && self.mirror.kinds == named {
+            return None;
+        }
+        let value = serde_json::json!(named);
+        if value.to_string().len() > self.config.value_bytes {
+            tracing::warn!("the machine types are too many to keep in the state service");
+            return None;
+        }
+        let mut commit = Commit::default();
+        self.mirror.require(&mut commit, Key::Kinds);
+        commit.apply.push(Apply::set(record::KINDS, value));
+        Some(commit)
+    }
+
+    /// The claim's stamp that a division at submission depends on.
+    pub fn lead_stamp(&self) -> Option<u64> {
+        self.leader
+            .leads(&self.mirror)
+            .then(|| self.mirror.stamp(Key::Lead))
+    }
+}
--- /dev/null
+++ b/crates/cherryyard-core/src/leader/overflow.rs
@@ -0,0 +1,111 @@
+//! Overflow: waiting numbers move to parts with room.
+
+use super::*;
+
+impl Node {
+    /// Overflow: a part that has kept tasks waiting for the delay loses its
+    /// unmarked numbers to parts with room for them.
+    pub(crate) fn move_waiting(&mut self, now: Millis) -> Option<Commit> {
+        let delay = self.config.tuning.autoscale_multi_cluster_delay_s;
+        for (&job, open) in &self.mirror.open {
+            if !open.divided() {
+                continue;
+            }
+            let mut weights: Option<Vec<f64>> = None;
+            for p in 0..self.parts.len() {
+                let unmarked = self.mirror.waiting(p, job);
+                if unmarked.is_empty() {
+                    continue;
+                }
+                let due = match self.leader.ownerless.get(&p) {
+                    // Nobody reports for the part, so nobody starts its numbers.
+                    Some(&since) => now - since >= delay * 1000.0,
+                    None => self.current_room(p, now).is_some_and(|r| {
+                        let passed = (now - r.at) / 1000.0;
+                        r.report
+                            .waiting
+                            .iter()
+                            .any(|w| w.0 == job && f64::from(w.2) + passed >= delay)
+                    }),
+                };
+                if !due {
+                    continue;
+                }
+                let mut w = weights
+                    .get_or_insert_with(|| self.weights(open, now))
+                    .clone();
+                w[p] = 0.0;
+                if open.spec.apart && open.spec.pieces > 1 {
+                    // The caps of the first division stay, so that no zone can
+                    // ever hold more than its half.
+                    for (q, weight) in w.iter_mut().enumerate() {
+                        let cap: u32 = open.caps.get(q).map_or(0, |c| c.iter().sum());
+                        let has = open.div[q].len();
+                        *weight = weight.min(f64::from(cap.saturating_sub(has)));
+                    }
+                }
+                let room: f64 = w.iter().sum();
+                if room < 1.0 {
+                    continue;
+                }
+                let mut moving = unmarked.first(room as u32);
+                let mut commit = Commit::default();
+                commit.require(record::job_key(job), open.stamp);
+                let most = self.config.txn_ops * 4 - 3;
+                let mut chunks: Vec<u32> = Vec::new();
+                let mut fit = RangeSet::new();
+                for n in moving.iter() {
+                    let chunk = n / self.config.chunk;
+                    if chunks.last() != Some(&chunk) {
+                        if chunks.len() >= most {
+                            break;
+                        }
+                        chunks.push(chunk);
+                    }
+                    fit.insert(n);
+                }
+                moving = fit;
+                for chunk in chunks {
+                    // A number that its owner marks meanwhile changes this key.
+                    self.mirror.require(
+                        &mut commit,
+                        Key::Mark {
+                            part: p,
+                            job,
+                            chunk,
+                        },
+                    );
+                }
+                let shares = divide(moving.len(), &w);
+                let mut new = open.clone();
+                new.div[p] = new.div[p].minus(&moving);
+                let mut left = moving.clone();
+                for (q, &n) in shares.iter().enumerate() {
+                    let set = left.first(n);
+                    left = left.minus(&set);
+                    new.div[q] = new.div[q].union(&set);
+                    if let Some(room) = &mut self.leader.rooms[q]
+                        && n > 0
+                    {
+                        let needs = open.needs();
+                        room.debits.push((
+                            now,
+                            Needs {
+                                cores: needs.cores * f64::from(n),
+                                ..Needs::default()
+                            },
+                        ));
+                    }
+                }
+                let value = serde_json::json!(new.record());
+                if value.to_string().len() > self.config.value_bytes {
+                    continue;
+                }
+                tracing::debug!(job, from = p, count = moving.len(), "move waiting tasks");
+                commit.apply.push(Apply::set(record::job_key(job), value));
+                return Some(commit);
+            }
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/cherryyard-core/src/leader/rent.rs
@@ -0,0 +1,143 @@
+//! Renting machines ahead of need.
+
+use super::*;
+
+impl Node {
+    /// Rents ahead of need.
+    pub(crate) fn rent(&mut self, now: Millis) {
+        if self.leader.hiring.is_some() || now < self.leader.hire_after || self.listed_at < 0.0 {
+            return;
+        }
+        self.leader.hire_after = now + 1500.0;
+        self.leader.refused.retain(|_, until| *until > now);
+        let lag = 2.0 * self.config.list_lag_ms + 2000.0;
+        let listed = &self.listed;
+        self.leader.hired.retain(|h| now - h.at < lag);
+        let kinds = &self.mirror.kinds;
+        let cores_of = |sku: &str| kinds.iter().find(|k| k.sku == sku).map_or(0.0, |k| k.cores);
+        let mut booting: f64 = listed
+            .values()
+            .filter(|h| h.status == HostStatus::Starting && h.held_s < 120.0)
+            .map(|h| cores_of(&h.host_kind))
+            .sum();
+        for h in &self.leader.hired {
+            let unlisted = h.hosts.iter().filter(|n| !listed.contains_key(*n)).count();
+            booting += cores_of(&h.kind) * unlisted as f64;
+        }
+        let (mut free, mut total) = (0.0, 0.0);
+        for p in 0..self.parts.len() {
+            let Some(room) = self.current_room(p, now) else {
+                continue;
+            };
+            for m in &room.report.machines {
+                free += f64::from(m.free.0);
+                total += cores_of(&m.kind);
+            }
+        }
+        let mut waiting = 0.0;
+        let mut service_waiting = 0.0;
+        // Spot machines are rented ahead too, while there are jobs for them.
+        let borrowable = self.mirror.open.values().any(|o| o.spec.borrowed);
+        for (&job, open) in &self.mirror.open {
+            let marked: usize = (0..self.parts.len())
+                .filter_map(|p| self.mirror.marks.get(&(p, job)))
+                .flat_map(|m| m.values())
+                .map(|c| c.marks.len())
+                .sum();
+            let left = open
+                .spec
+                .pieces
+                .saturating_sub(self.mirror.done(job) + marked as u32);
+            let cores = f64::from(left) * open.spec.cores;
+            waiting += cores;
+            if open.spec.shape == Shape::Service {
+                service_waiting += cores;
+            }
+        }
+        let headroom = total * self.config.tuning.headroom_share;
+        let need = waiting + headroom - free - booting;
+        if need <= 0.5 {
+            return;
+        }
+        // Ordinary machines serve everything; spot ones only what may be lost.
+        let mut options: Vec<(bool, f64, u32, &str, &str, f64)> = Vec::new();
+        for kind in kinds {
+            for zone in &kind.yards {
+                let here = listed.values().filter(|h| h.yard == *zone).count() as u32;
+                for spot in [false, true] {
+                    let key = (kind.sku.clone(), zone.clone(), spot);
+                    if !self.leader.refused.contains_key(&key)
+                        && (!spot || (borrowable && need > service_waiting))
+                    {
+                        options.push((spot, kind.cores, here, &kind.sku, zone, kind.ready_s));
+                    }
+                }
+            }
+        }
+        options.sort_by(|a, b| a.0.cmp(&b.0).then(a.2.cmp(&b.2)).then(a.4.cmp(b.4)));
+        let Some(&(spot, cores, _, sku, zone, _)) = options.first() else {
+            return;
+        };
+        let number = ((need / cores.max(1e-3)).ceil() as u32).clamp(1, 4);
+        self.leader.hire_counter += 1;
+        // Never used again: the claim's stamp is unique, the counter within it.
+        let request = HireRequest {
+            hire: format!(
+                "{}-{}-{}",
+                self.config.labels[self.config.me],
+                self.mirror.stamp(Key::Lead),
+                self.leader.hire_counter
+            ),
+            host_kind: sku.to_string(),
+            yard: zone.to_string(),
+            borrowed: spot,
+            number,
+        };
+        self.leader.hiring = Some(request.clone());
+        self.effects.push(Effect::Hire(request));
+    }
+
+    /// Takes the answer to a rental: the machines, a refusal, or neither.
+    pub fn hired(&mut self, request: &HireRequest, answer: Result<Vec<String>, bool>, now: Millis) {
+        let key = (
+            request.host_kind.clone(),
+            request.yard.clone(),
+            request.borrowed,
+        );
+        let known = self
+            .leader
+            .hiring
+            .as_ref()
+            .is_some_and(|h| h.hire == request.hire);
+        match answer {
+            Ok(hosts) => {
+                if hosts.len() < request.number as usize {
+                    self.leader.refused.insert(key, now + 20_000.0);
+                }
+                tracing::info!(count = hosts.len(), zone = %request.yard, spot = request.borrowed, "rented machines");
+                self.leader.hired.push(Hired {
+                    at: now,
+                    kind: request.host_kind.clone(),
+                    hosts,
+                });
+                if known {
+                    self.leader.hiring = None;
+                }
+                self.leader.hire_after = now + 300.0;
+            }
+            Err(true) => {
+                tracing::debug!(zone = %request.yard, spot = request.borrowed, "no machines to rent");
+                self.leader.refused.insert(key, now + 15_000.0);
+                if known {
+                    self.leader.hiring = None;
+                }
+                self.leader.hire_after = now + 300.0;
+            }
+            // Unknown: the same name again gets the same machines.
+            Err(false) if known && self.leader.leads(&self.mirror) => {
+                self.effects.push(Effect::Hire(request.clone()));
+            }
+            Err(false) => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/cherryyard-core/src/owner/images.rs
@@ -0,0 +1,75 @@
+//! What is known of the images on a part's machines.
+
+use super::*;
+
+impl Node {
+    pub(crate) fn note_images(&mut self, host: u32) {
+        let tasks: Vec<Task> = self.mirror.on_host(host).map(|(task, _)| task).collect();
+        let Some(m) = self.machines.get_mut(&host) else {
+            return;
+        };
+        let kind = self.mirror.kinds.iter().find(|k| k.sku == m.kind);
+        let cache = kind.map_or(0.0, |k| k.cache_gb);
+        for task in tasks {
+            if let Some(open) = self.mirror.open.get(&task.0) {
+                // A task runs, or has completed, only once its image is there.
+                let whole = m.seen.get(&task).is_some_and(|s| {
+                    matches!(s.status, PieceStatus::Running | PieceStatus::Saving)
+                        || s.cause == Some(Cause::Done)
+                });
+                m.use_image(&open.spec.bundle, open.spec.image_gb, whole, cache);
+            }
+        }
+    }
+
+    /// Takes note of a machine that reports for the first time, with the images
+    /// that its owner before knew it to hold.
+    pub(crate) fn meet(&mut self, host: u32, p: usize, report: &Report, now: Millis) {
+        if self.machines.contains_key(&host) {
+            return;
+        }
+        let mut m = Machine::new(host, p, report, now);
+        let record = &self.mirror.images[p].0;
+        if let Some((_, held)) = record.h.iter().find(|(name, _)| *name == report.host) {
+            for (name, gb) in held.iter().filter_map(|&i| record.i.get(i)) {
+                m.use_image(name, *gb, true, f64::INFINITY);
+            }
+        }
+        self.machines.insert(host, m);
+    }
+
+    /// The record of the part's images, if it is due and has changed. It costs
+    /// a write that others may need more, so it is a rare one.
+    pub(crate) fn images_commit(&mut self, p: usize, token: u64, now: Millis) -> Option<Commit> {
+        if now - self.parts[p].images_at < 10_000.0 {
+            return None;
+        }
+        self.parts[p].images_at = now;
+        let mut record = ImagesRecord::default();
+        for m in self
+            .machines
+            .values()
+            .filter(|m| m.part == p && m.token_ours())
+        {
+            let mut held = Vec::new();
+            for image in m.images.iter().filter(|i| i.whole) {
+                let known = record.i.iter().position(|(name, _)| *name == image.name);
+                held.push(known.unwrap_or_else(|| {
+                    record.i.push((image.name.clone(), image.gb));
+                    record.i.len() - 1
+                }));
+            }
+            record
+                .h
+                .push((self.mirror.hosts.name(m.host).to_string(), held));
+        }
+        let value = serde_json::json!(record);
+        if record == self.mirror.images[p].0 || value.to_string().len() > self.config.value_bytes {
+            return None;
+        }
+        let mut commit = Commit::default();
+        commit.require(record::part_key(p), token);
+        commit.apply.push(Apply::set(record::images_key(p), value));
+        Some(commit)
+    }
+}
--- /dev/null
+++ b/crates/cherryyard-core/src/owner/mod.rs
@@ -0,0 +1,295 @@
+//! The owner of a part: rounds of marks, placement, preemption, orders.
+//!
+//! What a machine should run follows from the durable marks alone. A round
+//! collects what reports prove, places waiting numbers, and writes both in one
+//! transaction; orders are then the difference between marks and reports.
+
+mod images;
+mod orders;
+mod place;
+mod preempt;
+mod returns;
+mod room;
+mod round;
+
+use crate::machine::{HostEvent, HostState, Machine, PushedStart, Task};
+use crate::mirror::{Chunk, Mark, Needs, OpenJob};
+use crate::node::{Effect, Node, Outcome, Tenancy, Ticket};
+use crate::{Millis, admit};
+use cherryyard_wire::cloud::{HostEntry, HostStatus};
+use cherryyard_wire::job::{Rank, Shape};
+use cherryyard_wire::peer::{MachineRoom, PartReport};
+use cherryyard_wire::record::{self, End, Grant, ImagesRecord, Key};
+use cherryyard_wire::state::{Apply, Commit};
+use cherryyard_wire::worker::{
+    Cause, DoRequest, Order, PieceStatus, Report, piece_name, piece_numbers,
+};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+
+/// Bytes that a transaction's values may have together.
+const TXN_BYTES: usize = 48 * 1024;
+/// Orders in one message to a worker.
+const MAX_ORDERS: usize = 300;
+
+/// A task that is being stopped to make room for another.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Preempted {
+    attempt: u64,
+    for_task: Task,
+    until: Millis,
+}
+
+/// A job's failures in a part.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct JobTrouble {
+    fails: u32,
+    until: Millis,
+}
+
+/// What a round will do once its transaction is durable.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Pending {
+    hosts: BTreeSet<u32>,
+    failed: Vec<(u64, u32)>,
+    done: Vec<(u64, u32)>,
+}
+
+/// One part, as this controller sees it.
+#[derive(Debug)]
+pub(crate) struct Part {
+    pub tenancy: Tenancy,
+    pub claiming: bool,
+    pub claim_after: Millis,
+    pub ownerless_since: Option<Millis>,
+    /// Ask for a new token, so that direct starts under this one die.
+    pub bump: bool,
+    pub dirty: bool,
+    pub planned_at: Millis,
+    pub pending: Option<Pending>,
+    pub retry_after: Millis,
+    pub preempted: HashMap<Task, Preempted>,
+    /// Machines kept for a task that others were stopped for.
+    pub reserved: BTreeMap<u32, (Task, Millis)>,
+    pub trouble: HashMap<u64, JobTrouble>,
+    pub waiting_since: HashMap<u64, Millis>,
+    pub owned_since: Millis,
+    pub images_at: Millis,
+    pub yields: u32,
+    pub wait_epoch: u64,
+}
+
+impl Part {
+    pub(crate) fn new(now: Millis) -> Self {
+        Self {
+            tenancy: Tenancy::Foreign,
+            claiming: false,
+            claim_after: now,
+            ownerless_since: None,
+            bump: false,
+            dirty: true,
+            planned_at: now,
+            pending: None,
+            retry_after: now,
+            preempted: HashMap::new(),
+            reserved: BTreeMap::new(),
+            trouble: HashMap::new(),
+            waiting_since: HashMap::new(),
+            owned_since: now,
+            images_at: now,
+            yields: 0,
+            wait_epoch: 0,
+        }
+    }
+
+    pub(crate) fn clear(&mut self) {
+        self.preempted.clear();
+        self.reserved.clear();
+        self.waiting_since.clear();
+        self.trouble.clear();
+        self.bump = false;
+    }
+}
+
+/// What making room on a machine costs, whom it stops, and where.
+type Eviction = (f64, Vec<(Task, u64)>, u32);
+
+/// A round in the making.
+pub(crate) struct Round {
+    edits: BTreeMap<(u64, u32), Chunk>,
+    bytes: usize,
+    max_ops: usize,
+    ends: BTreeSet<u64>,
+}
+
+impl Round {
+    /// The chunk to edit, if there is room for one more in the transaction.
+    fn edit(&mut self, node: &Node, p: usize, job: u64, chunk: u32) -> Option<&mut Chunk> {
+        if !self.edits.contains_key(&(job, chunk)) {
+            // One change is kept free for the end of the job itself.
+            let ends = if self.ends.contains(&job) { 0 } else { 1 };
+            let now = node.mirror.marks.get(&(p, job)).and_then(|m| m.get(&chunk));
+            let size = now.map_or(64, |c| 64 + c.marks.len() * 56 + c.done.ranges().len() * 16);
+            if self.edits.len() + self.ends.len() + 1 + ends > self.max_ops
+                || self.bytes + size > TXN_BYTES
+            {
+                return None;
+            }
+            self.bytes += size;
+            self.ends.insert(job);
+            self.edits
+                .insert((job, chunk), now.cloned().unwrap_or_default());
+        }
+        self.edits.get_mut(&(job, chunk))
+    }
+}
+
+/// What is known of a marked task.
+pub(crate) enum Fate {
+    Keep,
+    Done,
+    Gone { failed: bool },
+}
+
+impl Machine {
+    /// Takes the starts of an answered or unsent direct command off the list
+    /// of those that may yet take effect.
+    pub(crate) fn settle_push(&mut self, request: &DoRequest) {
+        for order in &request.orders {
+            if let Order::Start { piece, attempt } = order
+                && let Some(task) = piece_numbers(piece)
+                && let Some(i) = self
+                    .pushed
+                    .iter()
+                    .position(|s| s.task == task && s.attempt == *attempt)
+            {
+                self.pushed.remove(i);
+            }
+        }
+    }
+}
+
+impl Node {
+    /// One round of a part: collects, places, writes.
+    pub(crate) fn plan_part(&mut self, p: usize, now: Millis) {
+        let Some(token) = self.owned(p) else { return };
+        if self.parts[p].pending.is_some()
+            || self.parts[p].claiming
+            || now < self.parts[p].retry_after
+            || self.mirror.epoch < self.parts[p].wait_epoch
+        {
+            return;
+        }
+        self.parts[p].dirty = false;
+        self.parts[p].planned_at = now;
+        self.expire(p, now);
+        self.return_silent(p, now);
+        self.push_due(p, now);
+        if !self.state_fresh(now) {
+            return;
+        }
+        let mut round = Round {
+            edits: BTreeMap::new(),
+            bytes: 0,
+            max_ops: self.config.txn_ops,
+            ends: BTreeSet::new(),
+        };
+        let mut pending = Pending::default();
+        self.collect(p, now, &mut round, &mut pending);
+        self.place(p, now, &mut round, &mut pending);
+        let finished = self.finished(p, &round);
+        if finished.is_empty() {
+            self.sweep_marks(p, &mut round);
+        }
+        if round.edits.is_empty() && finished.is_empty() {
+            if let Some(commit) = self.images_commit(p, token, now) {
+                self.parts[p].pending = Some(Pending::default());
+                self.effects.push(Effect::Commit(Ticket::Owner(p), commit));
+            }
+            return;
+        }
+        let mut commit = self.round_commit(p, token, &round);
+        for job in finished {
+            self.mirror.require(&mut commit, Key::Job(job));
+            let value = serde_json::json!(self.mirror.open[&job].ended(End::Done));
+            commit.apply.push(Apply::set(record::job_key(job), value));
+        }
+        tracing::debug!(part = p, marks = commit.apply.len(), "a round of marks");
+        self.parts[p].pending = Some(pending);
+        self.effects.push(Effect::Commit(Ticket::Owner(p), commit));
+    }
+
+    /// Lets leases run out.
+    pub(crate) fn expire(&mut self, p: usize, now: Millis) {
+        // The worker counts from when it sent the report, on a clock that may
+        // be slow while ours is fast.
+        let lease = self.config.lease_ms * 1.001 + 50.0;
+        for m in self.machines.values_mut().filter(|m| m.part == p) {
+            if !m.lease_over && m.token_ours() && now - m.answered_at > lease {
+                m.change(HostEvent::LeaseOver);
+            }
+        }
+    }
+
+    /// Takes how an owner's round came out.
+    pub(crate) fn owner_committed(&mut self, p: usize, outcome: Outcome, now: Millis) {
+        let Some(pending) = self.parts[p].pending.take() else {
+            return;
+        };
+        self.parts[p].dirty = true;
+        match outcome {
+            Outcome::Applied(_) => {
+                self.room_changed = true;
+                for (job, host) in pending.done {
+                    self.parts[p].trouble.remove(&job);
+                    if let Some(m) = self.machines.get_mut(&host) {
+                        m.failures = 0;
+                    }
+                }
+                for (job, host) in pending.failed {
+                    // A machine or a job that fails is left alone for a while,
+                    // longer each time, so that a job which fails everywhere
+                    // neither spins nor empties the fleet.
+                    if let Some(m) = self.machines.get_mut(&host) {
+                        m.failures += 1;
+                        m.avoid_until = now + 5000.0 * f64::from(1u32 << m.failures.min(5));
+                    }
+                    let t = self.parts[p].trouble.entry(job).or_default();
+                    t.fails += 1;
+                    if t.fails >= 3 {
+                        t.until = now + 1000.0 * f64::from(1u32 << (t.fails - 3).min(5));
+                    }
+                }
+                for host in pending.hosts {
+                    self.note_images(host);
+                    self.push(host, now);
+                }
+            }
+            Outcome::Conflict(epoch) => {
+                // Each failed condition costs write budget too, so the next
+                // try waits for the change that made it fail.
+                self.parts[p].wait_epoch = epoch;
+                self.parts[p].retry_after = now + 30.0;
+            }
+            Outcome::NoLease => self.parts[p].retry_after = now + 100.0,
+            Outcome::Refused => {
+                self.parts[p].retry_after = now + self.jitter(150.0, 400.0);
+            }
+            Outcome::Unknown => {
+                self.parts[p].retry_after = now + self.jitter(100.0, 300.0);
+            }
+        }
+    }
+
+    /// After any message of a machine: the owner's round is due.
+    pub(crate) fn after_message(&mut self, host: u32, now: Millis) {
+        let Some(m) = self.machines.get(&host) else {
+            return;
+        };
+        let p = m.part;
+        self.parts[p].dirty = true;
+        if !m.seen.is_empty() {
+            self.note_images(host);
+        }
+        self.plan_part(p, now);
+    }
+}
--- /dev/null
+++ b/crates/cherryyard-core/src/owner/orders.rs
@@ -0,0 +1,159 @@
+//! Orders: what brings a machine to what its marks say.
+
+use super::*;
+
+impl Node {
+    /// The commands that bring a machine to what its marks say.
+    pub(crate) fn orders(&self, host: u32, now: Millis, in_answer: bool) -> Vec<Order> {
+        let mut orders = Vec::new();
+        let Some(m) = self.machines.get(&host) else {
+            return orders;
+        };
+        if !m.token_ours() || !matches!(m.state, HostState::Ready) {
+            return orders;
+        }
+        let p = m.part;
+        let fresh = self.state_fresh(now);
+        let owned = self.owned(p).is_some();
+        for (&(job, number), seen) in &m.seen {
+            let task = (job, number);
+            let mark = self
+                .mirror
+                .mark_on(host, task)
+                .filter(|k| k.session == m.newest.0 && k.attempt == seen.attempt);
+            let piece = || piece_name(job, number);
+            if seen.ended() {
+                // Cleared only once its end is durable, and only when no start
+                // of it is on its way: it would start a second time.
+                if in_answer
+                    && mark.is_none()
+                    && !m.start_pending(task, seen.attempt)
+                    && fresh
+                    && owned
+                {
+                    orders.push(Order::Clear {
+                        piece: piece(),
+                        attempt: seen.attempt,
+                    });
+                }
+                continue;
+            }
+            let open = self.mirror.open.get(&job);
+            match (mark, open) {
+                (Some(_), Some(open)) => {
+                    let preempted = self.parts[p]
+                        .preempted
+                        .get(&task)
+                        .is_some_and(|x| x.attempt == seen.attempt);
+                    let recalled = m.recall_at.is_some_and(|at| {
+                        open.spec.snapshot_every_s > 0.0
+                            && at - now
+                                < open.spec.snapshot_cost_s * 1000.0 + self.config.report_ms * 2.5
+                    });
+                    if (preempted || recalled) && seen.status != PieceStatus::Saving {
+                        let saves = open.spec.snapshot_every_s > 0.0;
+                        let wind_down_s = if saves {
+                            open.spec.snapshot_cost_s + 1.0
+                        } else {
+                            0.0
+                        };
+                        orders.push(Order::Kill {
+                            piece: piece(),
+                            attempt: seen.attempt,
+                            wind_down_s,
+                        });
+                    }
+                }
+                // The job is over, or no mark accounts for this attempt. While
+                // cut off, a missing mark may only mean an old mirror.
+                (_, None) | (None, _) => {
+                    if (fresh && owned) || self.mirror.end(job).is_some() {
+                        orders.push(Order::Kill {
+                            piece: piece(),
+                            attempt: seen.attempt,
+                            wind_down_s: 0.0,
+                        });
+                    }
+                }
+            }
+        }
+        if fresh && owned && m.recall_at.is_none_or(|at| at - now > 60_000.0) {
+            for (task, mark) in self.mirror.on_host(host) {
+                if mark.session == m.newest.0
+                    && !m.seen.contains_key(&task)
+                    && self.mirror.open.contains_key(&task.0)
+                {
+                    orders.push(Order::Start {
+                        piece: piece_name(task.0, task.1),
+                        attempt: mark.attempt,
+                    });
+                }
+            }
+        }
+        orders.truncate(MAX_ORDERS);
+        orders
+    }
+
+    /// Sends a machine its due commands directly, if there are any.
+    pub(crate) fn push(&mut self, host: u32, now: Millis) {
+        let Some(m) = self.machines.get(&host) else {
+            return;
+        };
+        let Tenancy::Owned(token) = self.parts[m.part].tenancy else {
+            return;
+        };
+        if m.pushing || now < m.push_after || now - m.heard_at > self.silence_ms() {
+            return;
+        }
+        let orders = self.orders(host, now, false);
+        if orders.is_empty() {
+            return;
+        }
+        let Some(m) = self.machines.get_mut(&host) else {
+            return;
+        };
+        m.pushing = true;
+        m.push_after = now + 50.0;
+        let session = m.newest.0;
+        for order in &orders {
+            if let Order::Start { piece, attempt } = order
+                && let Some(task) = piece_numbers(piece)
+                && !m
+                    .pushed
+                    .iter()
+                    .any(|s| s.task == task && s.attempt == *attempt)
+            {
+                m.pushed.push(PushedStart {
+                    task,
+                    attempt: *attempt,
+                    session,
+                });
+            }
+        }
+        tracing::debug!(machine = %m.addr, ?orders, "direct commands");
+        let request = DoRequest {
+            baton: token,
+            tenure: session,
+            orders,
+        };
+        self.effects.push(Effect::Push {
+            host,
+            addr: m.addr.clone(),
+            request,
+        });
+    }
+
+    /// Pushes to every machine of the part that has due commands.
+    pub(crate) fn push_due(&mut self, p: usize, now: Millis) {
+        let mut hosts: Vec<u32> = self
+            .machines
+            .values()
+            .filter(|m| m.part == p && !m.pushing && now >= m.push_after)
+            .map(|m| m.host)
+            .collect();
+        hosts.sort_unstable();
+        for host in hosts {
+            self.push(host, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/cherryyard-core/src/owner/place.rs
@@ -0,0 +1,279 @@
+//! Placement: which waiting number goes to which machine.
+
+use super::*;
+
+impl Node {
+    /// Which of the deadline's multiples the job can still make if its waiting
+    /// tasks start now; the later ones only come after all that can still make
+    /// an earlier one, so that a job that is late anyway delays no other.
+    pub(crate) fn hope(&self, o: &OpenJob, wall: f64) -> usize {
+        let Some(due) = o.spec.due_s else { return 0 };
+        let once = vec![1.0];
+        let times = self
+            .config
+            .deadline_times
+            .get(&o.spec.jobclass)
+            .unwrap_or(&once);
+        let end = wall + o.spec.expected_s * 1000.0 * 0.8;
+        times
+            .iter()
+            .position(|t| end <= o.at as f64 + due * t * 1000.0)
+            .unwrap_or(times.len())
+    }
+
+    /// Open jobs with waiting numbers, in the order in which they are served.
+    pub(crate) fn queue(&self, p: usize, now: Millis) -> Vec<(u64, cherryyard_wire::RangeSet)> {
+        let mut all: Vec<_> = self
+            .mirror
+            .open
+            .iter()
+            .filter(|(_, o)| o.divided())
+            .filter_map(|(&job, o)| {
+                let waiting = self.mirror.waiting(p, job);
+                (!waiting.is_empty()).then_some((job, o, waiting))
+            })
+            .collect();
+        let wall = now + self.wall_offset;
+        all.sort_by(|a, b| {
+            let key = |o: &OpenJob| {
+                let sweep = o.spec.shape == Shape::Sweep;
+                (std::cmp::Reverse(o.spec.rank), sweep, self.hope(o, wall))
+            };
+            let work = |job: u64, o: &OpenJob| {
+                let left = o.spec.pieces.saturating_sub(self.mirror.done(job));
+                f64::from(left) * o.spec.expected_s * o.spec.cores
+            };
+            key(a.1)
+                .cmp(&key(b.1))
+                .then(work(a.0, a.1).total_cmp(&work(b.0, b.1)))
+                .then(a.1.due_ms().total_cmp(&b.1.due_ms()))
+                .then(a.1.at.cmp(&b.1.at))
+                .then(a.0.cmp(&b.0))
+        });
+        all.into_iter()
+            .map(|(job, _, waiting)| (job, waiting))
+            .collect()
+    }
+
+    /// Whether the job's rules allow this machine.
+    pub(crate) fn allowed(&self, open: &OpenJob, m: &Machine) -> bool {
+        (open.spec.borrowed || !m.spot)
+            && admit::allows_kind(&open.spec, &m.kind)
+            && open.spec.yard.as_ref().is_none_or(|y| *y == m.zone)
+            && open.zone.as_ref().is_none_or(|z| *z == m.zone)
+            && (!open.spec.together || open.zone.is_some())
+    }
+
+    pub(crate) fn place(
+        &mut self,
+        p: usize,
+        now: Millis,
+        round: &mut Round,
+        pending: &mut Pending,
+    ) {
+        let queue = self.queue(p, now);
+        let waiting_jobs: HashSet<u64> = queue.iter().map(|q| q.0).collect();
+        let part = &mut self.parts[p];
+        part.waiting_since
+            .retain(|job, _| waiting_jobs.contains(job));
+        part.preempted.retain(|_, x| x.until > now);
+        let (mirror, held) = (&self.mirror, &mut part.reserved);
+        held.retain(|_, (task, until)| *until > now && mirror.waiting(p, task.0).contains(task.1));
+        for &(job, _) in &queue {
+            part.waiting_since.entry(job).or_insert(now);
+        }
+        if queue.is_empty() {
+            return;
+        }
+        let silence = self.silence_ms();
+        let mut rooms: Vec<(u32, Needs)> = self
+            .machines
+            .values()
+            .filter(|m| m.part == p && m.usable(now, silence))
+            .filter_map(|m| Some((m.host, self.free_on(m, Some(round))?)))
+            .collect();
+        rooms.sort_by_key(|r| r.0);
+        let mut used = self.mirror.usage(p);
+        for (&(job, chunk), edited) in &round.edits {
+            // What this very round proves gone makes room under the limit too.
+            let Some((team, needs)) = self.mirror.uses(job) else {
+                continue;
+            };
+            let before = self.mirror.marks.get(&(p, job)).and_then(|m| m.get(&chunk));
+            for number in before.into_iter().flat_map(|c| c.marks.keys()) {
+                if !edited.marks.contains_key(number)
+                    && let Some(u) = used.get_mut(team as usize)
+                {
+                    u.take(&needs);
+                }
+            }
+        }
+        let mut placed = 0;
+        'jobs: for (job, waiting) in &queue {
+            let open = &self.mirror.open[job];
+            let needs = open.needs();
+            let team = open.team as usize;
+            let trouble = self.parts[p].trouble.get(job).copied().unwrap_or_default();
+            if trouble.until > now {
+                continue;
+            }
+            let team_cfg = self.config.teams[team].clone();
+            let grant = self.mirror.grants[team][p].0;
+            let mut zones = self.zone_counts(p, *job, round);
+            let mut unplaced = Vec::new();
+            for number in waiting.iter() {
+                if placed >= 300 {
+                    break 'jobs;
+                }
+                if team_cfg.limited() {
+                    let after = (used[team].cores + needs.cores, used[team].acc + needs.acc);
+                    if (team_cfg.cores_max.is_finite() && after.0 > grant.cores + 1e-6)
+                        || (team_cfg.acc_max.is_finite() && after.1 > grant.acc + 1e-6)
+                    {
+                        continue 'jobs;
+                    }
+                }
+                let kept = self.parts[p]
+                    .reserved
+                    .iter()
+                    .find(|(_, (task, _))| *task == (*job, number))
+                    .map(|(&host, _)| host);
+                let open = &self.mirror.open[job];
+                let best = rooms
+                    .iter()
+                    .enumerate()
+                    .filter(|(_, (host, free))| {
+                        let m = &self.machines[host];
+                        needs.fits(free)
+                            && kept.is_none_or(|k| k == *host)
+                            && self.allowed(open, m)
+                            && !m.seen.contains_key(&(*job, number))
+                            && self.parts[p]
+                                .reserved
+                                .get(host)
+                                .is_none_or(|(task, _)| *task == (*job, number))
+                            && self.zone_open(p, open, &m.zone, &zones)
+                    })
+                    .max_by(|(_, a), (_, b)| {
+                        let key = |r: &(u32, Needs)| {
+                            let m = &self.machines[&r.0];
+                            let image = match open.spec.shape {
+                                Shape::Service => m.image(&open.spec.bundle),
+                                Shape::Sweep => u8::from(m.has_image(&open.spec.bundle)),
+                            };
+                            (image, open.spec.borrowed && m.spot)
+                        };
+                        key(a)
+                            .cmp(&key(b))
+                            .then(a.1.cores.total_cmp(&b.1.cores))
+                            .then(a.1.ram.total_cmp(&b.1.ram))
+                            .then(b.0.cmp(&a.0))
+                    })
+                    .map(|(i, _)| i);
+                let Some(i) = best else {
+                    unplaced.push(number);
+                    if unplaced.len() >= 8 {
+                        break;
+                    }
+                    continue;
+                };
+                let host = rooms[i].0;
+                if open.spec.shape == Shape::Service
+                    && kept.is_none()
+                    && self.fetch_s(open, host) > 1.5
+                {
+                    // Where the image is, the replica runs at once; the arrays
+                    // there can make way more easily than it can wait.
+                    let job = *job;
+                    if self.preempt(p, job, &[number], round, now, true) {
+                        continue;
+                    }
+                }
+                let m = &self.machines[&host];
+                // Above every attempt before: each of those was at most the
+                // revision of its own mark, which has been seen since.
+                let attempt = self.mirror.epoch.max(self.newest_epoch) + 1;
+                let mark = Mark {
+                    host,
+                    session: m.newest.0,
+                    attempt,
+                };
+                *zones.entry(m.zone.clone()).or_default() += 1;
+                let chunk = number / self.config.chunk;
+                let Some(c) = round.edit(self, p, *job, chunk) else {
+                    break 'jobs;
+                };
+                c.marks.insert(number, mark);
+                rooms[i].1.take(&needs);
+                used[team].give(&needs);
+                pending.hosts.insert(host);
+                placed += 1;
+            }
+            if !unplaced.is_empty() && self.mirror.open[job].spec.rank > Rank::BestEffort {
+                let job = *job;
+                self.preempt(p, job, &unplaced, round, now, false);
+            }
+        }
+    }
+
+    pub(crate) fn zone_counts(&self, p: usize, job: u64, round: &Round) -> HashMap<String, u32> {
+        let mut counts = HashMap::new();
+        if self.mirror.open.get(&job).is_none_or(|o| o.caps.is_empty()) {
+            return counts;
+        }
+        if let Some(chunks) = self.mirror.marks.get(&(p, job)) {
+            for (chunk, c) in chunks {
+                let c = round.edits.get(&(job, *chunk)).unwrap_or(c);
+                for mark in c.marks.values() {
+                    // A machine that is not known may be in any zone.
+                    match self.machines.get(&mark.host) {
+                        Some(m) => *counts.entry(m.zone.clone()).or_default() += 1,
+                        None => {
+                            for z in 0..self.config.zones.len() as u32 {
+                                *counts.entry(self.config.zones.name(z).into()).or_default() += 1;
+                            }
+                        }
+                    }
+                }
+            }
+        }
+        counts
+    }
+
+    pub(crate) fn zone_open(
+        &self,
+        p: usize,
+        o: &OpenJob,
+        zone: &str,
+        counts: &HashMap<String, u32>,
+    ) -> bool {
+        if !o.spec.apart || o.spec.pieces == 1 {
+            return true;
+        }
+        let Some(z) = self.config.zones.get(zone) else {
+            return false;
+        };
+        let cap = o
+            .caps
+            .get(p)
+            .and_then(|c| c.get(z as usize))
+            .copied()
+            .unwrap_or(0);
+        counts.get(zone).copied().unwrap_or(0) < cap
+    }
+
+    /// Seconds until the job's image would be on a machine.
+    pub(crate) fn fetch_s(&self, open: &OpenJob, host: u32) -> f64 {
+        let m = &self.machines[&host];
+        if m.image(&open.spec.bundle) == 2 {
+            return 0.0;
+        }
+        let kind = self.mirror.kinds.iter().find(|k| k.sku == m.kind);
+        let rate = kind.map_or(0.0, |k| k.fetch_gb_per_s);
+        if rate > 0.0 {
+            open.spec.image_gb / rate
+        } else {
+            0.0
+        }
+    }
+}
--- /dev/null
+++ b/crates/cherryyard-core/src/owner/preempt.rs
@@ -0,0 +1,141 @@
+//! Preemption: which less important work makes room.
+
+use super::*;
+
+impl Node {
+    /// Stops less important work so that waiting numbers of `job` fit; with
+    /// `holding`, only on machines that hold its image. Says whether a machine
+    /// is now kept for any of them.
+    pub(crate) fn preempt(
+        &mut self,
+        p: usize,
+        job: u64,
+        numbers: &[u32],
+        round: &Round,
+        now: Millis,
+        holding: bool,
+    ) -> bool {
+        let open = &self.mirror.open[&job];
+        let needs = open.needs();
+        let totals = self.team_totals();
+        let team = open.team as usize;
+        let covered: HashSet<Task> = self.parts[p]
+            .preempted
+            .values()
+            .map(|x| x.for_task)
+            .collect();
+        let silence = self.silence_ms();
+        let mut chosen: Vec<(Task, Preempted, u32)> = Vec::new();
+        for &number in numbers.iter().take(4) {
+            if covered.contains(&(job, number))
+                || self.parts[p]
+                    .reserved
+                    .values()
+                    .any(|r| r.0 == (job, number))
+            {
+                continue;
+            }
+            // By machine: the work to stop, least lost first.
+            let mut best: Option<Eviction> = None;
+            for m in self
+                .machines
+                .values()
+                .filter(|m| m.part == p && m.usable(now, silence))
+            {
+                if !self.allowed(open, m)
+                    || (holding && m.image(&open.spec.bundle) < 2)
+                    || m.seen.contains_key(&(job, number))
+                    || chosen.iter().any(|c| c.2 == m.host)
+                    || self.parts[p].reserved.contains_key(&m.host)
+                    || !self.zone_open(p, open, &m.zone, &self.zone_counts(p, job, round))
+                    || self
+                        .mirror
+                        .on_host(m.host)
+                        .any(|(t, _)| self.parts[p].preempted.contains_key(&t))
+                {
+                    continue;
+                }
+                let Some(mut free) = self.free_on(m, Some(round)) else {
+                    continue;
+                };
+                let mut victims: Vec<(Rank, f64, Task, u64, Needs)> = self
+                    .mirror
+                    .on_host(m.host)
+                    .filter_map(|(task, mark)| {
+                        let v = self.mirror.open.get(&task.0)?;
+                        let lower = v.spec.rank < open.spec.rank;
+                        let (vt, t) = (v.team as usize, team);
+                        let beyond = vt != t
+                            && totals[vt].cores > self.config.teams[vt].cores + 1e-6
+                            && totals[t].cores + needs.cores <= self.config.teams[t].cores + 1e-6;
+                        // What is marked by a later attempt has lost least.
+                        (lower || beyond).then_some((
+                            v.spec.rank,
+                            -(mark.attempt as f64),
+                            task,
+                            mark.attempt,
+                            v.needs(),
+                        ))
+                    })
+                    .collect();
+                victims.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+                let mut list = Vec::new();
+                let mut cost = 0.0;
+                for (_, age, task, attempt, size) in victims {
+                    if needs.fits(&free) {
+                        break;
+                    }
+                    free.give(&size);
+                    list.push((task, attempt));
+                    cost += 1e6 + age;
+                }
+                if !needs.fits(&free) || list.is_empty() {
+                    continue;
+                }
+                let image = if m.image(&open.spec.bundle) == 2 {
+                    0.0
+                } else {
+                    1.5e6
+                };
+                if best.as_ref().is_none_or(|b| cost + image < b.0) {
+                    best = Some((cost + image, list, m.host));
+                }
+            }
+            let Some((_, list, host)) = best else { break };
+            for (task, attempt) in list {
+                let x = Preempted {
+                    attempt,
+                    for_task: (job, number),
+                    until: now + 4000.0,
+                };
+                chosen.push((task, x, host));
+            }
+        }
+        // All victims of a machine are noted before the first is stopped, and
+        // the machine is kept for whom they make room: else the first freed
+        // cores went to a waiting task of less importance, over and over.
+        let mut hosts = BTreeSet::new();
+        for (task, x, host) in chosen {
+            tracing::debug!(job, victim = task.0, "stop a task to make room");
+            self.parts[p].preempted.insert(task, x);
+            self.parts[p].reserved.insert(host, (x.for_task, x.until));
+            hosts.insert(host);
+        }
+        let kept = !hosts.is_empty();
+        for host in hosts {
+            self.push(host, now);
+        }
+        kept
+    }
+
+    /// What each team uses everywhere.
+    pub(crate) fn team_totals(&self) -> Vec<Needs> {
+        let mut all = vec![Needs::default(); self.config.teams.len()];
+        for p in 0..self.parts.len() {
+            for (t, u) in self.mirror.usage(p).iter().enumerate() {
+                all[t].give(u);
+            }
+        }
+        all
+    }
+}
--- /dev/null
+++ b/crates/cherryyard-core/src/owner/returns.rs
@@ -0,0 +1,202 @@
+//! Machines to return: dead, never up, silent, or of no use.
+
+use super::*;
+
+impl Node {
+    /// Machines to return: dead, never up, silent, or of no use.
+    pub(crate) fn return_listed(&mut self, now: Millis) {
+        let mut release = Vec::new();
+        let mut spare: HashMap<usize, (f64, f64)> = HashMap::new();
+        for m in self.machines.values() {
+            if let (Some(whole), Some(free)) = (self.whole(m), self.free_on(m, None))
+                && m.usable(now, self.silence_ms())
+            {
+                let s = spare.entry(m.part).or_default();
+                s.0 += free.cores;
+                s.1 += whole.cores;
+            }
+        }
+        let lease = self.config.lease_ms;
+        let mut names: Vec<&String> = self.listed.keys().collect();
+        names.sort();
+        for name in names {
+            let entry = &self.listed[name];
+            let p = self.config.parting.part(&entry.yard, name);
+            if self.owned(p).is_none() || release.len() >= 90 {
+                continue;
+            }
+            let owned_for = now - self.parts[p].owned_since;
+            let host = self.mirror.hosts.get(name);
+            let machine = host.and_then(|h| self.machines.get(&h));
+            let ready_ms = self
+                .mirror
+                .kinds
+                .iter()
+                .find(|k| k.sku == entry.host_kind)
+                .map_or(60_000.0, |k| k.ready_s * 1000.0);
+            let why = match machine {
+                Some(m) if m.state == HostState::Gone => None,
+                Some(m) if now < m.release_after => None,
+                Some(m) if m.state == HostState::Returning => Some("asked before"),
+                _ if entry.status == HostStatus::Failed => Some("failed"),
+                Some(m) if now - m.heard_at > lease + 15_000.0 => Some("silent"),
+                Some(m) if m.failures >= 4 => Some("failing"),
+                Some(m) => {
+                    let (free, whole) = spare.get(&p).copied().unwrap_or_default();
+                    let cores = self.whole(m).map_or(0.0, |w| w.cores);
+                    let idle = now - m.busy_at > self.config.tuning.idle_return_s * 1000.0
+                        && m.seen.is_empty()
+                        && host.is_some_and(|h| self.mirror.on_host(h).next().is_none());
+                    if idle && free - cores > 0.6 * whole {
+                        spare.entry(p).and_modify(|s| s.0 -= cores);
+                        Some("idle")
+                    } else {
+                        None
+                    }
+                }
+                None if entry.status == HostStatus::Starting => {
+                    (entry.held_s * 1000.0 > ready_ms * 5.0 + 30_000.0).then_some("never up")
+                }
+                None => (owned_for > lease * 2.0 + 20_000.0
+                    && entry.held_s * 1000.0 > ready_ms + lease * 2.0 + 20_000.0)
+                    .then_some("never heard of"),
+            };
+            if let Some(why) = why {
+                tracing::info!(machine = %name, why, "return a machine");
+                release.push(name.clone());
+            }
+        }
+        for name in &release {
+            // So that marks of a machine that never reported can be resolved
+            // by the answer to its release.
+            let entry = &self.listed[name];
+            let p = self.config.parting.part(&entry.yard, name);
+            let host = self.mirror.hosts.intern(name);
+            let m = self
+                .machines
+                .entry(host)
+                .or_insert_with(|| Machine::unheard(host, p, entry, now));
+            m.change(HostEvent::ReleaseAsked);
+            m.release_after = now + 10_000.0;
+        }
+        if !release.is_empty() {
+            self.effects.push(Effect::Release(release));
+        }
+        self.return_unlisted(now);
+    }
+
+    /// A machine that has fallen silent with replicas on it is released at
+    /// once: the answer proves them gone well before the lease would, if the
+    /// machine is dead. Arrays wait for the lease, as their machine may come
+    /// back with its work. When many are silent, the fault is between us and
+    /// them, and nothing is released.
+    pub(crate) fn return_silent(&mut self, p: usize, now: Millis) {
+        let limit = self.config.report_ms * 1.25 + 2000.0;
+        // A machine that merely hangs loses what is left of its lease by this:
+        // worth it only where the lease would be waited for much longer.
+        if self.config.lease_ms - limit < self.config.report_ms * 3.0
+            || !self.state_fresh(now)
+            || now - self.parts[p].owned_since < 2.0 * limit
+        {
+            return;
+        }
+        let known = |m: &&Machine| m.part == p && m.token_ours();
+        let all = self.machines.values().filter(known).count();
+        let silent: Vec<u32> = self
+            .machines
+            .values()
+            .filter(known)
+            .filter(|m| {
+                now - m.heard_at > limit
+                    && !m.lease_over
+                    && matches!(m.state, HostState::Ready | HostState::Returning)
+            })
+            .map(|m| m.host)
+            .collect();
+        if silent.is_empty() || silent.len() > (all / 5).max(1) {
+            return;
+        }
+        let mut release = Vec::new();
+        for host in silent {
+            let serves = self.mirror.on_host(host).any(|((job, _), _)| {
+                self.mirror
+                    .open
+                    .get(&job)
+                    .is_some_and(|o| o.spec.shape == Shape::Service)
+            });
+            let Some(m) = self.machines.get_mut(&host) else {
+                continue;
+            };
+            if serves && now >= m.release_after {
+                let name = self.mirror.hosts.name(host).to_string();
+                tracing::info!(machine = %name, "return a silent machine with replicas");
+                m.change(HostEvent::ReleaseAsked);
+                m.release_after = now + 3000.0;
+                release.push(name);
+            }
+        }
+        if !release.is_empty() {
+            self.effects.push(Effect::Release(release));
+        }
+    }
+
+    /// Marks may name machines that neither report nor are listed (they were
+    /// taken, or died and were dropped from the list); only a release proves
+    /// that nothing of them is left.
+    pub(crate) fn return_unlisted(&mut self, now: Millis) {
+        let mut release = Vec::new();
+        for host in self.mirror.marked_hosts().collect::<Vec<_>>() {
+            let name = self.mirror.hosts.name(host).to_string();
+            let known = self.machines.get(&host);
+            if self.listed.contains_key(&name)
+                || known.is_some_and(|m| {
+                    m.state == HostState::Gone
+                        || now < m.release_after
+                        || now - m.heard_at < self.config.lease_ms
+                })
+            {
+                continue;
+            }
+            let Some(p) = self
+                .mirror
+                .marks
+                .iter()
+                .find(|(_, chunks)| {
+                    chunks
+                        .values()
+                        .any(|c| c.marks.values().any(|k| k.host == host))
+                })
+                .map(|(&(p, _), _)| p)
+            else {
+                continue;
+            };
+            // The list is late; a machine that is merely new is not in it yet.
+            if self.owned(p).is_none()
+                || now - self.parts[p].owned_since
+                    < 3.0 * self.config.list_lag_ms + self.config.lease_ms
+            {
+                continue;
+            }
+            let m = self.machines.entry(host).or_insert_with(|| {
+                let entry = HostEntry {
+                    id: name.clone(),
+                    addr: String::new(),
+                    host_kind: String::new(),
+                    yard: String::new(),
+                    borrowed: false,
+                    status: HostStatus::Other,
+                    held_s: 0.0,
+                };
+                Machine::unheard(host, p, &entry, now)
+            });
+            m.change(HostEvent::ReleaseAsked);
+            m.release_after = now + 10_000.0;
+            release.push(name);
+        }
+        release.truncate(90);
+        if !release.is_empty() {
+            tracing::info!(?release, "return machines that are marked but not listed");
+            self.effects.push(Effect::Release(release));
+        }
+    }
+}
--- /dev/null
+++ b/crates/cherryyard-core/src/owner/room.rs
@@ -0,0 +1,192 @@
+//! Free room of a part's machines, and what the leader is told of it.
+
+use super::*;
+
+impl Node {
+    /// Silence after which a machine gets nothing new.
+    pub(crate) fn silence_ms(&self) -> f64 {
+        self.config.report_ms * 1.25 + 700.0
+    }
+
+    /// A machine's whole size, by its type.
+    pub(crate) fn whole(&self, m: &Machine) -> Option<Needs> {
+        let kind = self.mirror.kinds.iter().find(|k| k.sku == m.kind)?;
+        Some(Needs {
+            cores: kind.cores,
+            acc: kind.accelerators,
+            ram: kind.ram_gb,
+        })
+    }
+
+    /// What is left on a machine, after marks (as edited) and strangers.
+    pub(crate) fn free_on(&self, m: &Machine, edited: Option<&Round>) -> Option<Needs> {
+        let mut free = self.whole(m)?;
+        let marked = |task: Task| -> Option<Mark> {
+            if let Some(round) = edited {
+                let chunk = task.1 / self.config.chunk;
+                if let Some(c) = round.edits.get(&(task.0, chunk)) {
+                    return c.marks.get(&task.1).filter(|k| k.host == m.host).copied();
+                }
+            }
+            self.mirror.mark_on(m.host, task)
+        };
+        for (task, _) in self.mirror.on_host(m.host) {
+            if marked(task).is_some() {
+                free.take(&self.mirror.uses(task.0)?.1);
+            }
+        }
+        for (&task, seen) in &m.seen {
+            if !seen.ended() && marked(task).is_none() {
+                // Not ours, or not any more: it takes room until it is gone.
+                free.take(&self.mirror.uses(task.0)?.1);
+            }
+        }
+        if let Some(round) = edited {
+            for (&(job, _), chunk) in &round.edits {
+                for (&number, mark) in &chunk.marks {
+                    if mark.host == m.host
+                        && self.mirror.mark_on(m.host, (job, number)).is_none()
+                        && m.seen.get(&(job, number)).is_none_or(|s| s.ended())
+                    {
+                        free.take(&self.mirror.uses(job)?.1);
+                    }
+                }
+            }
+        }
+        Some(free)
+    }
+
+    /// Free room if arrays of ordinary rank or below made way.
+    pub(crate) fn yielding(&self, m: &Machine, mut free: Needs) -> (f32, f32, f32) {
+        for ((job, _), _) in self.mirror.on_host(m.host) {
+            if let Some(o) = self.mirror.open.get(&job)
+                && o.spec.shape == Shape::Sweep
+                && o.spec.rank <= Rank::Standard
+            {
+                free.give(&o.needs());
+            }
+        }
+        (free.cores as f32, free.acc as f32, free.ram as f32)
+    }
+
+    /// Free room and waiting tasks, for the leader.
+    pub(crate) fn part_report(&self, p: usize, now: Millis) -> PartReport {
+        let silence = self.silence_ms();
+        let mut machines: Vec<&Machine> = self
+            .machines
+            .values()
+            .filter(|m| m.part == p && m.usable(now, silence))
+            .collect();
+        machines.sort_by_key(|m| m.host);
+        let used = self.mirror.usage(p);
+        let mut wants = used.clone();
+        let mut waiting = Vec::new();
+        for (job, set) in self.queue(p, now).into_iter().take(500) {
+            let since = self.parts[p]
+                .waiting_since
+                .get(&job)
+                .copied()
+                .unwrap_or(now);
+            waiting.push((job, set.len(), ((now - since) / 1000.0) as f32));
+            if let Some((team, needs)) = self.mirror.uses(job)
+                && let Some(w) = wants.get_mut(team as usize)
+            {
+                let n = f64::from(set.len());
+                w.cores += needs.cores * n;
+                w.acc += needs.acc * n;
+            }
+        }
+        // A part cannot use more of a limit than its machines have; what it
+        // holds beyond that is another part's to use.
+        let mut whole = Needs::default();
+        for m in &machines {
+            whole.give(&self.whole(m).unwrap_or_default());
+        }
+        for (want, used) in wants.iter_mut().zip(&used) {
+            want.cores = want.cores.min(whole.cores).max(used.cores);
+            want.acc = want.acc.min(whole.acc).max(used.acc);
+        }
+        PartReport {
+            part: p as u32,
+            stamp: self.mirror.stamp(Key::Part(p)),
+            machines: machines
+                .into_iter()
+                .filter_map(|m| {
+                    let free = self.free_on(m, None)?;
+                    Some(MachineRoom {
+                        kind: m.kind.clone(),
+                        zone: m.zone.clone(),
+                        spot: m.spot,
+                        free: (free.cores as f32, free.acc as f32, free.ram as f32),
+                        yielding: self.yielding(m, free),
+                        images: m
+                            .images
+                            .iter()
+                            .filter(|i| i.whole)
+                            .map(|i| i.name.clone())
+                            .collect(),
+                    })
+                })
+                .collect(),
+            waiting,
+            wants: wants
+                .iter()
+                .enumerate()
+                .map(|(t, w)| {
+                    (
+                        self.config.team_names.name(t as u32).to_string(),
+                        w.cores,
+                        w.acc,
+                    )
+                })
+                .collect(),
+        }
+    }
+
+    /// Gives back what the part does not need of teams that are short.
+    pub(crate) fn lower_grants(&mut self, short: &[String], now: Millis) {
+        for p in 0..self.parts.len() {
+            let Some(token) = self.owned(p) else { continue };
+            if self.parts[p].pending.is_some() || !self.state_fresh(now) {
+                continue;
+            }
+            let report = self.part_report(p, now);
+            let mut commit = Commit::default();
+            commit.require(record::part_key(p), token);
+            for name in short {
+                let Some(t) = self.config.team_names.get(name).map(|t| t as usize) else {
+                    continue;
+                };
+                let (grant, stamp) = self.mirror.grants[t][p];
+                let wants = report.wants.get(t).map_or((0.0, 0.0), |w| (w.1, w.2));
+                // Never below what is marked: wants include it.
+                // Half of the rest is kept, so that the part's next job need not
+                // wait for the leader.
+                let half = |have: f64, want: f64| {
+                    let rest = (have - want) / 2.0;
+                    if rest < 1.0 {
+                        have.min(want)
+                    } else {
+                        want + rest
+                    }
+                };
+                let keep = Grant {
+                    cores: half(grant.cores, wants.0),
+                    acc: half(grant.acc, wants.1),
+                };
+                if stamp != 0 && (keep.cores < grant.cores - 1e-6 || keep.acc < grant.acc - 1e-6) {
+                    commit.require(record::grant_key(t, p), stamp);
+                    commit
+                        .apply
+                        .push(Apply::set(record::grant_key(t, p), serde_json::json!(keep)));
+                }
+            }
+            commit.apply.truncate(self.config.txn_ops);
+            if !commit.apply.is_empty() {
+                // In the owner's turn, so that no mark is under way meanwhile.
+                self.parts[p].pending = Some(Pending::default());
+                self.effects.push(Effect::Commit(Ticket::Owner(p), commit));
+            }
+        }
+    }
+}
