--- a/crates/cherryyard-core/src/config.rs
+++ b/crates/cherryyard-core/src/config.rs
@@ -73,6 +73,9 @@
     pub cancel_ms: f64,
     /// Most changes in a transaction.
     pub txn_ops: usize,
+    /// Changes a second that one part's rounds may write: the rest of the
+    /// budget is for users, claims and the leader.
+    pub round_writes_per_s: f64,
     /// Largest value in bytes.
     pub value_bytes: usize,
     /// How late the machine list usually is.
@@ -126,6 +129,7 @@
             report_ms: c.workers.report_s * 1000.0,
             cancel_ms: c.workers.cancel_s * 1000.0,
             txn_ops: c.state.txn_ops,
+            round_writes_per_s: c.state.write_rps * 0.6 / controllers.len() as f64,
             value_bytes,
             list_lag_ms: c.cloud.list_lag_s * 1000.0,
             chunk: chunk_size(value_bytes),
--- a/crates/cherryyard-core/src/owner/mod.rs
+++ b/crates/cherryyard-core/src/owner/mod.rs
@@ -28,6 +28,9 @@
 
 /// Bytes that a transaction's values may have together.
 const TXN_BYTES: usize = 48 * 1024;
+/// Least time between two rounds of a part, and between two looks at leases.
+const ROUND_MS: f64 = 100.0;
+const KEEP_MS: f64 = 200.0;
 /// Orders in one message to a worker.
 const MAX_ORDERS: usize = 300;
 
@@ -64,7 +67,12 @@
     /// Ask for a new token, so that direct starts under this one die.
     pub bump: bool,
     pub dirty: bool,
+    /// When the last round was planned, and when the last look at leases was.
     pub planned_at: Millis,
+    pub kept_at: Millis,
+    /// Changes that the part may still write, and as of when.
+    pub budget: f64,
+    pub budget_at: Millis,
     pub pending: Option<Pending>,
     pub retry_after: Millis,
     pub preempted: HashMap<Task, Preempted>,
@@ -87,7 +95,10 @@
             ownerless_since: None,
             bump: false,
             dirty: true,
-            planned_at: now,
+            planned_at: f64::NEG_INFINITY,
+            kept_at: f64::NEG_INFINITY,
+            budget: 1.0,
+            budget_at: now,
             pending: None,
             retry_after: now,
             preempted: HashMap::new(),
@@ -169,21 +180,43 @@
 }
 
 impl Node {
+    /// What time alone brings about: leases that end, commands that are due.
+    fn keep_part(&mut self, p: usize, now: Millis) {
+        if now - self.parts[p].kept_at < KEEP_MS {
+            return;
+        }
+        self.parts[p].kept_at = now;
+        self.expire(p, now);
+        self.return_silent(p, now);
+        self.push_due(p, now);
+    }
+
+    /// Whether a part's share of the write budget has room for a round. Many
+    /// reports are served by one round: a write for each, from every owner,
+    /// would leave none for users and claims.
+    fn round_due(&mut self, p: usize, now: Millis) -> bool {
+        let rate = self.config.round_writes_per_s;
+        let part = &mut self.parts[p];
+        let passed = (now - part.budget_at) / 1000.0;
+        part.budget = (part.budget + passed * rate).min((rate * 2.0).max(3.0));
+        part.budget_at = now;
+        now - part.planned_at >= ROUND_MS && part.budget >= 1.0
+    }
+
     /// One round of a part: collects, places, writes.
     pub(crate) fn plan_part(&mut self, p: usize, now: Millis) {
         let Some(token) = self.owned(p) else { return };
+        self.keep_part(p, now);
         if self.parts[p].pending.is_some()
             || self.parts[p].claiming
             || now < self.parts[p].retry_after
             || self.mirror.epoch < self.parts[p].wait_epoch
+            || !self.round_due(p, now)
         {
             return;
         }
         self.parts[p].dirty = false;
         self.parts[p].planned_at = now;
-        self.expire(p, now);
-        self.return_silent(p, now);
-        self.push_due(p, now);
         if !self.state_fresh(now) {
             return;
         }
@@ -213,7 +246,8 @@
             let value = serde_json::json!(self.mirror.open[&job].ended(End::Done));
             commit.apply.push(Apply::set(record::job_key(job), value));
         }
-        tracing::debug!(part = p, marks = commit.apply.len(), "a round of marks");
+        tracing::debug!(part = p, writes = commit.apply.len(), "a round of marks");
+        self.parts[p].budget -= commit.apply.len() as f64;
         self.parts[p].pending = Some(pending);
         self.effects.push(Effect::Commit(Ticket::Owner(p), commit));
     }
