--- a/crates/cherryyard-core/src/config.rs
+++ b/crates/cherryyard-core/src/config.rs
@@ -5,6 +5,10 @@
 use cherryyard_wire::settings::Settings;
 use std::collections::HashMap;
 
+/// Largest page of marks, whatever the value limit: every change of one is told
+/// to all controllers.
+const MAX_PAGE: usize = 12 * 1024;
+
 /// Operators' own settings, each with a default.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Tuning {
@@ -80,8 +84,8 @@
     pub value_bytes: usize,
     /// How late the machine list usually is.
     pub list_lag_ms: f64,
-    /// How many task numbers share one marks key.
-    pub chunk: u32,
+    /// Most bytes of a page of marks.
+    pub page_bytes: usize,
     /// For each class with deadlines, the multiples of them that count, in order.
     pub deadline_times: HashMap<String, Vec<f64>>,
     /// Operators' settings.
@@ -132,7 +136,7 @@
             round_writes_per_s: c.state.write_rps * 0.6 / controllers.len() as f64,
             value_bytes,
             list_lag_ms: c.cloud.list_lag_s * 1000.0,
-            chunk: chunk_size(value_bytes),
+            page_bytes: (value_bytes * 15 / 16).clamp(256, MAX_PAGE),
             deadline_times,
             tuning,
         }
@@ -151,9 +155,3 @@
         ((self.cancel_ms - self.lease_ms * 1.001 - margin) * 0.999).max(0.0)
     }
 }
-
-/// Task numbers per marks key: even if each number is on a machine of its own
-/// and attempts are large, the record stays below the value limit.
-pub fn chunk_size(value_bytes: usize) -> u32 {
-    ((value_bytes.saturating_sub(64) / 64) as u32).clamp(4, 1024)
-}
--- a/crates/cherryyard-core/src/leader/overflow.rs
+++ b/crates/cherryyard-core/src/leader/overflow.rs
@@ -48,33 +48,15 @@
                 if room < 1.0 {
                     continue;
                 }
-                let mut moving = unmarked.first(room as u32);
+                // From the end, so that both parts keep few ranges.
+                let moving = unmarked.last(room as u32);
                 let mut commit = Commit::default();
                 commit.require(record::job_key(job), open.stamp);
-                let most = self.config.txn_ops * 4 - 3;
-                let mut chunks: Vec<u32> = Vec::new();
-                let mut fit = RangeSet::new();
-                for n in moving.iter() {
-                    let chunk = n / self.config.chunk;
-                    if chunks.last() != Some(&chunk) {
-                        if chunks.len() >= most {
-                            break;
-                        }
-                        chunks.push(chunk);
-                    }
-                    fit.insert(n);
-                }
-                moving = fit;
-                for chunk in chunks {
-                    // A number that its owner marks meanwhile changes this key.
-                    self.mirror.require(
-                        &mut commit,
-                        Key::Mark {
-                            part: p,
-                            job,
-                            chunk,
-                        },
-                    );
+                // A number that its owner marks meanwhile is in one of these.
+                let last = self.mirror.last_page(p);
+                for page in last.into_iter().chain([last.map_or(0, |n| n + 1)]) {
+                    self.mirror
+                        .require(&mut commit, Key::Mark { part: p, page });
                 }
                 let shares = divide(moving.len(), &w);
                 let mut new = open.clone();
--- a/crates/cherryyard-core/src/leader/rent.rs
+++ b/crates/cherryyard-core/src/leader/rent.rs
@@ -39,15 +39,10 @@
         // Spot machines are rented ahead too, while there are jobs for them.
         let borrowable = self.mirror.open.values().any(|o| o.spec.borrowed);
         for (&job, open) in &self.mirror.open {
-            let marked: usize = (0..self.parts.len())
-                .filter_map(|p| self.mirror.marks.get(&(p, job)))
-                .flat_map(|m| m.values())
-                .map(|c| c.marks.len())
-                .sum();
             let left = open
                 .spec
                 .pieces
-                .saturating_sub(self.mirror.done(job) + marked as u32);
+                .saturating_sub(self.mirror.done(job) + self.mirror.marked(job));
             let cores = f64::from(left) * open.spec.cores;
             waiting += cores;
             if open.spec.shape == Shape::Service {
--- a/crates/cherryyard-core/src/mirror.rs
+++ b/crates/cherryyard-core/src/mirror.rs
@@ -7,12 +7,14 @@
 use crate::Config;
 use crate::names::Names;
 use cherryyard_wire::cloud::HostKind;
-use cherryyard_wire::job::{JobSpec, JobStatus, JobView, job_id};
-use cherryyard_wire::record::{Claim, End, Grant, ImagesRecord, JobRecord, Key, MarkRecord, Use};
+use cherryyard_wire::job::{JobSpec, JobStatus, JobView, Shape, job_id};
+use cherryyard_wire::record::{
+    Claim, End, Grant, ImagesRecord, JobRecord, Key, MarkEntry, PageRecord, Use,
+};
 use cherryyard_wire::state::{Apply, Commit, News, Pair};
 use cherryyard_wire::{RangeSet, record};
 use serde_json::Value;
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 /// A claim on a part or on the lead.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -159,39 +161,89 @@
     pub attempt: u64,
 }
 
-/// One chunk of a job's marks in a part.
+/// What one page says of a job.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Chunk {
-    /// Stamp of its key.
-    pub stamp: u64,
+pub struct PageJob {
     /// Marks by number.
     pub marks: BTreeMap<u32, Mark>,
     /// Numbers done.
     pub done: RangeSet,
 }
 
-impl Chunk {
+/// One page of a part's marks.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Page {
+    /// Stamp of its key.
+    pub stamp: u64,
+    /// What it says, by job.
+    pub jobs: BTreeMap<u64, PageJob>,
+}
+
+fn digits(n: u64) -> usize {
+    n.checked_ilog10().unwrap_or(0) as usize + 1
+}
+
+impl Page {
+    /// Most bytes that a new mark adds, itself done or not: what a page has
+    /// room for once it has room for for ever.
+    pub fn mark_bytes(job: u64, number: u32, mark: &Mark, hosts: &Names) -> usize {
+        let entry = 10 + digits(mark.session) + digits(number.into()) + digits(mark.attempt);
+        let done = 4 + 2 * digits(number.into());
+        entry.max(done) + hosts.name(mark.host).len() + 3 + digits(job) + 10
+    }
+
+    /// About how many bytes the record takes, never too few.
+    pub fn bytes(&self, hosts: &Names) -> usize {
+        let mut named = HashSet::new();
+        let mut bytes = 20;
+        for (&job, j) in &self.jobs {
+            bytes += digits(job) + 10;
+            for (&number, mark) in &j.marks {
+                let fresh = named.insert(mark.host);
+                let whole = Self::mark_bytes(job, number, mark, hosts) - digits(job) - 10;
+                bytes += if fresh {
+                    whole
+                } else {
+                    whole - hosts.name(mark.host).len() - 3
+                };
+            }
+            for r in j.done.ranges() {
+                bytes += 4 + digits(r.0.into()) + digits(r.1.into());
+            }
+        }
+        bytes
+    }
+
     /// The record to write.
-    pub fn record(&self, hosts: &Names) -> MarkRecord {
-        let mut groups: BTreeMap<(u32, u64), Vec<(u32, u64)>> = BTreeMap::new();
-        for (&number, mark) in &self.marks {
-            groups
-                .entry((mark.host, mark.session))
-                .or_default()
-                .push((number, mark.attempt));
-        }
-        MarkRecord {
-            m: groups
-                .into_iter()
-                .map(|((host, session), list)| (hosts.name(host).to_string(), session, list))
-                .collect(),
-            d: self.done.clone(),
+    pub fn record(&self, hosts: &Names) -> PageRecord {
+        let mut places: HashMap<u32, u32> = HashMap::new();
+        let mut record = PageRecord::default();
+        for (&job, j) in &self.jobs {
+            let marks = j
+                .marks
+                .iter()
+                .map(|(&number, mark)| -> MarkEntry {
+                    let place = *places.entry(mark.host).or_insert_with(|| {
+                        record.h.push(hosts.name(mark.host).to_string());
+                        record.h.len() as u32 - 1
+                    });
+                    (place, mark.session, number, mark.attempt)
+                })
+                .collect();
+            record.j.push((job, marks, j.done.clone()));
         }
+        record
     }
 }
 
-/// All marks of one job in one part, by chunk.
-pub type Marks = BTreeMap<u32, Chunk>;
+/// All marks of one job in one part, over its pages.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct JobMarks {
+    /// Marks by number, and the page that each is in.
+    pub marks: BTreeMap<u32, (Mark, u32)>,
+    /// Numbers done.
+    pub done: RangeSet,
+}
 
 /// What the state service holds, as far as this controller has heard.
 #[derive(Clone, Debug)]
@@ -212,8 +264,15 @@
     pub kinds_stamp: u64,
     /// Jobs that are not over, by number.
     pub open: BTreeMap<u64, OpenJob>,
-    /// Marks by part and job.
-    pub marks: BTreeMap<(usize, u64), Marks>,
+    /// Pages of marks, by part. New marks go into a part's last page or the one
+    /// after it, so these two tell whether any have been made.
+    pub pages: Vec<BTreeMap<u32, Page>>,
+    /// What the pages say, by part and job.
+    pub marks: BTreeMap<(usize, u64), JobMarks>,
+    /// Numbers that are neither done nor marked, by part and job; none empty.
+    pub waiting: Vec<BTreeMap<u64, RangeSet>>,
+    /// Open arrays of which every task is done.
+    pub complete: BTreeSet<u64>,
     /// Images held in each part, as last stored, and the record's stamp.
     pub images: Vec<(ImagesRecord, u64)>,
     /// What each part may use of each team's limit: by team, then part.
@@ -239,7 +298,10 @@
             kinds: Vec::new(),
             kinds_stamp: 0,
             open: BTreeMap::new(),
+            pages: vec![BTreeMap::new(); parts],
             marks: BTreeMap::new(),
+            waiting: vec![BTreeMap::new(); parts],
+            complete: BTreeSet::new(),
             images: vec![(ImagesRecord::default(), 0); parts],
             grants: vec![vec![(Grant::default(), 0); parts]; config.teams.len()],
             ended: HashMap::new(),
@@ -314,8 +376,8 @@
                 .map(Key::Part),
         );
         keys.extend(self.open.keys().map(|&j| Key::Job(j)));
-        for (&(part, job), chunks) in &self.marks {
-            keys.extend(chunks.keys().map(|&chunk| Key::Mark { part, job, chunk }));
+        for (part, pages) in self.pages.iter().enumerate() {
+            keys.extend(pages.keys().map(|&page| Key::Mark { part, page }));
         }
         for (team, parts) in self.grants.iter().enumerate() {
             keys.extend((0..parts.len()).map(|part| Key::Grant { team, part }));
@@ -335,11 +397,11 @@
                 .map_or(0, |c| c.stamp),
             Key::Images(p) => self.images.get(p).map_or(0, |i| i.1),
             Key::Job(j) => self.open.get(&j).map_or(0, |o| o.stamp),
-            Key::Mark { part, job, chunk } => self
-                .marks
-                .get(&(part, job))
-                .and_then(|m| m.get(&chunk))
-                .map_or(0, |c| c.stamp),
+            Key::Mark { part, page } => self
+                .pages
+                .get(part)
+                .and_then(|pages| pages.get(&page))
+                .map_or(0, |p| p.stamp),
             Key::Grant { team, part } => self
                 .grants
                 .get(team)
@@ -364,8 +426,9 @@
             }
             Key::Job(j) => {
                 self.open.remove(&j);
+                self.refresh_job(j);
             }
-            Key::Mark { part, job, chunk } => self.set_chunk(part, job, chunk, None),
+            Key::Mark { part, page } => self.set_page(part, page, None),
             Key::Grant { team, part } => {
                 if let Some(g) = self.grants.get_mut(team).and_then(|g| g.get_mut(part)) {
                     *g = (Grant::default(), 0);
@@ -430,35 +493,34 @@
                 *self.images.get_mut(p).ok_or("no such part")? = (record, stamp);
             }
             Key::Job(j) => self.put_job(j, read(value)?, stamp)?,
-            Key::Mark { part, job, chunk } => {
-                let record: MarkRecord = read(value)?;
-                if !record.d.is_canonical() || part >= self.parts.len() {
-                    return Err("bad ranges or part".into());
-                }
-                let mut marks = BTreeMap::new();
-                for (host, session, list) in record.m {
-                    let host = self.hosts.intern(&host);
-                    for (number, attempt) in list {
-                        marks.insert(
-                            number,
-                            Mark {
-                                host,
-                                session,
-                                attempt,
-                            },
-                        );
-                    }
+            Key::Mark { part, page } => {
+                let record: PageRecord = read(value)?;
+                let good = record.j.iter().all(|(_, marks, done)| {
+                    done.is_canonical() && marks.iter().all(|m| (m.0 as usize) < record.h.len())
+                });
+                if !good || part >= self.parts.len() {
+                    return Err("bad ranges, machines or part".into());
                 }
-                self.set_chunk(
-                    part,
-                    job,
-                    chunk,
-                    Some(Chunk {
-                        stamp,
-                        marks,
-                        done: record.d,
-                    }),
-                );
+                let hosts: Vec<u32> = record.h.iter().map(|h| self.hosts.intern(h)).collect();
+                let jobs = record.j.into_iter().map(|(job, marks, done)| {
+                    let marks = marks
+                        .into_iter()
+                        .map(|(place, session, number, attempt)| {
+                            let host = hosts[place as usize];
+                            (
+                                number,
+                                Mark {
+                                    host,
+                                    session,
+                                    attempt,
+                                },
+                            )
+                        })
+                        .collect();
+                    (job, PageJob { marks, done })
+                });
+                let jobs = jobs.collect();
+                self.set_page(part, page, Some(Page { stamp, jobs }));
             }
             Key::Grant { team, part } => {
                 let grant = read(value)?;
@@ -473,6 +535,7 @@
         match record {
             JobRecord::Ended { end, n, r#use } => {
                 self.open.remove(&job);
+                self.refresh_job(job);
                 let team = self.teams.get(&r#use.team).unwrap_or(u32::MAX);
                 let needs = (r#use.cores as f32, r#use.acc as f32, r#use.ram as f32);
                 self.ended.insert(
@@ -514,43 +577,129 @@
                     caps,
                 };
                 self.open.insert(job, open);
+                self.refresh_job(job);
             }
         }
         Ok(())
     }
 
-    fn set_chunk(&mut self, part: usize, job: u64, chunk: u32, new: Option<Chunk>) {
-        let marks = self.marks.entry((part, job)).or_default();
-        let mut done_before = 0;
-        if let Some(old) = marks.remove(&chunk) {
-            done_before = old.done.len();
-            for (number, mark) in &old.marks {
-                if let Some(tasks) = self.on_host.get_mut(&mark.host) {
-                    tasks.remove(&(job, *number));
-                    if tasks.is_empty() {
-                        self.on_host.remove(&mark.host);
-                    }
+    /// Replaces a page; only jobs of which it says something else are looked at.
+    fn set_page(&mut self, part: usize, page: u32, new: Option<Page>) {
+        let Some(pages) = self.pages.get_mut(part) else {
+            return;
+        };
+        let old = match new.clone() {
+            Some(new) => pages.insert(page, new),
+            None => pages.remove(&page),
+        };
+        let (old, new) = (old.unwrap_or_default(), new.unwrap_or_default());
+        for (job, said) in &new.jobs {
+            if old.jobs.get(job) != Some(said) {
+                self.refresh_marks(part, *job);
+            }
+        }
+        for job in old.jobs.keys() {
+            if !new.jobs.contains_key(job) {
+                self.refresh_marks(part, *job);
+            }
+        }
+    }
+
+    /// Sums up what the part's pages say of a job.
+    fn refresh_marks(&mut self, part: usize, job: u64) {
+        let mut sum = JobMarks::default();
+        for (&page, p) in &self.pages[part] {
+            if let Some(j) = p.jobs.get(&job) {
+                sum.marks
+                    .extend(j.marks.iter().map(|(&n, &mark)| (n, (mark, page))));
+                sum.done = sum.done.union(&j.done);
+            }
+        }
+        let old = self.marks.remove(&(part, job)).unwrap_or_default();
+        for (&number, (mark, _)) in &old.marks {
+            if sum.marks.get(&number).is_none_or(|n| n.0 != *mark)
+                && let Some(tasks) = self.on_host.get_mut(&mark.host)
+            {
+                tasks.remove(&(job, number));
+                if tasks.is_empty() {
+                    self.on_host.remove(&mark.host);
                 }
             }
         }
-        let done_now = new.as_ref().map_or(0, |c| c.done.len());
-        if let Some(new) = new {
-            for (&number, &mark) in &new.marks {
+        for (&number, &(mark, _)) in &sum.marks {
+            if old.marks.get(&number).is_none_or(|o| o.0 != mark) {
                 self.on_host
                     .entry(mark.host)
                     .or_default()
                     .insert((job, number), mark);
             }
-            marks.insert(chunk, new);
-        }
-        if marks.is_empty() {
-            self.marks.remove(&(part, job));
         }
         let total = self.tasks_done.entry(job).or_default();
-        *total = (*total + done_now).saturating_sub(done_before);
+        *total = (*total + sum.done.len()).saturating_sub(old.done.len());
         if *total == 0 {
             self.tasks_done.remove(&job);
         }
+        if !sum.marks.is_empty() || !sum.done.is_empty() {
+            self.marks.insert((part, job), sum);
+        }
+        self.refresh_waiting(part, job);
+        self.refresh_complete(job);
+    }
+
+    /// After a change of the job's own record.
+    fn refresh_job(&mut self, job: u64) {
+        for part in 0..self.parts.len() {
+            self.refresh_waiting(part, job);
+        }
+        self.refresh_complete(job);
+    }
+
+    fn refresh_complete(&mut self, job: u64) {
+        let done = self.done(job);
+        let complete = self
+            .open
+            .get(&job)
+            .is_some_and(|o| o.spec.shape == Shape::Sweep && done >= o.spec.pieces);
+        if complete {
+            self.complete.insert(job);
+        } else {
+            self.complete.remove(&job);
+        }
+    }
+
+    fn refresh_waiting(&mut self, part: usize, job: u64) {
+        let share = self.open.get(&job).and_then(|o| o.div.get(part));
+        let left = match (share, self.marks.get(&(part, job))) {
+            (None, _) => RangeSet::new(),
+            (Some(share), None) => share.clone(),
+            (Some(share), Some(m)) => share
+                .minus(&m.done)
+                .minus(&m.marks.keys().copied().collect()),
+        };
+        if left.is_empty() {
+            self.waiting[part].remove(&job);
+        } else {
+            self.waiting[part].insert(job, left);
+        }
+    }
+
+    /// The part's last page, and the one after it: new marks go nowhere else.
+    pub fn last_page(&self, part: usize) -> Option<u32> {
+        self.pages
+            .get(part)
+            .and_then(|p| p.last_key_value())
+            .map(|(&n, _)| n)
+    }
+
+    /// The part that a mark on a machine belongs to.
+    pub fn part_of_mark(&self, host: u32) -> Option<usize> {
+        let (job, number) = *self.on_host.get(&host)?.keys().next()?;
+        (0..self.parts.len()).find(|&p| {
+            self.marks
+                .get(&(p, job))
+                .and_then(|m| m.marks.get(&number))
+                .is_some_and(|(mark, _)| mark.host == host)
+        })
     }
 
     /// The marks on a machine, by job and number.
@@ -606,23 +755,19 @@
 
     /// A part's numbers of a job that are neither done nor marked.
     pub fn waiting(&self, part: usize, job: u64) -> RangeSet {
-        let Some(open) = self.open.get(&job) else {
-            return RangeSet::new();
-        };
-        let Some(share) = open.div.get(part) else {
-            return RangeSet::new();
-        };
-        let Some(chunks) = self.marks.get(&(part, job)) else {
-            return share.clone();
-        };
-        let mut busy = RangeSet::new();
-        for chunk in chunks.values() {
-            busy = busy.union(&chunk.done);
-            if !chunk.marks.is_empty() {
-                busy = busy.union(&chunk.marks.keys().copied().collect());
-            }
-        }
-        share.minus(&busy)
+        self.waiting
+            .get(part)
+            .and_then(|w| w.get(&job))
+            .cloned()
+            .unwrap_or_default()
+    }
+
+    /// How many tasks of a job are marked, in all parts.
+    pub fn marked(&self, job: u64) -> u32 {
+        (0..self.parts.len())
+            .filter_map(|p| self.marks.get(&(p, job)))
+            .map(|m| m.marks.len() as u32)
+            .sum()
     }
 
     /// The job as its user sees it, if it is known.
@@ -645,12 +790,8 @@
                 running: 0,
             });
         }
-        let open = self.open.get(&job)?;
-        let running: usize = (0..open.div.len())
-            .filter_map(|p| self.marks.get(&(p, job)))
-            .flat_map(|m| m.values())
-            .map(|c| c.marks.len())
-            .sum();
+        self.open.get(&job)?;
+        let running = self.marked(job);
         let status = if running > 0 {
             JobStatus::Running
         } else {
@@ -660,15 +801,15 @@
             id,
             status,
             done: self.done(job),
-            running: running as u32,
+            running,
         })
     }
 
     /// What each team uses in `part`: from mark to proven gone.
     pub fn usage(&self, part: usize) -> Vec<Needs> {
         let mut used = vec![Needs::default(); self.teams.len()];
-        for (&(_, job), chunks) in self.marks.range((part, 0)..=(part, u64::MAX)) {
-            let count: usize = chunks.values().map(|c| c.marks.len()).sum();
+        for (&(_, job), m) in self.marks.range((part, 0)..=(part, u64::MAX)) {
+            let count = m.marks.len();
             if count == 0 {
                 continue;
             }
@@ -694,7 +835,7 @@
             Key::Part(p) => record::part_key(p),
             Key::Images(p) => record::images_key(p),
             Key::Job(j) => record::job_key(j),
-            Key::Mark { part, job, chunk } => record::mark_key(part, job, chunk),
+            Key::Mark { part, page } => record::mark_key(part, page),
             Key::Grant { team, part } => record::grant_key(team, part),
         };
         commit.require(text, self.stamp(key));
--- a/crates/cherryyard-core/src/node.rs
+++ b/crates/cherryyard-core/src/node.rs
@@ -770,6 +770,7 @@
             };
             if let Some(part) = self.machines.get(&host).map(|m| m.part) {
                 self.parts[part].dirty = true;
+                self.parts[part].touched.insert(host);
             }
             if let Some(m) = self.machines.get_mut(&host) {
                 m.change(if ok {
--- a/crates/cherryyard-core/src/owner/mod.rs
+++ b/crates/cherryyard-core/src/owner/mod.rs
@@ -13,7 +13,7 @@
 mod round;
 
 use crate::machine::{HostEvent, HostState, Machine, PushedStart, Task};
-use crate::mirror::{Chunk, Mark, Needs, OpenJob};
+use crate::mirror::{Mark, Needs, OpenJob, Page};
 use crate::node::{Effect, Node, Outcome, Tenancy, Ticket};
 use crate::{Millis, admit};
 use cherryyard_wire::cloud::{HostEntry, HostStatus};
@@ -24,6 +24,7 @@
 use cherryyard_wire::worker::{
     Cause, DoRequest, Order, PieceStatus, Report, piece_name, piece_numbers,
 };
+pub(crate) use round::Round;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 /// Bytes that a transaction's values may have together.
@@ -67,6 +68,11 @@
     /// Ask for a new token, so that direct starts under this one die.
     pub bump: bool,
     pub dirty: bool,
+    /// Machines that the next round looks at.
+    pub touched: BTreeSet<u32>,
+    /// When a round last looked at all of them.
+    pub looked_at: Millis,
+    pub tidied_at: Millis,
     /// When the last round was planned, and when the last look at leases was.
     pub planned_at: Millis,
     pub kept_at: Millis,
@@ -95,6 +101,9 @@
             ownerless_since: None,
             bump: false,
             dirty: true,
+            touched: BTreeSet::new(),
+            looked_at: f64::NEG_INFINITY,
+            tidied_at: now,
             planned_at: f64::NEG_INFINITY,
             kept_at: f64::NEG_INFINITY,
             budget: 1.0,
@@ -114,6 +123,8 @@
 
     pub(crate) fn clear(&mut self) {
         self.preempted.clear();
+        self.touched.clear();
+        self.looked_at = f64::NEG_INFINITY;
         self.reserved.clear();
         self.waiting_since.clear();
         self.trouble.clear();
@@ -124,43 +135,6 @@
 /// What making room on a machine costs, whom it stops, and where.
 type Eviction = (f64, Vec<(Task, u64)>, u32);
 
-/// A round in the making.
-pub(crate) struct Round {
-    edits: BTreeMap<(u64, u32), Chunk>,
-    bytes: usize,
-    max_ops: usize,
-    ends: BTreeSet<u64>,
-}
-
-impl Round {
-    /// The chunk to edit, if there is room for one more in the transaction.
-    fn edit(&mut self, node: &Node, p: usize, job: u64, chunk: u32) -> Option<&mut Chunk> {
-        if !self.edits.contains_key(&(job, chunk)) {
-            // One change is kept free for the end of the job itself.
-            let ends = if self.ends.contains(&job) { 0 } else { 1 };
-            let now = node.mirror.marks.get(&(p, job)).and_then(|m| m.get(&chunk));
-            let size = now.map_or(64, |c| 64 + c.marks.len() * 56 + c.done.ranges().len() * 16);
-            if self.edits.len() + self.ends.len() + 1 + ends > self.max_ops
-                || self.bytes + size > TXN_BYTES
-            {
-                return None;
-            }
-            self.bytes += size;
-            self.ends.insert(job);
-            self.edits
-                .insert((job, chunk), now.cloned().unwrap_or_default());
-        }
-        self.edits.get_mut(&(job, chunk))
-    }
-}
-
-/// What is known of a marked task.
-pub(crate) enum Fate {
-    Keep,
-    Done,
-    Gone { failed: bool },
-}
-
 impl Machine {
     /// Takes the starts of an answered or unsent direct command off the list
     /// of those that may yet take effect.
@@ -220,32 +194,23 @@
         if !self.state_fresh(now) {
             return;
         }
-        let mut round = Round {
-            edits: BTreeMap::new(),
-            bytes: 0,
-            max_ops: self.config.txn_ops,
-            ends: BTreeSet::new(),
-        };
+        let mut round = Round::new(&self.config, &self.mirror, p);
         let mut pending = Pending::default();
         self.collect(p, now, &mut round, &mut pending);
+        self.finish(p, &mut round);
         self.place(p, now, &mut round, &mut pending);
-        let finished = self.finished(p, &round);
-        if finished.is_empty() {
-            self.sweep_marks(p, &mut round);
+        if round.is_empty() {
+            self.tidy(p, now, &mut round);
         }
-        if round.edits.is_empty() && finished.is_empty() {
+        if round.is_empty() {
             if let Some(commit) = self.images_commit(p, token, now) {
+                self.parts[p].budget -= 1.0;
                 self.parts[p].pending = Some(Pending::default());
                 self.effects.push(Effect::Commit(Ticket::Owner(p), commit));
             }
             return;
         }
-        let mut commit = self.round_commit(p, token, &round);
-        for job in finished {
-            self.mirror.require(&mut commit, Key::Job(job));
-            let value = serde_json::json!(self.mirror.open[&job].ended(End::Done));
-            commit.apply.push(Apply::set(record::job_key(job), value));
-        }
+        let commit = self.round_commit(p, token, &round);
         tracing::debug!(part = p, writes = commit.apply.len(), "a round of marks");
         self.parts[p].budget -= commit.apply.len() as f64;
         self.parts[p].pending = Some(pending);
@@ -260,6 +225,7 @@
         for m in self.machines.values_mut().filter(|m| m.part == p) {
             if !m.lease_over && m.token_ours() && now - m.answered_at > lease {
                 m.change(HostEvent::LeaseOver);
+                self.parts[p].touched.insert(m.host);
             }
         }
     }
@@ -270,6 +236,9 @@
             return;
         };
         self.parts[p].dirty = true;
+        if !matches!(outcome, Outcome::Applied(_)) {
+            self.parts[p].touched.extend(&pending.hosts);
+        }
         match outcome {
             Outcome::Applied(_) => {
                 self.room_changed = true;
@@ -321,6 +290,7 @@
         };
         let p = m.part;
         self.parts[p].dirty = true;
+        self.parts[p].touched.insert(host);
         if !m.seen.is_empty() {
             self.note_images(host);
         }
--- a/crates/cherryyard-core/src/owner/place.rs
+++ b/crates/cherryyard-core/src/owner/place.rs
@@ -23,15 +23,9 @@
 
     /// Open jobs with waiting numbers, in the order in which they are served.
     pub(crate) fn queue(&self, p: usize, now: Millis) -> Vec<(u64, cherryyard_wire::RangeSet)> {
-        let mut all: Vec<_> = self
-            .mirror
-            .open
+        let mut all: Vec<_> = self.mirror.waiting[p]
             .iter()
-            .filter(|(_, o)| o.divided())
-            .filter_map(|(&job, o)| {
-                let waiting = self.mirror.waiting(p, job);
-                (!waiting.is_empty()).then_some((job, o, waiting))
-            })
+            .filter_map(|(&job, waiting)| Some((job, self.mirror.open.get(&job)?, waiting.clone())))
             .collect();
         let wall = now + self.wall_offset;
         all.sort_by(|a, b| {
@@ -94,18 +88,12 @@
             .collect();
         rooms.sort_by_key(|r| r.0);
         let mut used = self.mirror.usage(p);
-        for (&(job, chunk), edited) in &round.edits {
+        for task in &round.gone {
             // What this very round proves gone makes room under the limit too.
-            let Some((team, needs)) = self.mirror.uses(job) else {
-                continue;
-            };
-            let before = self.mirror.marks.get(&(p, job)).and_then(|m| m.get(&chunk));
-            for number in before.into_iter().flat_map(|c| c.marks.keys()) {
-                if !edited.marks.contains_key(number)
-                    && let Some(u) = used.get_mut(team as usize)
-                {
-                    u.take(&needs);
-                }
+            if let Some((team, needs)) = self.mirror.uses(task.0)
+                && let Some(u) = used.get_mut(team as usize)
+            {
+                u.take(&needs);
             }
         }
         let mut placed = 0;
@@ -199,11 +187,11 @@
                     attempt,
                 };
                 *zones.entry(m.zone.clone()).or_default() += 1;
-                let chunk = number / self.config.chunk;
-                let Some(c) = round.edit(self, p, *job, chunk) else {
+                let limited = team_cfg.limited().then_some(team as u32);
+                if !round.mark(&self.mirror, (*job, number), mark, limited) {
+                    self.parts[p].dirty = true;
                     break 'jobs;
-                };
-                c.marks.insert(number, mark);
+                }
                 rooms[i].1.take(&needs);
                 used[team].give(&needs);
                 pending.hosts.insert(host);
@@ -221,21 +209,29 @@
         if self.mirror.open.get(&job).is_none_or(|o| o.caps.is_empty()) {
             return counts;
         }
-        if let Some(chunks) = self.mirror.marks.get(&(p, job)) {
-            for (chunk, c) in chunks {
-                let c = round.edits.get(&(job, *chunk)).unwrap_or(c);
-                for mark in c.marks.values() {
-                    // A machine that is not known may be in any zone.
-                    match self.machines.get(&mark.host) {
-                        Some(m) => *counts.entry(m.zone.clone()).or_default() += 1,
-                        None => {
-                            for z in 0..self.config.zones.len() as u32 {
-                                *counts.entry(self.config.zones.name(z).into()).or_default() += 1;
-                            }
-                        }
+        let mut count = |host: u32| {
+            // A machine that is not known may be in any zone.
+            match self.machines.get(&host) {
+                Some(m) => *counts.entry(m.zone.clone()).or_default() += 1,
+                None => {
+                    for z in 0..self.config.zones.len() as u32 {
+                        *counts.entry(self.config.zones.name(z).into()).or_default() += 1;
                     }
                 }
             }
+        };
+        if let Some(m) = self.mirror.marks.get(&(p, job)) {
+            for (&number, (mark, _)) in &m.marks {
+                if !round.gone.contains(&(job, number)) {
+                    count(mark.host);
+                }
+            }
+        }
+        for (&host, tasks) in &round.put {
+            tasks
+                .iter()
+                .filter(|t| t.0 == job)
+                .for_each(|_| count(host));
         }
         counts
     }
--- a/crates/cherryyard-core/src/owner/preempt.rs
+++ b/crates/cherryyard-core/src/owner/preempt.rs
@@ -25,6 +25,7 @@
             .map(|x| x.for_task)
             .collect();
         let silence = self.silence_ms();
+        let zones = self.zone_counts(p, job, round);
         let mut chosen: Vec<(Task, Preempted, u32)> = Vec::new();
         for &number in numbers.iter().take(4) {
             if covered.contains(&(job, number))
@@ -47,7 +48,7 @@
                     || m.seen.contains_key(&(job, number))
                     || chosen.iter().any(|c| c.2 == m.host)
                     || self.parts[p].reserved.contains_key(&m.host)
-                    || !self.zone_open(p, open, &m.zone, &self.zone_counts(p, job, round))
+                    || !self.zone_open(p, open, &m.zone, &zones)
                     || self
                         .mirror
                         .on_host(m.host)
--- a/crates/cherryyard-core/src/owner/returns.rs
+++ b/crates/cherryyard-core/src/owner/returns.rs
@@ -157,17 +157,7 @@
             {
                 continue;
             }
-            let Some(p) = self
-                .mirror
-                .marks
-                .iter()
-                .find(|(_, chunks)| {
-                    chunks
-                        .values()
-                        .any(|c| c.marks.values().any(|k| k.host == host))
-                })
-                .map(|(&(p, _), _)| p)
-            else {
+            let Some(p) = self.mirror.part_of_mark(host) else {
                 continue;
             };
             // The list is late; a machine that is merely new is not in it yet.
--- a/crates/cherryyard-core/src/owner/room.rs
+++ b/crates/cherryyard-core/src/owner/room.rs
@@ -18,39 +18,25 @@
         })
     }
 
-    /// What is left on a machine, after marks (as edited) and strangers.
-    pub(crate) fn free_on(&self, m: &Machine, edited: Option<&Round>) -> Option<Needs> {
+    /// What is left on a machine, after marks (as the round leaves them) and
+    /// strangers.
+    pub(crate) fn free_on(&self, m: &Machine, round: Option<&Round>) -> Option<Needs> {
         let mut free = self.whole(m)?;
-        let marked = |task: Task| -> Option<Mark> {
-            if let Some(round) = edited {
-                let chunk = task.1 / self.config.chunk;
-                if let Some(c) = round.edits.get(&(task.0, chunk)) {
-                    return c.marks.get(&task.1).filter(|k| k.host == m.host).copied();
-                }
-            }
-            self.mirror.mark_on(m.host, task)
-        };
+        let gone = |task: &Task| round.is_some_and(|r| r.gone.contains(task));
         for (task, _) in self.mirror.on_host(m.host) {
-            if marked(task).is_some() {
+            if !gone(&task) {
                 free.take(&self.mirror.uses(task.0)?.1);
             }
         }
-        for (&task, seen) in &m.seen {
-            if !seen.ended() && marked(task).is_none() {
+        for (task, seen) in &m.seen {
+            if !seen.ended() && (gone(task) || self.mirror.mark_on(m.host, *task).is_none()) {
                 // Not ours, or not any more: it takes room until it is gone.
                 free.take(&self.mirror.uses(task.0)?.1);
             }
         }
-        if let Some(round) = edited {
-            for (&(job, _), chunk) in &round.edits {
-                for (&number, mark) in &chunk.marks {
-                    if mark.host == m.host
-                        && self.mirror.mark_on(m.host, (job, number)).is_none()
-                        && m.seen.get(&(job, number)).is_none_or(|s| s.ended())
-                    {
-                        free.take(&self.mirror.uses(job)?.1);
-                    }
-                }
+        for task in round.and_then(|r| r.put.get(&m.host)).into_iter().flatten() {
+            if m.seen.get(task).is_none_or(|s| s.ended()) {
+                free.take(&self.mirror.uses(task.0)?.1);
             }
         }
         Some(free)
--- a/crates/cherryyard-core/src/owner/round.rs
+++ b/crates/cherryyard-core/src/owner/round.rs
@@ -1,6 +1,166 @@
 //! What a round proves of marked tasks, and the transaction it writes.
+//!
+//! A part's marks stand in pages, each with marks of many jobs, so that one
+//! round costs a write or two however many jobs it touches. New marks go into
+//! the last page, or a new one after it: the leader's moves depend on these two
+//! alone. What is done stays in its page until its job is over.
 
 use super::*;
+use crate::{Config, Mirror};
+
+/// Time after which a round looks at all of a part's machines, in case that
+/// something has changed without a message.
+const LOOK_MS: f64 = 5000.0;
+/// Least time between two looks for pages that can go.
+const TIDY_MS: f64 = 1000.0;
+
+/// A round in the making.
+pub(crate) struct Round {
+    part: usize,
+    max_ops: usize,
+    max_conditions: usize,
+    page_bytes: usize,
+    /// Pages as they will be, and about how many bytes each takes.
+    edits: BTreeMap<u32, (Page, usize)>,
+    last: Option<u32>,
+    /// Jobs that get new marks, and their teams with limits.
+    jobs: BTreeSet<u64>,
+    teams: BTreeSet<u32>,
+    ends: BTreeSet<u64>,
+    gained: BTreeMap<u64, u32>,
+    /// Marks that go, and marks that come, by machine.
+    pub gone: HashSet<Task>,
+    pub put: BTreeMap<u32, Vec<Task>>,
+}
+
+/// What is known of a marked task.
+pub(crate) enum Fate {
+    Keep,
+    Done,
+    Gone { failed: bool },
+}
+
+impl Round {
+    pub fn new(config: &Config, mirror: &Mirror, part: usize) -> Self {
+        Self {
+            part,
+            max_ops: config.txn_ops,
+            max_conditions: config.txn_ops * 4,
+            page_bytes: config.page_bytes,
+            edits: BTreeMap::new(),
+            last: mirror.last_page(part),
+            jobs: BTreeSet::new(),
+            teams: BTreeSet::new(),
+            ends: BTreeSet::new(),
+            gained: BTreeMap::new(),
+            gone: HashSet::new(),
+            put: BTreeMap::new(),
+        }
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.edits.is_empty() && self.ends.is_empty()
+    }
+
+    fn fits(&self, ops: usize, conditions: usize) -> bool {
+        self.edits.len() + self.ends.len() + ops <= self.max_ops
+            && 1 + self.edits.len()
+                + self.jobs.union(&self.ends).count()
+                + self.teams.len()
+                + conditions
+                <= self.max_conditions
+    }
+
+    /// The page to edit, if the transaction has room for it.
+    fn edit(&mut self, mirror: &Mirror, number: u32) -> Option<&mut (Page, usize)> {
+        if !self.edits.contains_key(&number) {
+            let bytes: usize = self.edits.values().map(|e| e.1).sum();
+            if !self.fits(1, 1) || bytes + self.page_bytes > TXN_BYTES {
+                return None;
+            }
+            let mut page = mirror.pages[self.part]
+                .get(&number)
+                .cloned()
+                .unwrap_or_default();
+            page.jobs
+                .retain(|&job, j| mirror.end(job).is_none() || !j.marks.is_empty());
+            let bytes = page.bytes(&mirror.hosts);
+            self.edits.insert(number, (page, bytes));
+        }
+        self.edits.get_mut(&number)
+    }
+
+    /// Takes a mark out of its page; false if that must wait for another round.
+    fn unmark(&mut self, mirror: &Mirror, task: Task, page: u32, done: bool) -> bool {
+        let (job, number) = task;
+        let over = mirror.end(job).is_some();
+        let Some((page, _)) = self.edit(mirror, page) else {
+            return false;
+        };
+        if let Some(j) = page.jobs.get_mut(&job) {
+            j.marks.remove(&number);
+            if done && !over {
+                j.done.insert(number);
+            }
+            if j.marks.is_empty() && (j.done.is_empty() || over) {
+                page.jobs.remove(&job);
+            }
+        }
+        self.gone.insert(task);
+        if done && !over {
+            *self.gained.entry(job).or_default() += 1;
+        }
+        true
+    }
+
+    /// Puts a mark into the last page, or a new one; false if that must wait.
+    pub fn mark(&mut self, mirror: &Mirror, task: Task, mark: Mark, team: Option<u32>) -> bool {
+        let (job, number) = task;
+        let fresh = usize::from(!self.jobs.contains(&job))
+            + usize::from(team.is_some_and(|t| !self.teams.contains(&t)));
+        if !self.fits(0, fresh) {
+            return false;
+        }
+        let more = Page::mark_bytes(job, number, &mark, &mirror.hosts);
+        let most = self.page_bytes;
+        let mut at = self.last.unwrap_or(0);
+        let Some((page, bytes)) = self.edit(mirror, at) else {
+            return false;
+        };
+        if *bytes + more > most {
+            // Marks that went in this round have made room.
+            *bytes = page.bytes(&mirror.hosts);
+        }
+        // A page of a single mark is written however small the limit is.
+        if *bytes + more > most && !page.jobs.is_empty() {
+            at += 1;
+            if self.edit(mirror, at).is_none() {
+                return false;
+            }
+        }
+        // The conditions once more: a new page took one.
+        if !self.fits(0, fresh) {
+            return false;
+        }
+        self.last = Some(at);
+        let Some((page, bytes)) = self.edits.get_mut(&at) else {
+            return false;
+        };
+        *bytes += more;
+        page.jobs.entry(job).or_default().marks.insert(number, mark);
+        self.jobs.insert(job);
+        self.teams.extend(team);
+        self.put.entry(mark.host).or_default().push(task);
+        true
+    }
+
+    /// Whether this round ends the job.
+    fn end(&mut self, job: u64) {
+        if self.fits(1, 1) {
+            self.ends.insert(job);
+        }
+    }
+}
 
 impl Node {
     /// What reports prove of a marked task.
@@ -39,6 +199,7 @@
         }
     }
 
+    /// Takes what reports prove into the round.
     pub(crate) fn collect(
         &mut self,
         p: usize,
@@ -46,41 +207,53 @@
         round: &mut Round,
         pending: &mut Pending,
     ) {
-        let mut found = Vec::new();
+        let mut hosts = std::mem::take(&mut self.parts[p].touched);
+        if now - self.parts[p].looked_at >= LOOK_MS {
+            self.parts[p].looked_at = now;
+            hosts = self
+                .machines
+                .values()
+                .filter(|m| m.part == p)
+                .map(|m| m.host)
+                .collect();
+        }
         let mut blocked = false;
-        for (&(_, job), chunks) in self.mirror.marks.range((p, 0)..=(p, u64::MAX)) {
-            for (&chunk, c) in chunks {
-                for (&number, mark) in &c.marks {
-                    match self.fate(job, number, mark, now) {
-                        Fate::Keep => {
-                            blocked |= !self.mirror.open.contains_key(&job)
-                                && self.blocked_by_push(job, number, mark, now);
-                        }
-                        fate => found.push((job, chunk, number, *mark, fate)),
-                    }
+        let mut left = BTreeSet::new();
+        for host in hosts {
+            for (task, mark) in self.mirror.on_host(host) {
+                let (job, number) = task;
+                let place = self.mirror.marks.get(&(p, job));
+                let Some(&(_, page)) = place.and_then(|m| m.marks.get(&number)) else {
+                    continue;
+                };
+                let fate = self.fate(job, number, &mark, now);
+                if matches!(fate, Fate::Keep) {
+                    blocked |= !self.mirror.open.contains_key(&job)
+                        && self.blocked_by_push(job, number, &mark, now);
+                    continue;
+                }
+                let done = matches!(fate, Fate::Done);
+                if !round.unmark(&self.mirror, task, page, done) {
+                    left.insert(host);
+                    continue;
                 }
+                if done {
+                    pending.done.push((job, host));
+                } else if matches!(fate, Fate::Gone { failed: true }) {
+                    pending.failed.push((job, host));
+                }
+                pending.hosts.insert(host);
             }
         }
+        if !left.is_empty() {
+            self.parts[p].dirty = true;
+            self.parts[p].touched.extend(left);
+        }
         if blocked {
             // A start of a job that is over may still be on its way, and only
             // a higher token stops it.
             self.parts[p].bump = true;
         }
-        for (job, chunk, number, mark, fate) in found {
-            let Some(c) = round.edit(self, p, job, chunk) else {
-                break;
-            };
-            c.marks.remove(&number);
-            match fate {
-                Fate::Done => {
-                    c.done.insert(number);
-                    pending.done.push((job, mark.host));
-                }
-                Fate::Gone { failed: true } => pending.failed.push((job, mark.host)),
-                _ => {}
-            }
-            pending.hosts.insert(mark.host);
-        }
     }
 
     pub(crate) fn blocked_by_push(&self, job: u64, number: u32, mark: &Mark, now: Millis) -> bool {
@@ -94,104 +267,99 @@
         })
     }
 
-    /// Jobs whose tasks are all done but which are not over: two parts that
-    /// wrote their last done numbers at once did not see each other's. The
-    /// first part with marks writes the end.
-    pub(crate) fn finished(&self, p: usize, round: &Round) -> Vec<u64> {
-        let free = round
-            .max_ops
-            .saturating_sub(round.edits.len() + round.ends.len());
-        self.mirror
-            .open
-            .iter()
-            .filter(|(job, o)| {
-                o.spec.shape == Shape::Sweep
-                    && self.mirror.done(**job) >= o.spec.pieces
-                    && !round.ends.contains(*job)
-                    && (0..self.parts.len()).find(|&q| {
-                        self.mirror.parts[q].is_some()
-                            && self.mirror.marks.contains_key(&(q, **job))
-                    }) == Some(p)
-            })
-            .map(|(&job, _)| job)
-            .take(free)
-            .collect()
+    /// Ends the jobs whose last tasks this round proves done, and those whose
+    /// tasks are all done but which are not over: two parts that wrote their
+    /// last done numbers at once did not see each other's. The first part with
+    /// marks writes that end.
+    pub(crate) fn finish(&self, p: usize, round: &mut Round) {
+        for (job, gained) in std::mem::take(&mut round.gained) {
+            // All parts' done numbers only ever grow while the job is open, so
+            // an old view of the others is enough.
+            let done = self.mirror.done(job) + gained;
+            if let Some(open) = self.mirror.open.get(&job)
+                && open.spec.shape == Shape::Sweep
+                && done >= open.spec.pieces
+            {
+                round.end(job);
+            }
+        }
+        for &job in &self.mirror.complete {
+            let first = (0..self.parts.len()).find(|&q| {
+                self.mirror.parts[q].is_some() && self.mirror.marks.contains_key(&(q, job))
+            });
+            if first == Some(p) {
+                round.end(job);
+            }
+        }
     }
 
-    /// Deletes marks of jobs that are over once nothing of them is left.
-    pub(crate) fn sweep_marks(&self, p: usize, round: &mut Round) {
-        if !round.edits.is_empty() {
-            // Nobody waits for this; it takes its turn when nothing else does.
+    /// When there is nothing else to write: drops a page of which nothing is
+    /// needed any more, or moves what is left of one into the last.
+    pub(crate) fn tidy(&mut self, p: usize, now: Millis, round: &mut Round) {
+        if self.parts[p].budget < 2.0 || now - self.parts[p].tidied_at < TIDY_MS {
             return;
         }
-        let mut swept = 0;
-        for (&(_, job), chunks) in self.mirror.marks.range((p, 0)..=(p, u64::MAX)) {
-            if self.mirror.end(job).is_none() {
-                continue;
+        self.parts[p].tidied_at = now;
+        let most = round.page_bytes;
+        let Some(last) = self.mirror.last_page(p) else {
+            return;
+        };
+        for &number in self.mirror.pages[p].keys() {
+            let Some((page, bytes)) = round.edit(&self.mirror, number) else {
+                return;
+            };
+            if page.jobs.is_empty() {
+                return;
             }
-            for (&chunk, c) in chunks {
-                if c.marks.is_empty() && swept < 4 {
-                    if round.edits.len() + round.ends.len() + 2 > round.max_ops {
-                        return;
-                    }
-                    round.edits.entry((job, chunk)).or_insert_with(|| Chunk {
-                        stamp: c.stamp,
-                        ..Chunk::default()
-                    });
-                    swept += 1;
+            let (jobs, bytes) = (page.jobs.clone(), *bytes);
+            if number != last
+                && bytes * 4 < most
+                && let Some((into, held)) = round.edit(&self.mirror, last)
+                && *held + bytes <= most
+            {
+                for (job, j) in jobs {
+                    let there = into.jobs.entry(job).or_default();
+                    there.marks.extend(j.marks);
+                    there.done = there.done.union(&j.done);
                 }
+                *held += bytes;
+                if let Some((page, _)) = round.edits.get_mut(&number) {
+                    page.jobs.clear();
+                }
+                return;
             }
+            round.edits.clear();
         }
     }
 
     pub(crate) fn round_commit(&self, p: usize, token: u64, round: &Round) -> Commit {
         let mut commit = Commit::default();
         commit.require(record::part_key(p), token);
-        let mut done: BTreeMap<u64, u32> = BTreeMap::new();
-        for (&(job, chunk), c) in &round.edits {
-            let key = Key::Mark {
-                part: p,
-                job,
-                chunk,
-            };
-            self.mirror.require(&mut commit, key);
-            let before = self.mirror.marks.get(&(p, job)).and_then(|m| m.get(&chunk));
-            let gained = c
-                .done
-                .len()
-                .saturating_sub(before.map_or(0, |b| b.done.len()));
-            if let Some(open) = self.mirror.open.get(&job) {
-                commit.require(record::job_key(job), open.stamp);
-                if self.config.teams[open.team as usize].limited() {
-                    // A lowering of the grant whose answer was lost may have
-                    // been applied; marks made by the old grant must then die.
-                    let key = Key::Grant {
-                        team: open.team as usize,
-                        part: p,
-                    };
-                    self.mirror.require(&mut commit, key);
-                }
-                *done.entry(job).or_insert_with(|| self.mirror.done(job)) += gained;
-            }
-            let over = self.mirror.end(job).is_some();
-            if c.marks.is_empty() && (c.done.is_empty() || over) {
-                if before.is_some() {
-                    commit
-                        .apply
-                        .push(Apply::delete(record::mark_key(p, job, chunk)));
-                }
-            } else {
-                let value = serde_json::json!(c.record(&self.mirror.hosts));
-                commit
-                    .apply
-                    .push(Apply::set(record::mark_key(p, job, chunk), value));
+        for (&page, (new, _)) in &round.edits {
+            self.mirror
+                .require(&mut commit, Key::Mark { part: p, page });
+            let key = record::mark_key(p, page);
+            if !new.jobs.is_empty() {
+                let value = serde_json::json!(new.record(&self.mirror.hosts));
+                commit.apply.push(Apply::set(key, value));
+            } else if self.mirror.pages[p].contains_key(&page) {
+                commit.apply.push(Apply::delete(key));
             }
         }
-        for (job, done) in done {
-            let open = &self.mirror.open[&job];
-            if done >= open.spec.pieces && open.spec.shape == Shape::Sweep {
-                // All parts' done numbers only ever grow while the job is
-                // open, so an old view of the others is enough.
+        // New marks depend on the division and on the job's being open. What
+        // is proven done or gone is so whatever has become of the job.
+        for &job in round.jobs.union(&round.ends) {
+            self.mirror.require(&mut commit, Key::Job(job));
+        }
+        for &team in &round.teams {
+            // A lowering of the grant whose answer was lost may have been
+            // applied; marks made by the old grant must then die.
+            let team = team as usize;
+            self.mirror
+                .require(&mut commit, Key::Grant { team, part: p });
+        }
+        for &job in &round.ends {
+            if let Some(open) = self.mirror.open.get(&job) {
                 let value = serde_json::json!(open.ended(End::Done));
                 commit.apply.push(Apply::set(record::job_key(job), value));
             }
--- a/crates/cherryyard-rehearsal/tests/rules.rs
+++ b/crates/cherryyard-rehearsal/tests/rules.rs
@@ -358,10 +358,7 @@
         .map(|p| {
             let node = w.nodes[0].as_ref().unwrap();
             let marks = &node.mirror.marks[&(p, 1)];
-            marks
-                .values()
-                .flat_map(|c| c.marks.keys().copied())
-                .collect()
+            marks.marks.keys().copied().collect()
         })
         .collect();
     for n in 10..13 {
@@ -385,7 +382,7 @@
 
 /// Records stay below the smallest value limit, whatever a job's size.
 #[test]
-fn chunks_at_the_smallest_value_limit() {
+fn pages_at_the_smallest_value_limit() {
     let machines = vec![("a", 3), ("b", 3), ("c", 3)];
     let setup = Setup {
         machines,
--- a/crates/cherryyard-wire/src/ranges.rs
+++ b/crates/cherryyard-wire/src/ranges.rs
@@ -154,6 +154,12 @@
         }
         Self(out)
     }
+
+    /// The last `n` numbers, as a set of their own.
+    pub fn last(&self, n: u32) -> Self {
+        let len = self.len();
+        self.minus(&self.first(len.saturating_sub(n)))
+    }
 }
 
 impl FromIterator<u32> for RangeSet {
@@ -206,6 +212,11 @@
             assert!(a.minus(&b).iter().eq(pa.difference(&pb).copied()));
             assert!(a.union(&b).iter().eq(pa.union(&pb).copied()));
             assert!(a.first(5).iter().eq(pa.iter().copied().take(5)));
+            assert!(
+                a.last(5)
+                    .iter()
+                    .eq(pa.iter().copied().skip(pa.len().saturating_sub(5)))
+            );
             assert_eq!(a.contains(n), pa.contains(&n));
             assert_eq!(a.len() as usize, pa.len());
         }
--- a/crates/cherryyard-wire/src/record.rs
+++ b/crates/cherryyard-wire/src/record.rs
@@ -23,9 +23,9 @@
     format!("c/job/{}", crate::job::job_id(job))
 }
 
-/// Key of one chunk of a job's marks in a part.
-pub fn mark_key(part: usize, job: u64, chunk: u32) -> String {
-    format!("c/mark/{part}/{}/{chunk}", crate::job::job_id(job))
+/// Key of one page of a part's marks.
+pub fn mark_key(part: usize, page: u32) -> String {
+    format!("c/mark/{part}/{page}")
 }
 
 /// Key of what part `part` may use of team `team`'s limit.
@@ -47,7 +47,7 @@
     Part(usize),
     Images(usize),
     Job(u64),
-    Mark { part: usize, job: u64, chunk: u32 },
+    Mark { part: usize, page: u32 },
     Grant { team: usize, part: usize },
 }
 
@@ -67,8 +67,7 @@
             "job" => Self::Job(crate::job::job_number(words.next()?)?),
             "mark" => Self::Mark {
                 part: words.next()?.parse().ok()?,
-                job: crate::job::job_number(words.next()?)?,
-                chunk: words.next()?.parse().ok()?,
+                page: words.next()?.parse().ok()?,
             },
             "grant" => Self::Grant {
                 team: words.next()?.parse().ok()?,
@@ -142,18 +141,17 @@
     pub ram: f64,
 }
 
-/// A machine, a session on it, and numbers with their attempts.
-pub type MarkGroup = (String, u64, Vec<(u32, u64)>);
+/// A mark: the machine's place in the page's list, session, number, attempt.
+pub type MarkEntry = (u32, u64, u32, u64);
 
-/// One chunk of a job's marks in a part.
+/// One page of a part's marks: of all jobs that have some there.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct MarkRecord {
-    /// Marks by machine and session: `[machine, tenure, [[number, attempt], ...]]`.
+pub struct PageRecord {
+    /// Machines that the marks name.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub m: Vec<MarkGroup>,
-    /// Numbers done.
-    #[serde(default, skip_serializing_if = "RangeSet::is_empty")]
-    pub d: RangeSet,
+    pub h: Vec<String>,
+    /// By job's number: its marks, and its numbers done.
+    pub j: Vec<(u64, Vec<MarkEntry>, RangeSet)>,
 }
 
 /// What a part may use of a team's limit.
