--- a/crates/cherryyard-core/src/leader/division.rs
+++ b/crates/cherryyard-core/src/leader/division.rs
@@ -4,13 +4,29 @@
 
 impl Node {
     /// Whether a job's rules allow this sort of machine.
-    pub(crate) fn room_allowed(open: &OpenJob, m: &MachineRoom) -> bool {
+    pub(crate) fn sort_allowed(open: &OpenJob, m: &MachineSort) -> bool {
         (open.spec.borrowed || !m.spot)
             && admit::allows_kind(&open.spec, &m.kind)
             && open.spec.yard.as_ref().is_none_or(|y| *y == m.zone)
             && open.zone.as_ref().is_none_or(|z| *z == m.zone)
     }
 
+    /// A report's machines that the job may use.
+    pub(crate) fn rooms_for<'a>(
+        open: &OpenJob,
+        report: &'a PartReport,
+    ) -> impl Iterator<Item = &'a MachineRoom> + use<'a> {
+        let allowed: Vec<bool> = report
+            .sorts
+            .iter()
+            .map(|s| Self::sort_allowed(open, s))
+            .collect();
+        report
+            .machines
+            .iter()
+            .filter(move |m| allowed[usize::from(m.sort)])
+    }
+
     pub(crate) fn current_room(&self, p: usize, now: Millis) -> Option<&Room> {
         let room = self.leader.rooms[p].as_ref()?;
         let fresh = now - room.at <= self.config.tuning.room_report_s * 2000.0 + 2000.0;
@@ -25,26 +41,28 @@
     pub(crate) fn weights(&self, open: &OpenJob, now: Millis) -> Vec<f64> {
         let all = |weights: &[f64]| weights.iter().sum::<f64>() >= f64::from(open.spec.pieces);
         if open.spec.shape == Shape::Service {
-            let holds = |m: &MachineRoom| m.images.contains(&open.spec.bundle);
-            let free = self.fits(open, now, |m| holds(m).then_some(m.free));
+            let free = self.fits(open, now, true, |m| m.free);
             if all(&free) {
                 return free;
             }
             if open.spec.rank > Rank::Standard {
-                let yielding = self.fits(open, now, |m| holds(m).then_some(m.yielding));
+                let yielding = self.fits(open, now, true, |m| m.yielding);
                 if all(&yielding) {
                     return yielding;
                 }
             }
         }
-        self.fits(open, now, |m| Some(m.free))
+        self.fits(open, now, false, |m| m.free)
     }
 
+    /// How many of the job's tasks fit into each part; `holding`: on machines
+    /// that hold its image.
     pub(crate) fn fits(
         &self,
         open: &OpenJob,
         now: Millis,
-        room_of: impl Fn(&MachineRoom) -> Option<(f32, f32, f32)>,
+        holding: bool,
+        room_of: impl Fn(&MachineRoom) -> (f32, f32, f32),
     ) -> Vec<f64> {
         let needs = open.needs();
         (0..self.parts.len())
@@ -52,13 +70,19 @@
                 let Some(room) = self.current_room(p, now) else {
                     return 0.0;
                 };
-                let fits: u32 = room
+                let image = room
                     .report
-                    .machines
+                    .images
                     .iter()
-                    .filter(|m| Self::room_allowed(open, m))
-                    .filter_map(&room_of)
-                    .map(|(cores, acc, ram)| {
+                    .position(|i| *i == open.spec.bundle);
+                if holding && image.is_none() {
+                    return 0.0;
+                }
+                let held = |m: &MachineRoom| m.images.iter().any(|&i| Some(i.into()) == image);
+                let fits: u32 = Self::rooms_for(open, &room.report)
+                    .filter(|m| !holding || held(m))
+                    .map(|m| {
+                        let (cores, acc, ram) = room_of(m);
                         needs.times_in(&Needs {
                             cores: cores.into(),
                             acc: acc.into(),
@@ -76,13 +100,8 @@
     pub(crate) fn counts(&self, open: &OpenJob, now: Millis) -> Vec<f64> {
         (0..self.parts.len())
             .map(|p| {
-                self.current_room(p, now).map_or(0.0, |r| {
-                    r.report
-                        .machines
-                        .iter()
-                        .filter(|m| Self::room_allowed(open, m))
-                        .count() as f64
-                })
+                self.current_room(p, now)
+                    .map_or(0.0, |r| Self::rooms_for(open, &r.report).count() as f64)
             })
             .collect()
     }
@@ -160,8 +179,8 @@
                 let Some(room) = self.current_room(p, now) else {
                     continue;
                 };
-                for m in &room.report.machines {
-                    if m.zone == zone && Self::room_allowed(open, m) {
+                for m in Self::rooms_for(open, &room.report) {
+                    if room.report.sorts[usize::from(m.sort)].zone == zone {
                         let (cores, acc, ram) = m.free;
                         fits += open.needs().times_in(&Needs {
                             cores: cores.into(),
@@ -191,7 +210,9 @@
             let weights: Vec<f64> = (0..self.parts.len())
                 .map(|p| {
                     self.current_room(p, now).map_or(0.0, |r| {
-                        r.report.machines.iter().filter(|m| m.zone == zone).count() as f64
+                        let zones = &r.report.sorts;
+                        let here = |m: &&MachineRoom| zones[usize::from(m.sort)].zone == zone;
+                        r.report.machines.iter().filter(here).count() as f64
                     })
                 })
                 .collect();
@@ -232,9 +253,9 @@
                 continue;
             }
             commit.require(record::job_key(job), open.stamp);
-            let value = serde_json::json!(open.record());
-            bytes += value.to_string().len();
-            commit.apply.push(Apply::set(record::job_key(job), value));
+            let value = Json::of(&open.record());
+            bytes += value.text().len();
+            commit.apply.push(Apply::put(record::job_key(job), value));
         }
         (!commit.apply.is_empty()).then_some(commit)
     }
--- a/crates/cherryyard-core/src/leader/limits.rs
+++ b/crates/cherryyard-core/src/leader/limits.rs
@@ -74,10 +74,9 @@
                     .require(&mut commit, Key::Grant { team: t, part: p });
             }
             for (p, grant) in changes {
-                commit.apply.push(Apply::set(
-                    record::grant_key(t, p),
-                    serde_json::json!(grant),
-                ));
+                commit
+                    .apply
+                    .push(Apply::set(record::grant_key(t, p), &grant));
             }
             if commit.when.len() + n + 1 > self.config.txn_ops * 4 {
                 break;
--- a/crates/cherryyard-core/src/leader/mod.rs
+++ b/crates/cherryyard-core/src/leader/mod.rs
@@ -13,9 +13,9 @@
 use cherryyard_wire::RangeSet;
 use cherryyard_wire::cloud::{HireRequest, HostStatus};
 use cherryyard_wire::job::{Rank, Shape};
-use cherryyard_wire::peer::{MachineRoom, PartReport};
+use cherryyard_wire::peer::{MachineRoom, MachineSort, PartReport};
 use cherryyard_wire::record::{self, Claim, Grant, Key};
-use cherryyard_wire::state::{Apply, Commit};
+use cherryyard_wire::state::{Apply, Commit, Json};
 use std::collections::HashMap;
 
 /// Whether this controller leads.
@@ -138,6 +138,9 @@
         let Some(place) = self.rooms.get_mut(report.part as usize) else {
             return;
         };
+        if !report.is_sound() {
+            return;
+        }
         if place
             .as_ref()
             .is_some_and(|r| r.report.stamp > report.stamp)
@@ -204,7 +207,7 @@
         };
         commit.apply.push(Apply::Set {
             set: record::LEAD.into(),
-            v: serde_json::json!(claim),
+            v: Json::of(&claim),
             hold: Some(hold),
         });
         if matches!(self.leader.phase, LeadPhase::Leading(_)) {
@@ -313,14 +316,14 @@
         if self.mirror.kinds_stamp != 0 && self.mirror.kinds == named {
             return None;
         }
-        let value = serde_json::json!(named);
-        if value.to_string().len() > self.config.value_bytes {
+        let value = Json::of(&named);
+        if value.text().len() > self.config.value_bytes {
             tracing::warn!("the machine types are too many to keep in the state service");
             return None;
         }
         let mut commit = Commit::default();
         self.mirror.require(&mut commit, Key::Kinds);
-        commit.apply.push(Apply::set(record::KINDS, value));
+        commit.apply.push(Apply::put(record::KINDS, value));
         Some(commit)
     }
 
--- a/crates/cherryyard-core/src/leader/overflow.rs
+++ b/crates/cherryyard-core/src/leader/overflow.rs
@@ -79,12 +79,12 @@
                         ));
                     }
                 }
-                let value = serde_json::json!(new.record());
-                if value.to_string().len() > self.config.value_bytes {
+                let value = Json::of(&new.record());
+                if value.text().len() > self.config.value_bytes {
                     continue;
                 }
                 tracing::debug!(job, from = p, count = moving.len(), "move waiting tasks");
-                commit.apply.push(Apply::set(record::job_key(job), value));
+                commit.apply.push(Apply::put(record::job_key(job), value));
                 return Some(commit);
             }
         }
--- a/crates/cherryyard-core/src/leader/rent.rs
+++ b/crates/cherryyard-core/src/leader/rent.rs
@@ -31,7 +31,7 @@
             };
             for m in &room.report.machines {
                 free += f64::from(m.free.0);
-                total += cores_of(&m.kind);
+                total += cores_of(&room.report.sorts[usize::from(m.sort)].kind);
             }
         }
         let mut waiting = 0.0;
--- a/crates/cherryyard-core/src/mirror.rs
+++ b/crates/cherryyard-core/src/mirror.rs
@@ -11,9 +11,8 @@
 use cherryyard_wire::record::{
     Claim, End, Grant, ImagesRecord, JobRecord, Key, MarkEntry, PageRecord, Use,
 };
-use cherryyard_wire::state::{Apply, Commit, News, Pair};
+use cherryyard_wire::state::{Apply, Commit, Json, News, Pair};
 use cherryyard_wire::{RangeSet, record};
-use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 /// A claim on a part or on the lead.
@@ -450,7 +449,7 @@
         }
     }
 
-    fn put(&mut self, text: &str, value: &Value, stamp: u64) {
+    fn put(&mut self, text: &str, value: &Json, stamp: u64) {
         let Some(key) = Key::parse(text) else { return };
         if self.stamp(key) >= stamp || self.deleted.get(&key).is_some_and(|&s| s >= stamp) {
             return;
@@ -460,28 +459,24 @@
         }
     }
 
-    fn put_record(&mut self, key: Key, value: &Value, stamp: u64) -> Result<(), String> {
-        use serde::Deserialize;
-        fn read<'a, T: Deserialize<'a>>(value: &'a Value) -> Result<T, String> {
-            T::deserialize(value).map_err(|e| e.to_string())
-        }
+    fn put_record(&mut self, key: Key, value: &Json, stamp: u64) -> Result<(), String> {
         match key {
             Key::Lead => {
                 self.lead = Some(ClaimState {
-                    label: read::<Claim>(value)?.label,
+                    label: value.read::<Claim>()?.label,
                     stamp,
                 });
             }
             Key::Kinds => {
-                self.kinds = read(value)?;
+                self.kinds = value.read()?;
                 self.kinds_stamp = stamp;
             }
             Key::Part(p) => {
-                let label = read::<Claim>(value)?.label;
+                let label = value.read::<Claim>()?.label;
                 *self.parts.get_mut(p).ok_or("no such part")? = Some(ClaimState { label, stamp });
             }
             Key::Images(p) => {
-                let record: ImagesRecord = read(value)?;
+                let record: ImagesRecord = value.read()?;
                 if record
                     .h
                     .iter()
@@ -492,9 +487,9 @@
                 }
                 *self.images.get_mut(p).ok_or("no such part")? = (record, stamp);
             }
-            Key::Job(j) => self.put_job(j, read(value)?, stamp)?,
+            Key::Job(j) => self.put_job(j, value.read()?, stamp)?,
             Key::Mark { part, page } => {
-                let record: PageRecord = read(value)?;
+                let record: PageRecord = value.read()?;
                 let good = record.j.iter().all(|(_, marks, done)| {
                     done.is_canonical() && marks.iter().all(|m| (m.0 as usize) < record.h.len())
                 });
@@ -523,7 +518,7 @@
                 self.set_page(part, page, Some(Page { stamp, jobs }));
             }
             Key::Grant { team, part } => {
-                let grant = read(value)?;
+                let grant = value.read()?;
                 let place = self.grants.get_mut(team).and_then(|g| g.get_mut(part));
                 *place.ok_or("no such grant")? = (grant, stamp);
             }
--- a/crates/cherryyard-core/src/node.rs
+++ b/crates/cherryyard-core/src/node.rs
@@ -7,7 +7,7 @@
 use cherryyard_wire::cloud::{HireRequest, HostEntry, HostKind};
 use cherryyard_wire::peer::{Beat, PartReport};
 use cherryyard_wire::record::{self, Claim, Key};
-use cherryyard_wire::state::{Apply, Commit, News, Pair};
+use cherryyard_wire::state::{Apply, Commit, Json, News, Pair};
 use cherryyard_wire::worker::{DoRequest, Order, Report, ReportAnswer};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -687,7 +687,7 @@
             };
             commit.apply.push(Apply::Set {
                 set: record::part_key(p),
-                v: serde_json::json!(claim),
+                v: Json::of(&claim),
                 hold: Some(hold),
             });
             self.parts[p].claiming = true;
--- a/crates/cherryyard-core/src/owner/images.rs
+++ b/crates/cherryyard-core/src/owner/images.rs
@@ -63,13 +63,13 @@
                 .h
                 .push((self.mirror.hosts.name(m.host).to_string(), held));
         }
-        let value = serde_json::json!(record);
-        if record == self.mirror.images[p].0 || value.to_string().len() > self.config.value_bytes {
+        let value = Json::of(&record);
+        if record == self.mirror.images[p].0 || value.text().len() > self.config.value_bytes {
             return None;
         }
         let mut commit = Commit::default();
         commit.require(record::part_key(p), token);
-        commit.apply.push(Apply::set(record::images_key(p), value));
+        commit.apply.push(Apply::put(record::images_key(p), value));
         Some(commit)
     }
 }
--- a/crates/cherryyard-core/src/owner/mod.rs
+++ b/crates/cherryyard-core/src/owner/mod.rs
@@ -14,13 +14,14 @@
 
 use crate::machine::{HostEvent, HostState, Machine, PushedStart, Task};
 use crate::mirror::{Mark, Needs, OpenJob, Page};
+use crate::names::Names;
 use crate::node::{Effect, Node, Outcome, Tenancy, Ticket};
 use crate::{Millis, admit};
 use cherryyard_wire::cloud::{HostEntry, HostStatus};
 use cherryyard_wire::job::{Rank, Shape};
-use cherryyard_wire::peer::{MachineRoom, PartReport};
+use cherryyard_wire::peer::{MachineRoom, MachineSort, PartReport};
 use cherryyard_wire::record::{self, End, Grant, ImagesRecord, Key};
-use cherryyard_wire::state::{Apply, Commit};
+use cherryyard_wire::state::{Apply, Commit, Json};
 use cherryyard_wire::worker::{
     Cause, DoRequest, Order, PieceStatus, Report, piece_name, piece_numbers,
 };
--- a/crates/cherryyard-core/src/owner/place.rs
+++ b/crates/cherryyard-core/src/owner/place.rs
@@ -23,29 +23,29 @@
 
     /// Open jobs with waiting numbers, in the order in which they are served.
     pub(crate) fn queue(&self, p: usize, now: Millis) -> Vec<(u64, cherryyard_wire::RangeSet)> {
-        let mut all: Vec<_> = self.mirror.waiting[p]
-            .iter()
-            .filter_map(|(&job, waiting)| Some((job, self.mirror.open.get(&job)?, waiting.clone())))
-            .collect();
+        let all = self.mirror.waiting[p].iter().filter_map(|(&job, waiting)| {
+            Some((job, self.mirror.open.get(&job)?, waiting.clone()))
+        });
         let wall = now + self.wall_offset;
-        all.sort_by(|a, b| {
-            let key = |o: &OpenJob| {
+        let mut keyed: Vec<_> = all
+            .map(|(job, o, waiting)| {
                 let sweep = o.spec.shape == Shape::Sweep;
-                (std::cmp::Reverse(o.spec.rank), sweep, self.hope(o, wall))
-            };
-            let work = |job: u64, o: &OpenJob| {
                 let left = o.spec.pieces.saturating_sub(self.mirror.done(job));
-                f64::from(left) * o.spec.expected_s * o.spec.cores
-            };
-            key(a.1)
-                .cmp(&key(b.1))
-                .then(work(a.0, a.1).total_cmp(&work(b.0, b.1)))
-                .then(a.1.due_ms().total_cmp(&b.1.due_ms()))
-                .then(a.1.at.cmp(&b.1.at))
-                .then(a.0.cmp(&b.0))
+                let work = f64::from(left) * o.spec.expected_s * o.spec.cores;
+                let key = (std::cmp::Reverse(o.spec.rank), sweep, self.hope(o, wall));
+                (key, work, o.due_ms(), o.at, job, waiting)
+            })
+            .collect();
+        keyed.sort_by(|a, b| {
+            a.0.cmp(&b.0)
+                .then(a.1.total_cmp(&b.1))
+                .then(a.2.total_cmp(&b.2))
+                .then(a.3.cmp(&b.3))
+                .then(a.4.cmp(&b.4))
         });
-        all.into_iter()
-            .map(|(job, _, waiting)| (job, waiting))
+        keyed
+            .into_iter()
+            .map(|(.., job, waiting)| (job, waiting))
             .collect()
     }
 
@@ -96,6 +96,7 @@
                 u.take(&needs);
             }
         }
+        let preemptible = self.preemptible(p);
         let mut placed = 0;
         'jobs: for (job, waiting) in &queue {
             let open = &self.mirror.open[job];
@@ -160,7 +161,10 @@
                     .map(|(i, _)| i);
                 let Some(i) = best else {
                     unplaced.push(number);
-                    if unplaced.len() >= 8 {
+                    // Where no machine has room for one of them, none has for
+                    // the next.
+                    if unplaced.len() >= 8 || !rooms.iter().any(|r| needs.fits(&r.1)) {
+                        unplaced.extend(waiting.iter().filter(|n| *n > number).take(3));
                         break;
                     }
                     continue;
@@ -169,6 +173,7 @@
                 if open.spec.shape == Shape::Service
                     && kept.is_none()
                     && self.fetch_s(open, host) > 1.5
+                    && self.may_preempt(open, &preemptible)
                 {
                     // Where the image is, the replica runs at once; the arrays
                     // there can make way more easily than it can wait.
@@ -197,7 +202,7 @@
                 pending.hosts.insert(host);
                 placed += 1;
             }
-            if !unplaced.is_empty() && self.mirror.open[job].spec.rank > Rank::BestEffort {
+            if !unplaced.is_empty() && self.may_preempt(&self.mirror.open[job], &preemptible) {
                 let job = *job;
                 self.preempt(p, job, &unplaced, round, now, false);
             }
--- a/crates/cherryyard-core/src/owner/preempt.rs
+++ b/crates/cherryyard-core/src/owner/preempt.rs
@@ -2,7 +2,42 @@
 
 use super::*;
 
+/// Whose work in a part could make way at all.
+pub(crate) struct Preemptible {
+    lowest: Option<Rank>,
+    /// Teams with work there that use more than their guarantee.
+    beyond: BTreeSet<u32>,
+}
+
 impl Node {
+    /// Looked at once a round: where nothing could make way, no machine need be
+    /// searched for each job that waits.
+    pub(crate) fn preemptible(&self, p: usize) -> Preemptible {
+        let totals = self.team_totals();
+        let mut found = Preemptible {
+            lowest: None,
+            beyond: BTreeSet::new(),
+        };
+        for (&(_, job), m) in self.mirror.marks.range((p, 0)..=(p, u64::MAX)) {
+            let Some(open) = self.mirror.open.get(&job).filter(|_| !m.marks.is_empty()) else {
+                continue;
+            };
+            let rank = open.spec.rank;
+            found.lowest = Some(found.lowest.map_or(rank, |r| r.min(rank)));
+            let team = open.team as usize;
+            if totals[team].cores > self.config.teams[team].cores + 1e-6 {
+                found.beyond.insert(open.team);
+            }
+        }
+        found
+    }
+
+    /// Whether anything could make way for a job.
+    pub(crate) fn may_preempt(&self, open: &OpenJob, found: &Preemptible) -> bool {
+        found.lowest.is_some_and(|rank| rank < open.spec.rank)
+            || found.beyond.iter().any(|&t| t != open.team)
+    }
+
     /// Stops less important work so that waiting numbers of `job` fit; with
     /// `holding`, only on machines that hold its image. Says whether a machine
     /// is now kept for any of them.
--- a/crates/cherryyard-core/src/owner/room.rs
+++ b/crates/cherryyard-core/src/owner/room.rs
@@ -92,27 +92,39 @@
             want.cores = want.cores.min(whole.cores).max(used.cores);
             want.acc = want.acc.min(whole.acc).max(used.acc);
         }
-        PartReport {
-            part: p as u32,
-            stamp: self.mirror.stamp(Key::Part(p)),
-            machines: machines
-                .into_iter()
-                .filter_map(|m| {
-                    let free = self.free_on(m, None)?;
-                    Some(MachineRoom {
+        let (mut sorts, mut images) = (Vec::new(), Names::default());
+        let rooms = machines
+            .into_iter()
+            .filter_map(|m| {
+                let free = self.free_on(m, None)?;
+                let same =
+                    |s: &MachineSort| s.kind == m.kind && s.zone == m.zone && s.spot == m.spot;
+                let sort = sorts.iter().position(same).unwrap_or_else(|| {
+                    sorts.push(MachineSort {
                         kind: m.kind.clone(),
                         zone: m.zone.clone(),
                         spot: m.spot,
-                        free: (free.cores as f32, free.acc as f32, free.ram as f32),
-                        yielding: self.yielding(m, free),
-                        images: m
-                            .images
-                            .iter()
-                            .filter(|i| i.whole)
-                            .map(|i| i.name.clone())
-                            .collect(),
-                    })
+                    });
+                    sorts.len() - 1
+                });
+                let held = m.images.iter().filter(|i| i.whole);
+                Some(MachineRoom {
+                    sort: sort.try_into().ok()?,
+                    free: (free.cores as f32, free.acc as f32, free.ram as f32),
+                    yielding: self.yielding(m, free),
+                    images: held
+                        .filter_map(|i| images.intern(&i.name).try_into().ok())
+                        .collect(),
                 })
+            })
+            .collect();
+        PartReport {
+            part: p as u32,
+            stamp: self.mirror.stamp(Key::Part(p)),
+            machines: rooms,
+            sorts,
+            images: (0..images.len() as u32)
+                .map(|i| images.name(i).to_string())
                 .collect(),
             waiting,
             wants: wants
@@ -164,7 +176,7 @@
                     commit.require(record::grant_key(t, p), stamp);
                     commit
                         .apply
-                        .push(Apply::set(record::grant_key(t, p), serde_json::json!(keep)));
+                        .push(Apply::set(record::grant_key(t, p), &keep));
                 }
             }
             commit.apply.truncate(self.config.txn_ops);
--- a/crates/cherryyard-core/src/owner/round.rs
+++ b/crates/cherryyard-core/src/owner/round.rs
@@ -340,8 +340,8 @@
                 .require(&mut commit, Key::Mark { part: p, page });
             let key = record::mark_key(p, page);
             if !new.jobs.is_empty() {
-                let value = serde_json::json!(new.record(&self.mirror.hosts));
-                commit.apply.push(Apply::set(key, value));
+                let record = new.record(&self.mirror.hosts);
+                commit.apply.push(Apply::set(key, &record));
             } else if self.mirror.pages[p].contains_key(&page) {
                 commit.apply.push(Apply::delete(key));
             }
@@ -360,8 +360,8 @@
         }
         for &job in &round.ends {
             if let Some(open) = self.mirror.open.get(&job) {
-                let value = serde_json::json!(open.ended(End::Done));
-                commit.apply.push(Apply::set(record::job_key(job), value));
+                let value = open.ended(End::Done);
+                commit.apply.push(Apply::set(record::job_key(job), &value));
             }
         }
         commit
--- a/crates/cherryyard-rehearsal/src/state.rs
+++ b/crates/cherryyard-rehearsal/src/state.rs
@@ -1,15 +1,14 @@
 //! Stand-in of the state service.
 
 use cherryyard_core::Outcome;
-use cherryyard_wire::state::{Apply, Change, Commit, News, Pair};
-use serde_json::Value;
+use cherryyard_wire::state::{Apply, Change, Commit, Json, News, Pair};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Keys, revisions and leases.
 #[derive(Debug, Default)]
 pub struct StateStandIn {
     epoch: u64,
-    keys: BTreeMap<String, (Value, u64, Option<u64>)>,
+    keys: BTreeMap<String, (Json, u64, Option<u64>)>,
     holds: BTreeMap<u64, f64>,
     next_hold: u64,
     changes: Vec<Change>,
@@ -23,7 +22,7 @@
     }
 
     /// A key's value and stamp.
-    pub fn get(&self, key: &str) -> Option<(&Value, u64)> {
+    pub fn get(&self, key: &str) -> Option<(&Json, u64)> {
         self.keys.get(key).map(|(v, stamp, _)| (v, *stamp))
     }
 
@@ -101,7 +100,7 @@
             self.changes.push(Change {
                 set: None,
                 delete: Some(key.to_string()),
-                v: Value::Null,
+                v: Json::default(),
                 stamp: self.epoch,
             });
         }
@@ -124,7 +123,7 @@
         for change in &commit.apply {
             match change {
                 Apply::Set { set, v, hold } => {
-                    let size = v.to_string().len();
+                    let size = v.text().len();
                     let largest = self.largest.entry(set.clone()).or_default();
                     *largest = (*largest).max(size);
                     self.keys
--- a/crates/cherryyard-rehearsal/src/world.rs
+++ b/crates/cherryyard-rehearsal/src/world.rs
@@ -218,7 +218,7 @@
         let mut commit = Commit::default();
         commit.require(job_key(job), 0);
         let record = json!({ "spec": spec, "at": self.now as u64 });
-        commit.apply.push(Apply::set(job_key(job), record));
+        commit.apply.push(Apply::set(job_key(job), &record));
         let outcome = self.state.commit(&commit);
         self.say(format!("{} submitted: {outcome:?}", spec.id));
     }
@@ -234,7 +234,7 @@
         let mut commit = Commit::default();
         node.mirror.require(&mut commit, Key::Job(job));
         let record = json!(node.mirror.open[&job].ended(End::Cancelled));
-        commit.apply.push(Apply::set(job_key(job), record));
+        commit.apply.push(Apply::set(job_key(job), &record));
         let outcome = self.state.commit(&commit);
         if let Outcome::Applied(e) = outcome {
             node.user_committed(&commit, e, now);
--- a/crates/cherryyard-rehearsal/tests/rules.rs
+++ b/crates/cherryyard-rehearsal/tests/rules.rs
@@ -5,7 +5,6 @@
 use cherryyard_wire::job::{JobStatus, Rank};
 use cherryyard_wire::record::{JobRecord, job_key};
 use cherryyard_wire::state::{Change, News};
-use serde::Deserialize;
 
 /// A running cluster whose parts are owned and whose machines have reported.
 fn settled(setup: Setup) -> World {
@@ -319,10 +318,7 @@
     }
     w.submit(&World::spec("j-000001", "sweep", 40));
     w.run_until(120.0, |w| {
-        w.state
-            .pairs()
-            .iter()
-            .any(|p| p.v.to_string().contains("done"))
+        w.state.pairs().iter().any(|p| p.v.text().contains("done"))
     });
     assert_eq!(w.most_cores, 12.0);
     w.most_cores = 0.0;
@@ -348,7 +344,7 @@
     w.run(0.5);
     let record = |w: &World| {
         let v = w.state.get(&job_key(1)).unwrap().0.clone();
-        match JobRecord::deserialize(v).unwrap() {
+        match v.read::<JobRecord>().unwrap() {
             JobRecord::Open { div, .. } => div,
             JobRecord::Ended { .. } => panic!("not over yet"),
         }
@@ -483,7 +479,7 @@
     w.submit(&World::spec("j-000002", "sweep", 31));
     w.run(2.0);
     let record = w.state.get(&job_key(2)).unwrap().0.clone();
-    let JobRecord::Open { div, .. } = JobRecord::deserialize(record).unwrap() else {
+    let JobRecord::Open { div, .. } = record.read::<JobRecord>().unwrap() else {
         panic!("not over yet");
     };
     let shares: Vec<u32> = div.iter().map(|s| s.len()).collect();
--- a/crates/cherryyard-wire/src/lib.rs
+++ b/crates/cherryyard-wire/src/lib.rs
@@ -24,6 +24,13 @@
 ///
 /// Arrays are refused although serde would accept them for a struct.
 pub fn parse_object<T: serde::de::DeserializeOwned>(text: &[u8]) -> Result<T, String> {
+    let first = text.iter().find(|b| !b.is_ascii_whitespace());
+    if first == Some(&b'{')
+        && let Ok(good) = serde_json::from_slice(text)
+    {
+        return Ok(good);
+    }
+    // Read once more, slowly, to tell what is wrong with it.
     let value: serde_json::Value =
         serde_json::from_slice(text).map_err(|e| format!("not JSON: {e}"))?;
     if !value.is_object() {
--- a/crates/cherryyard-wire/src/peer.rs
+++ b/crates/cherryyard-wire/src/peer.rs
@@ -6,7 +6,7 @@
 use bitcode::{Decode, Encode};
 
 /// The version of the frames.
-pub const VERSION: u8 = 3;
+pub const VERSION: u8 = 4;
 /// Largest frame in bytes.
 pub const MAX_FRAME: usize = 256 * 1024;
 
@@ -36,6 +36,10 @@
     pub part: u32,
     /// Stamp of the claim that the report was made under.
     pub stamp: u64,
+    /// Sorts of machine that the part has.
+    pub sorts: Vec<MachineSort>,
+    /// Images that its machines hold.
+    pub images: Vec<String>,
     /// Usable machines.
     pub machines: Vec<MachineRoom>,
     /// Waiting tasks by job: the job's number, how many, and for how long.
@@ -44,21 +48,38 @@
     pub wants: Vec<(String, f64, f64)>,
 }
 
-/// Free room of a machine.
-#[derive(Clone, Debug, PartialEq, Encode, Decode)]
-pub struct MachineRoom {
+/// A sort of machine.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct MachineSort {
     /// Its type.
     pub kind: String,
     /// Its zone.
     pub zone: String,
     /// Spot or ordinary.
     pub spot: bool,
+}
+
+/// Free room of a machine.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct MachineRoom {
+    /// Its place among the report's sorts.
+    pub sort: u16,
     /// Free cores, accelerators and memory.
     pub free: (f32, f32, f32),
     /// The same if arrays of ordinary rank or below made way.
     pub yielding: (f32, f32, f32),
-    /// Images that it holds whole.
-    pub images: Vec<String>,
+    /// Images that it holds whole, by their places in the report.
+    pub images: Vec<u16>,
+}
+
+impl PartReport {
+    /// Whether the machines name only what the report lists.
+    pub fn is_sound(&self) -> bool {
+        self.machines.iter().all(|m| {
+            usize::from(m.sort) < self.sorts.len()
+                && m.images.iter().all(|&i| usize::from(i) < self.images.len())
+        })
+    }
 }
 
 /// Puts a beat into a frame's payload.
@@ -100,6 +121,6 @@
         }
         let mut foreign = whole.clone();
         foreign[0] = 9;
-        assert_eq!(decode(&foreign), Err("version 9 instead of 3".into()));
+        assert_eq!(decode(&foreign), Err("version 9 instead of 4".into()));
     }
 }
--- a/crates/cherryyard-wire/src/state.rs
+++ b/crates/cherryyard-wire/src/state.rs
@@ -1,7 +1,42 @@
 //! The state service's messages.
 
 use serde::{Deserialize, Serialize};
-use serde_json::Value;
+use serde_json::value::RawValue;
+
+/// A value as text: it is only read where somebody needs it. Most of what a
+/// watch tells is known already, from the reader's own transactions.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Json(Box<RawValue>);
+
+impl Json {
+    /// The JSON of `value`; null if it has none.
+    pub fn of(value: &impl Serialize) -> Self {
+        serde_json::value::to_raw_value(value).map_or_else(|_| Self::default(), Self)
+    }
+
+    /// The text.
+    pub fn text(&self) -> &str {
+        self.0.get()
+    }
+
+    /// Reads it as a `T`.
+    pub fn read<T: serde::de::DeserializeOwned>(&self) -> Result<T, String> {
+        serde_json::from_str(self.text()).map_err(|e| e.to_string())
+    }
+}
+
+impl Default for Json {
+    fn default() -> Self {
+        Self(RawValue::NULL.to_owned())
+    }
+}
+
+impl PartialEq for Json {
+    fn eq(&self, other: &Self) -> bool {
+        self.text() == other.text()
+    }
+}
 
 /// A key and its value.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -9,7 +44,7 @@
     /// The key.
     pub key: String,
     /// Its value.
-    pub v: Value,
+    pub v: Json,
     /// Revision of its last change.
     pub stamp: u64,
 }
@@ -36,7 +71,7 @@
 }
 
 /// One change of a transaction.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize)]
 #[serde(untagged)]
 pub enum Apply {
     /// Puts a value.
@@ -44,7 +79,7 @@
         /// The key.
         set: String,
         /// The value.
-        v: Value,
+        v: Json,
         /// The lease it hangs on.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         hold: Option<u64>,
@@ -58,7 +93,12 @@
 
 impl Apply {
     /// A put without a lease.
-    pub fn set(key: impl Into<String>, v: Value) -> Self {
+    pub fn set(key: impl Into<String>, v: &impl Serialize) -> Self {
+        Self::put(key, Json::of(v))
+    }
+
+    /// A put without a lease, of a value made before.
+    pub fn put(key: impl Into<String>, v: Json) -> Self {
         Self::Set {
             set: key.into(),
             v,
@@ -81,7 +121,7 @@
 }
 
 /// A transaction.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Commit {
     /// What must hold.
     pub when: Vec<When>,
@@ -134,7 +174,7 @@
     pub delete: Option<String>,
     /// The value put.
     #[serde(default)]
-    pub v: Value,
+    pub v: Json,
     /// The revision.
     pub stamp: u64,
 }
--- a/crates/cherryyard/src/routes.rs
+++ b/crates/cherryyard/src/routes.rs
@@ -219,9 +219,7 @@
                 }
             }
         });
-        commit
-            .apply
-            .push(Apply::set(job_key(job), serde_json::json!(open.record())));
+        commit.apply.push(Apply::set(job_key(job), &open.record()));
         match app.commit(&commit).await {
             Outcome::Applied(epoch) => {
                 app.with(|n, now| n.user_committed(&commit, epoch, now));
@@ -270,8 +268,8 @@
             let open = n.mirror.open.get(&job)?;
             let mut commit = Commit::default();
             n.mirror.require(&mut commit, Key::Job(job));
-            let record = serde_json::json!(open.ended(End::Cancelled));
-            commit.apply.push(Apply::set(job_key(job), record));
+            let record = open.ended(End::Cancelled);
+            commit.apply.push(Apply::set(job_key(job), &record));
             Some(commit)
         });
         let Some(commit) = commit else { continue };
