--- a/crates/cherryyard-core/src/config.rs
+++ b/crates/cherryyard-core/src/config.rs
@@ -136,7 +136,7 @@
             round_writes_per_s: c.state.write_rps * 0.6 / controllers.len() as f64,
             value_bytes,
             list_lag_ms: c.cloud.list_lag_s * 1000.0,
-            page_bytes: (value_bytes * 15 / 16).clamp(256, MAX_PAGE),
+            page_bytes: value_bytes.saturating_sub(64).clamp(256, MAX_PAGE),
             deadline_times,
             tuning,
         }
--- a/crates/cherryyard-core/src/mirror.rs
+++ b/crates/cherryyard-core/src/mirror.rs
@@ -9,7 +9,7 @@
 use cherryyard_wire::cloud::HostKind;
 use cherryyard_wire::job::{JobSpec, JobStatus, JobView, Shape, job_id};
 use cherryyard_wire::record::{
-    Claim, End, Grant, ImagesRecord, JobRecord, Key, MarkEntry, PageRecord, Use,
+    Claim, End, Grant, ImagesRecord, JobRecord, Key, MarkGroup, PageRecord, Use,
 };
 use cherryyard_wire::state::{Apply, Commit, Json, News, Pair};
 use cherryyard_wire::{RangeSet, record};
@@ -183,12 +183,18 @@
 }
 
 impl Page {
-    /// Most bytes that a new mark adds, itself done or not: what a page has
-    /// room for once it has room for for ever.
+    /// A mark's machine and number, or the number among those done once it is:
+    /// so a page that has room for a mark has room for what becomes of it.
+    fn entry_bytes(number: u32) -> usize {
+        let number = digits(number.into());
+        (5 + number).max(4 + 2 * number)
+    }
+
+    /// Most bytes that a new mark adds: its job, group, machine and entry.
     pub fn mark_bytes(job: u64, number: u32, mark: &Mark, hosts: &Names) -> usize {
-        let entry = 10 + digits(mark.session) + digits(number.into()) + digits(mark.attempt);
-        let done = 4 + 2 * digits(number.into());
-        entry.max(done) + hosts.name(mark.host).len() + 3 + digits(job) + 10
+        let group = 4 + digits(mark.session) + digits(mark.attempt);
+        let name = hosts.name(mark.host).len() + 3;
+        10 + digits(job) + group + name + Self::entry_bytes(number)
     }
 
     /// About how many bytes the record takes, never too few.
@@ -197,14 +203,15 @@
         let mut bytes = 20;
         for (&job, j) in &self.jobs {
             bytes += digits(job) + 10;
+            let mut groups = HashSet::new();
             for (&number, mark) in &j.marks {
-                let fresh = named.insert(mark.host);
-                let whole = Self::mark_bytes(job, number, mark, hosts) - digits(job) - 10;
-                bytes += if fresh {
-                    whole
-                } else {
-                    whole - hosts.name(mark.host).len() - 3
-                };
+                if named.insert(mark.host) {
+                    bytes += hosts.name(mark.host).len() + 3;
+                }
+                if groups.insert((mark.attempt, mark.session)) {
+                    bytes += 4 + digits(mark.session) + digits(mark.attempt);
+                }
+                bytes += Self::entry_bytes(number);
             }
             for r in j.done.ranges() {
                 bytes += 4 + digits(r.0.into()) + digits(r.1.into());
@@ -215,24 +222,59 @@
 
     /// The record to write.
     pub fn record(&self, hosts: &Names) -> PageRecord {
-        let mut places: HashMap<u32, u32> = HashMap::new();
+        let mut places: HashMap<u32, u64> = HashMap::new();
         let mut record = PageRecord::default();
         for (&job, j) in &self.jobs {
-            let marks = j
-                .marks
-                .iter()
-                .map(|(&number, mark)| -> MarkEntry {
-                    let place = *places.entry(mark.host).or_insert_with(|| {
-                        record.h.push(hosts.name(mark.host).to_string());
-                        record.h.len() as u32 - 1
-                    });
-                    (place, mark.session, number, mark.attempt)
-                })
-                .collect();
-            record.j.push((job, marks, j.done.clone()));
+            let mut groups: BTreeMap<(u64, u64), MarkGroup> = BTreeMap::new();
+            for (&number, mark) in &j.marks {
+                let place = *places.entry(mark.host).or_insert_with(|| {
+                    record.h.push(hosts.name(mark.host).to_string());
+                    record.h.len() as u64 - 1
+                });
+                groups
+                    .entry((mark.attempt, mark.session))
+                    .or_insert_with(|| vec![mark.attempt, mark.session])
+                    .extend([place, number.into()]);
+            }
+            record
+                .j
+                .push((job, groups.into_values().collect(), j.done.clone()));
         }
         record
     }
+
+    /// What a record says; none if it makes no sense.
+    fn of_record(record: PageRecord, stamp: u64, hosts: &mut Names) -> Option<Self> {
+        let hosts: Vec<u32> = record.h.iter().map(|h| hosts.intern(h)).collect();
+        let mut page = Self {
+            stamp,
+            ..Self::default()
+        };
+        for (job, groups, done) in record.j {
+            if !done.is_canonical() {
+                return None;
+            }
+            let mut marks = BTreeMap::new();
+            for group in groups {
+                let (&[attempt, session], list) = group.split_first_chunk()?;
+                let pairs = list.chunks_exact(2);
+                if !pairs.remainder().is_empty() {
+                    return None;
+                }
+                for pair in pairs {
+                    let host = *hosts.get(usize::try_from(pair[0]).ok()?)?;
+                    let mark = Mark {
+                        host,
+                        session,
+                        attempt,
+                    };
+                    marks.insert(u32::try_from(pair[1]).ok()?, mark);
+                }
+            }
+            page.jobs.insert(job, PageJob { marks, done });
+        }
+        Some(page)
+    }
 }
 
 /// All marks of one job in one part, over its pages.
@@ -489,33 +531,12 @@
             }
             Key::Job(j) => self.put_job(j, value.read()?, stamp)?,
             Key::Mark { part, page } => {
-                let record: PageRecord = value.read()?;
-                let good = record.j.iter().all(|(_, marks, done)| {
-                    done.is_canonical() && marks.iter().all(|m| (m.0 as usize) < record.h.len())
-                });
-                if !good || part >= self.parts.len() {
-                    return Err("bad ranges, machines or part".into());
+                if part >= self.parts.len() {
+                    return Err("no such part".into());
                 }
-                let hosts: Vec<u32> = record.h.iter().map(|h| self.hosts.intern(h)).collect();
-                let jobs = record.j.into_iter().map(|(job, marks, done)| {
-                    let marks = marks
-                        .into_iter()
-                        .map(|(place, session, number, attempt)| {
-                            let host = hosts[place as usize];
-                            (
-                                number,
-                                Mark {
-                                    host,
-                                    session,
-                                    attempt,
-                                },
-                            )
-                        })
-                        .collect();
-                    (job, PageJob { marks, done })
-                });
-                let jobs = jobs.collect();
-                self.set_page(part, page, Some(Page { stamp, jobs }));
+                let new = Page::of_record(value.read()?, stamp, &mut self.hosts)
+                    .ok_or("bad ranges, machines or marks")?;
+                self.set_page(part, page, Some(new));
             }
             Key::Grant { team, part } => {
                 let grant = value.read()?;
--- a/crates/cherryyard-core/src/owner/mod.rs
+++ b/crates/cherryyard-core/src/owner/mod.rs
@@ -175,7 +175,18 @@
         let passed = (now - part.budget_at) / 1000.0;
         part.budget = (part.budget + passed * rate).min((rate * 2.0).max(3.0));
         part.budget_at = now;
-        now - part.planned_at >= ROUND_MS && part.budget >= 1.0
+        if now - part.planned_at < ROUND_MS {
+            return false;
+        }
+        // A service that no round has seen yet need not wait for the budget of
+        // completions; what it takes is missing later.
+        let fresh = |job: &u64| {
+            let open = self.mirror.open.get(job);
+            open.is_some_and(|o| o.spec.shape == Shape::Service)
+                && !part.waiting_since.contains_key(job)
+        };
+        part.budget >= 1.0
+            || (part.budget > -2.0 * rate && self.mirror.waiting[p].keys().any(fresh))
     }
 
     /// One round of a part: collects, places, writes.
--- a/crates/cherryyard-wire/src/record.rs
+++ b/crates/cherryyard-wire/src/record.rs
@@ -141,8 +141,10 @@
     pub ram: f64,
 }
 
-/// A mark: the machine's place in the page's list, session, number, attempt.
-pub type MarkEntry = (u32, u64, u32, u64);
+/// Marks of one attempt and session: `[attempt, session, machine, number,
+/// machine, number, ...]`, each machine by its place in the page's list. Tasks
+/// of a job mostly start together, so this is a few bytes for each.
+pub type MarkGroup = Vec<u64>;
 
 /// One page of a part's marks: of all jobs that have some there.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -151,7 +153,7 @@
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub h: Vec<String>,
     /// By job's number: its marks, and its numbers done.
-    pub j: Vec<(u64, Vec<MarkEntry>, RangeSet)>,
+    pub j: Vec<(u64, Vec<MarkGroup>, RangeSet)>,
 }
 
 /// What a part may use of a team's limit.
