--- a/crates/cherryyard-core/src/owner/mod.rs
+++ b/crates/cherryyard-core/src/owner/mod.rs
@@ -32,7 +32,10 @@
 const TXN_BYTES: usize = 48 * 1024;
 /// Least time between two rounds of a part, and between two looks at leases.
 const ROUND_MS: f64 = 100.0;
-const KEEP_MS: f64 = 200.0;
+const KEEP_MS: f64 = 400.0;
+/// Time before placement is tried again where nothing found room and nothing
+/// has changed since.
+const STUCK_MS: f64 = 400.0;
 /// Orders in one message to a worker.
 const MAX_ORDERS: usize = 300;
 
@@ -77,6 +80,9 @@
     /// When the last round was planned, and when the last look at leases was.
     pub planned_at: Millis,
     pub kept_at: Millis,
+    /// When placement was last tried, and what was known of the state then.
+    pub placed_at: Millis,
+    pub placed_as_of: (u64, u64),
     /// Changes that the part may still write, and as of when.
     pub budget: f64,
     pub budget_at: Millis,
@@ -107,6 +113,8 @@
             tidied_at: now,
             planned_at: f64::NEG_INFINITY,
             kept_at: f64::NEG_INFINITY,
+            placed_at: f64::NEG_INFINITY,
+            placed_as_of: (0, 0),
             budget: 1.0,
             budget_at: now,
             pending: None,
@@ -210,7 +218,17 @@
         let mut pending = Pending::default();
         self.collect(p, now, &mut round, &mut pending);
         self.finish(p, &mut round);
-        self.place(p, now, &mut round, &mut pending);
+        // Whether anything new could be placed: a search over all waiting jobs
+        // and machines for each report costs more than it finds.
+        let news = (self.mirror.epoch, self.newest_epoch);
+        if !round.gone.is_empty()
+            || self.parts[p].placed_as_of != news
+            || now - self.parts[p].placed_at >= STUCK_MS
+        {
+            self.parts[p].placed_as_of = news;
+            self.parts[p].placed_at = now;
+            self.place(p, now, &mut round, &mut pending);
+        }
         if round.is_empty() {
             self.tidy(p, now, &mut round);
         }
