--- a/crates/cherryyard-core/src/config.rs
+++ b/crates/cherryyard-core/src/config.rs
@@ -80,6 +80,8 @@
     /// Changes a second that one part's rounds may write: the rest of the
     /// budget is for users, claims and the leader.
     pub round_writes_per_s: f64,
+    /// Users' writes a second, all controllers together.
+    pub user_writes_per_s: f64,
     /// Largest value in bytes.
     pub value_bytes: usize,
     /// How late the machine list usually is.
@@ -133,7 +135,8 @@
             report_ms: c.workers.report_s * 1000.0,
             cancel_ms: c.workers.cancel_s * 1000.0,
             txn_ops: c.state.txn_ops,
-            round_writes_per_s: c.state.write_rps * 0.6 / controllers.len() as f64,
+            round_writes_per_s: c.state.write_rps * 0.55 / controllers.len() as f64,
+            user_writes_per_s: c.state.write_rps * 0.35,
             value_bytes,
             list_lag_ms: c.cloud.list_lag_s * 1000.0,
             page_bytes: value_bytes.saturating_sub(64).clamp(256, MAX_PAGE),
--- a/crates/cherryyard-core/src/lib.rs
+++ b/crates/cherryyard-core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod names;
 pub mod node;
 pub mod owner;
+pub mod pace;
 pub mod parting;
 
 pub use config::{Config, Tuning};
--- a/crates/cherryyard-core/src/node.rs
+++ b/crates/cherryyard-core/src/node.rs
@@ -3,6 +3,7 @@
 use crate::leader::Leader;
 use crate::machine::{HostEvent, HostState, Machine};
 use crate::owner::Part;
+use crate::pace::Pace;
 use crate::{Config, Millis, Mirror};
 use cherryyard_wire::cloud::{HireRequest, HostEntry, HostKind};
 use cherryyard_wire::peer::{Beat, PartReport};
@@ -172,6 +173,8 @@
     pub(crate) clock: Millis,
     /// Workers of others' parts that reported here: by part and name, when.
     pub(crate) strays: BTreeMap<(usize, String), Millis>,
+    /// Users' writes that this controller may make.
+    pub(crate) user_pace: Pace,
     /// Time of day less steady clock, in milliseconds.
     pub wall_offset: f64,
 }
@@ -180,7 +183,9 @@
     /// A controller that has just started.
     pub fn new(config: Config, seed: u64, now: Millis) -> Self {
         let mirror = Mirror::new(&config);
-        let parts = (0..config.parts()).map(|_| Part::new(now)).collect();
+        let parts = (0..config.parts())
+            .map(|_| Part::new(config.round_writes_per_s, now))
+            .collect();
         let peers = vec![None; config.parts()];
         Self {
             leader: Leader::new(&config, now),
@@ -202,6 +207,7 @@
             newest_epoch: 0,
             clock: now,
             strays: BTreeMap::new(),
+            user_pace: Pace::new(config.user_writes_per_s / config.parts() as f64, now),
             wall_offset: 0.0,
             config,
         }
@@ -591,6 +597,52 @@
         self.run(now);
     }
 
+    /// Whether a user's write may go to the state service now; if not, after
+    /// how many seconds to come back. Users' writes leave room for claims and
+    /// marks. Most submissions come to the leader, which has the larger share.
+    pub fn take_user_write(&mut self, now: Millis) -> Result<(), u32> {
+        let all = self.config.user_writes_per_s;
+        let rate = if self.leader.leads(&self.mirror) {
+            all
+        } else {
+            all / self.parts.len() as f64
+        };
+        self.user_pace.set_rate(rate, now);
+        self.user_pace.take(now)
+    }
+
+    /// Notes a user's write that cannot wait.
+    pub fn spend_user_write(&mut self, now: Millis) {
+        if self.user_pace.left(now) > -self.user_pace.overdraft() {
+            self.user_pace.spend(1.0);
+        }
+    }
+
+    /// Who should write a submission instead of this controller: the leader,
+    /// as it divides the job in the same write; or, if the state service does
+    /// not answer here, anyone whom it answers.
+    pub fn whom_to_ask(&self, now: Millis) -> Option<&str> {
+        if self.leader.leads(&self.mirror) && self.state_fresh(now) {
+            return None;
+        }
+        let able = |i: &usize| {
+            *i != self.config.me
+                && self.peers[*i]
+                    .as_ref()
+                    .is_some_and(|p| now - p.heard_at < 1200.0 && !p.beat.cut_off)
+        };
+        let all = 0..self.config.labels.len();
+        let leader = all
+            .clone()
+            .find(|&i| self.leader.is_label(&self.mirror, &self.config.labels[i]));
+        let whom = match leader.filter(able) {
+            Some(i) => Some(i),
+            None if self.state_fresh(now) => None,
+            None => all.into_iter().find(able),
+        };
+        whom.map(|i| self.config.labels[i].as_str())
+    }
+
     /// Takes a user's transaction (a submission or a cancellation).
     pub fn user_committed(&mut self, commit: &Commit, epoch: u64, now: Millis) {
         self.newest_epoch = self.newest_epoch.max(epoch);
--- a/crates/cherryyard-core/src/owner/mod.rs
+++ b/crates/cherryyard-core/src/owner/mod.rs
@@ -16,6 +16,7 @@
 use crate::mirror::{Mark, Needs, OpenJob, Page};
 use crate::names::Names;
 use crate::node::{Effect, Node, Outcome, Tenancy, Ticket};
+use crate::pace::Pace;
 use crate::{Millis, admit};
 use cherryyard_wire::cloud::{HostEntry, HostStatus};
 use cherryyard_wire::job::{Rank, Shape};
@@ -83,9 +84,8 @@
     /// When placement was last tried, and what was known of the state then.
     pub placed_at: Millis,
     pub placed_as_of: (u64, u64),
-    /// Changes that the part may still write, and as of when.
-    pub budget: f64,
-    pub budget_at: Millis,
+    /// Changes that the part's rounds may write.
+    pub budget: Pace,
     pub pending: Option<Pending>,
     pub retry_after: Millis,
     pub preempted: HashMap<Task, Preempted>,
@@ -100,7 +100,7 @@
 }
 
 impl Part {
-    pub(crate) fn new(now: Millis) -> Self {
+    pub(crate) fn new(writes_per_s: f64, now: Millis) -> Self {
         Self {
             tenancy: Tenancy::Foreign,
             claiming: false,
@@ -115,8 +115,7 @@
             kept_at: f64::NEG_INFINITY,
             placed_at: f64::NEG_INFINITY,
             placed_as_of: (0, 0),
-            budget: 1.0,
-            budget_at: now,
+            budget: Pace::new(writes_per_s, now),
             pending: None,
             retry_after: now,
             preempted: HashMap::new(),
@@ -178,11 +177,8 @@
     /// reports are served by one round: a write for each, from every owner,
     /// would leave none for users and claims.
     fn round_due(&mut self, p: usize, now: Millis) -> bool {
-        let rate = self.config.round_writes_per_s;
         let part = &mut self.parts[p];
-        let passed = (now - part.budget_at) / 1000.0;
-        part.budget = (part.budget + passed * rate).min((rate * 2.0).max(3.0));
-        part.budget_at = now;
+        let left = part.budget.left(now);
         if now - part.planned_at < ROUND_MS {
             return false;
         }
@@ -193,8 +189,7 @@
             open.is_some_and(|o| o.spec.shape == Shape::Service)
                 && !part.waiting_since.contains_key(job)
         };
-        part.budget >= 1.0
-            || (part.budget > -2.0 * rate && self.mirror.waiting[p].keys().any(fresh))
+        left >= 1.0 || (left > -part.budget.overdraft() && self.mirror.waiting[p].keys().any(fresh))
     }
 
     /// One round of a part: collects, places, writes.
@@ -234,7 +229,7 @@
         }
         if round.is_empty() {
             if let Some(commit) = self.images_commit(p, token, now) {
-                self.parts[p].budget -= 1.0;
+                self.parts[p].budget.spend(1.0);
                 self.parts[p].pending = Some(Pending::default());
                 self.effects.push(Effect::Commit(Ticket::Owner(p), commit));
             }
@@ -242,7 +237,7 @@
         }
         let commit = self.round_commit(p, token, &round);
         tracing::debug!(part = p, writes = commit.apply.len(), "a round of marks");
-        self.parts[p].budget -= commit.apply.len() as f64;
+        self.parts[p].budget.spend(commit.apply.len() as f64);
         self.parts[p].pending = Some(pending);
         self.effects.push(Effect::Commit(Ticket::Owner(p), commit));
     }
--- a/crates/cherryyard-core/src/owner/round.rs
+++ b/crates/cherryyard-core/src/owner/round.rs
@@ -296,7 +296,7 @@
     /// When there is nothing else to write: drops a page of which nothing is
     /// needed any more, or moves what is left of one into the last.
     pub(crate) fn tidy(&mut self, p: usize, now: Millis, round: &mut Round) {
-        if self.parts[p].budget < 2.0 || now - self.parts[p].tidied_at < TIDY_MS {
+        if self.parts[p].budget.left(now) < 2.0 || now - self.parts[p].tidied_at < TIDY_MS {
             return;
         }
         self.parts[p].tidied_at = now;
--- a/crates/cherryyard-wire/src/peer.rs
+++ b/crates/cherryyard-wire/src/peer.rs
@@ -1,15 +1,53 @@
-//! What controllers tell each other: one message, the beat.
+//! What controllers tell each other: beats, and submissions passed on.
 //!
-//! A frame is a length (4 bytes, big endian), the version byte, and the beat
+//! A frame is a length (4 bytes, big endian), the version byte, and a message
 //! in `bitcode`. Frames over [`MAX_FRAME`] are refused before they are read.
 
 use bitcode::{Decode, Encode};
 
 /// The version of the frames.
-pub const VERSION: u8 = 4;
+pub const VERSION: u8 = 5;
 /// Largest frame in bytes.
 pub const MAX_FRAME: usize = 256 * 1024;
 
+/// One frame's payload.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub enum Message {
+    /// What every controller tells every other.
+    Beat(Beat),
+    /// A submission for the receiver to write.
+    Ask(Ask),
+    /// The answer to one.
+    Told(Told),
+}
+
+/// A submission that its receiver passes on.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct Ask {
+    /// The sender's name.
+    pub label: String,
+    /// The sender's number for it.
+    pub ticket: u64,
+    /// Time of day at the submission, in milliseconds: one that was held back
+    /// on its way is not carried out any more.
+    pub at: u64,
+    /// The user's request.
+    pub body: Vec<u8>,
+}
+
+/// What the user is to be answered.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct Told {
+    /// The number in the question.
+    pub ticket: u64,
+    /// The status.
+    pub status: u16,
+    /// `Retry-After` in seconds; 0 for none.
+    pub retry_after: u32,
+    /// The body, in JSON.
+    pub body: String,
+}
+
 /// What a controller tells every other, regularly and when it changes.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub struct Beat {
@@ -82,15 +120,15 @@
     }
 }
 
-/// Puts a beat into a frame's payload.
-pub fn encode(beat: &Beat) -> Vec<u8> {
+/// Puts a message into a frame's payload.
+pub fn encode(message: &Message) -> Vec<u8> {
     let mut out = vec![VERSION];
-    out.extend(bitcode::encode(beat));
+    out.extend(bitcode::encode(message));
     out
 }
 
 /// Reads a frame's payload.
-pub fn decode(payload: &[u8]) -> Result<Beat, String> {
+pub fn decode(payload: &[u8]) -> Result<Message, String> {
     match payload.split_first() {
         Some((&VERSION, rest)) => bitcode::decode(rest).map_err(|e| e.to_string()),
         Some((v, _)) => Err(format!("version {v} instead of {VERSION}")),
@@ -105,7 +143,7 @@
     /// A truncated, foreign or random frame is an error, never a panic.
     #[test]
     fn bad_frames_are_refused() {
-        let beat = Beat {
+        let beat = Message::Beat(Beat {
             label: "a".into(),
             cut_off: false,
             epoch: 7,
@@ -113,7 +151,7 @@
             parts: vec![],
             short: vec![],
             strays: vec![],
-        };
+        });
         let whole = encode(&beat);
         assert_eq!(decode(&whole).as_ref(), Ok(&beat));
         for n in 0..whole.len() {
@@ -121,6 +159,6 @@
         }
         let mut foreign = whole.clone();
         foreign[0] = 9;
-        assert_eq!(decode(&foreign), Err("version 9 instead of 4".into()));
+        assert_eq!(decode(&foreign), Err("version 9 instead of 5".into()));
     }
 }
--- a/crates/cherryyard/src/app.rs
+++ b/crates/cherryyard/src/app.rs
@@ -7,13 +7,16 @@
 use cherryyard_io::http::{Failure, Http};
 use cherryyard_io::state::{Committed, State, StateError};
 use cherryyard_io::{peer, worker};
+use cherryyard_wire::peer::{Ask, Message, Told, encode};
 use cherryyard_wire::settings::Settings;
 use cherryyard_wire::state::Commit;
 use hdrhistogram::Histogram;
 use salvo::conn::Listener;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use tokio::sync::{Notify, oneshot, watch};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
 
 /// What all tasks share.
 pub struct App {
@@ -28,6 +31,11 @@
     latency: Mutex<Histogram<u64>>,
     barrier_wanted: Notify,
     beat_wanted: Notify,
+    /// Ways to the other controllers, by name.
+    peers: HashMap<String, mpsc::Sender<Bytes>>,
+    /// Submissions passed on that wait for an answer.
+    asked: Mutex<HashMap<u64, oneshot::Sender<Told>>>,
+    tickets: AtomicU64,
     /// The least time between two reads of one kind, from the request budget.
     pace: Duration,
     list_every: Duration,
@@ -37,6 +45,14 @@
 
 /// Longest that a user's request waits for the state service.
 const PATIENCE: Duration = Duration::from_millis(1500);
+/// Longest that a submission passed on waits before it is written here.
+const ASK_PATIENCE: Duration = Duration::from_millis(250);
+/// Longest that it waits where it cannot be written here.
+const ASK_ONLY_PATIENCE: Duration = Duration::from_millis(1500);
+/// Age at which a submission passed on is not carried out any more.
+const ASK_STALE_MS: f64 = 5000.0;
+/// Messages that may wait for one other controller.
+const PEER_QUEUE: usize = 64;
 /// Requests that may wait for a barrier at once.
 const MAX_WAITING: usize = 2000;
 
@@ -270,6 +286,71 @@
         }
     }
 
+    /// Has another controller write a submission, if one should; none if it is
+    /// to be written here after all.
+    pub async fn ask(self: &Arc<Self>, body: &[u8], at: u64) -> Option<Told> {
+        let (to, patience, label) = self.with(|n, now| {
+            let to = self.peers.get(n.whom_to_ask(now)?)?;
+            let patience = if n.state_fresh(now) {
+                ASK_PATIENCE
+            } else {
+                ASK_ONLY_PATIENCE
+            };
+            Some((to, patience, n.config.labels[n.config.me].clone()))
+        })?;
+        let ticket = self.tickets.fetch_add(1, Ordering::Relaxed);
+        let ask = Ask {
+            label,
+            ticket,
+            at,
+            body: body.to_vec(),
+        };
+        let (tell, told) = oneshot::channel();
+        self.waiting_for_answers().insert(ticket, tell);
+        let sent = to.try_send(Bytes::from(encode(&Message::Ask(ask))));
+        let told = match sent {
+            Ok(()) => tokio::time::timeout(patience, told)
+                .await
+                .ok()
+                .and_then(Result::ok),
+            Err(_) => None,
+        };
+        self.waiting_for_answers().remove(&ticket);
+        told
+    }
+
+    fn waiting_for_answers(&self) -> MutexGuard<'_, HashMap<u64, oneshot::Sender<Told>>> {
+        self.asked.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes another controller's message.
+    fn take_message(self: &Arc<Self>, message: Message) {
+        match message {
+            Message::Beat(beat) => self.with(|n, now| n.beat_in(beat, now)),
+            Message::Told(told) => {
+                if let Some(tell) = self.waiting_for_answers().remove(&told.ticket) {
+                    // The one who asked may have given up.
+                    let _ = tell.send(told);
+                }
+            }
+            Message::Ask(ask) => {
+                // Packets may be held back for minutes; the user has long asked
+                // again, or given up.
+                if (wall_ms() - ask.at as f64).abs() > ASK_STALE_MS {
+                    return;
+                }
+                let app = self.clone();
+                tokio::spawn(async move {
+                    let told = routes::answer_ask(&app, &ask).await;
+                    if let Some(to) = app.peers.get(&ask.label) {
+                        // Full: the other side writes it itself.
+                        let _ = to.try_send(Bytes::from(encode(&Message::Told(told))));
+                    }
+                });
+            }
+        }
+    }
+
     async fn clock(self: Arc<Self>) {
         let mut ticks = tokio::time::interval(Duration::from_millis(100));
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -291,7 +372,7 @@
                 () = self.beat_wanted.notified() => {}
             }
             let beat = self.with(|n, now| n.beat_out(now));
-            let _ = out.send(Bytes::from(cherryyard_wire::peer::encode(&beat)));
+            let _ = out.send(Bytes::from(encode(&Message::Beat(beat))));
             tokio::time::sleep(Duration::from_millis(50)).await;
         }
     }
@@ -332,6 +413,15 @@
     let pace = Duration::from_secs_f64((controllers * 3.0 / c.state.rps).clamp(0.02, 2.0));
     let list_every = Duration::from_secs_f64((controllers * 4.0 / c.cloud.rps).clamp(3.0, 30.0));
     let seed = rand::random();
+    let (out, beats) = watch::channel(Bytes::new());
+    let (mut peers, mut ways) = (HashMap::new(), Vec::new());
+    for other in &settings.known {
+        if let Ok(addr) = other.endpoint.parse() {
+            let (to, others) = mpsc::channel(PEER_QUEUE);
+            peers.insert(other.label.clone(), to);
+            ways.push((addr, others));
+        }
+    }
     let app = Arc::new(App {
         node: Mutex::new(Node::new(Config::new(&settings, tuning), seed, 0.0)),
         state: State::new(http.clone(), &settings.services.state),
@@ -344,6 +434,10 @@
         ),
         barrier_wanted: Notify::new(),
         beat_wanted: Notify::new(),
+        peers,
+        asked: Mutex::new(HashMap::new()),
+        // A late answer to a process before this one must find nobody waiting.
+        tickets: AtomicU64::new(rand::random()),
         pace,
         list_every,
         ttl_ms: ((c.workers.lease_s * 500.0) as u64).clamp(1000, 5000),
@@ -354,14 +448,11 @@
         .await
         .map_err(|e| format!("peer_listen: {}: {e}", settings.peer_listen))?;
     let taker = app.clone();
-    tokio::spawn(peer::take_beats(listener, move |beat| {
-        taker.with(|n, now| n.beat_in(beat, now))
+    tokio::spawn(peer::take(listener, move |message| {
+        taker.take_message(message);
     }));
-    let (out, beats) = watch::channel(Bytes::new());
-    for other in &settings.known {
-        if let Ok(addr) = other.endpoint.parse() {
-            tokio::spawn(peer::send_beats(addr, beats.clone()));
-        }
+    for (addr, others) in ways {
+        tokio::spawn(peer::send(addr, beats.clone(), others));
     }
     tokio::spawn(app.clone().beats(out));
     tokio::spawn(app.clone().mirror());
--- a/crates/cherryyard/src/routes.rs
+++ b/crates/cherryyard/src/routes.rs
@@ -5,6 +5,7 @@
 use cherryyard_core::mirror::OpenJob;
 use cherryyard_core::{Outcome, Reply};
 use cherryyard_wire::job::{JobSpec, JobStatus, JobView, job_number};
+use cherryyard_wire::peer::{Ask, Told};
 use cherryyard_wire::record::{End, Key, LEAD, job_key};
 use cherryyard_wire::state::{Apply, Commit};
 use cherryyard_wire::worker::{Misdirected, Report};
@@ -18,27 +19,32 @@
 /// Tries of one user's write before the user is told to come back.
 const TRIES: u64 = 4;
 
-/// An answer: a status and a JSON body.
-struct Answer(StatusCode, serde_json::Value);
+/// An answer: a status, a JSON body, and in how many seconds to come back.
+struct Answer(StatusCode, serde_json::Value, u32);
 
 impl Answer {
     fn view(status: StatusCode, view: &JobView) -> Self {
-        Self(status, serde_json::json!(view))
+        Self(status, serde_json::json!(view), 0)
     }
 
     fn error(status: StatusCode, reason: impl Into<String>) -> Self {
-        Self(status, serde_json::json!({ "error": reason.into() }))
+        Self(status, serde_json::json!({ "error": reason.into() }), 0)
     }
 
     fn later(reason: &str) -> Self {
-        Self::error(StatusCode::SERVICE_UNAVAILABLE, reason)
+        Self::later_in(reason, 1)
+    }
+
+    fn later_in(reason: &str, seconds: u32) -> Self {
+        let mut answer = Self::error(StatusCode::SERVICE_UNAVAILABLE, reason);
+        answer.2 = seconds;
+        answer
     }
 
     fn write(self, res: &mut Response) {
         res.status_code(self.0);
-        if self.0 == StatusCode::SERVICE_UNAVAILABLE {
-            res.headers_mut()
-                .insert("retry-after", salvo::http::HeaderValue::from_static("1"));
+        if self.2 > 0 {
+            res.headers_mut().insert("retry-after", self.2.into());
         }
         res.render(Json(self.1));
     }
@@ -109,7 +115,7 @@
     async fn handle(&self, _: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
         let ready = self.0.with(|n, now| n.ready(now));
         let answer = if ready {
-            Answer(StatusCode::OK, serde_json::json!({ "ready": true }))
+            Answer(StatusCode::OK, serde_json::json!({ "ready": true }), 0)
         } else {
             Answer::later("not ready: the state service or the machine types are out of reach")
         };
@@ -125,10 +131,11 @@
             Ok(body) => match parse_object::<Report>(&body) {
                 Err(e) => Answer::error(StatusCode::BAD_REQUEST, e),
                 Ok(report) => match self.0.with(|n, now| n.report(&report, now)) {
-                    Reply::Answer(a) => Answer(StatusCode::OK, serde_json::json!(a)),
+                    Reply::Answer(a) => Answer(StatusCode::OK, serde_json::json!(a), 0),
                     Reply::Elsewhere(foreman) => Answer(
                         StatusCode::MISDIRECTED_REQUEST,
                         serde_json::json!(Misdirected { foreman }),
+                        0,
                     ),
                     Reply::Unavailable => Answer::later("this part has no owner yet"),
                 },
@@ -138,10 +145,6 @@
     }
 }
 
-fn short(view: &JobView) -> serde_json::Value {
-    serde_json::json!(view)
-}
-
 fn terminal(view: &JobView) -> bool {
     matches!(view.status, JobStatus::Done | JobStatus::Cancelled)
 }
@@ -159,21 +162,52 @@
     Ok(app.with(|n, _| n.mirror.view(job)))
 }
 
-async fn submit(app: &Arc<App>, body: &[u8]) -> Answer {
-    let mut spec = match JobSpec::parse(body) {
-        Ok(spec) => spec,
-        Err(e) => return Answer::error(StatusCode::BAD_REQUEST, e),
-    };
+/// Reads a submission, and answers it if its job is known already.
+async fn read_submission(app: &Arc<App>, body: &[u8]) -> Result<(JobSpec, u64), Answer> {
+    let spec = JobSpec::parse(body).map_err(|e| Answer::error(StatusCode::BAD_REQUEST, e))?;
     let Some(job) = job_number(&spec.id) else {
-        return Answer::error(StatusCode::BAD_REQUEST, "id: not a job id");
+        return Err(Answer::error(StatusCode::BAD_REQUEST, "id: not a job id"));
     };
     if app.with(|n, _| n.mirror.view(job)).is_some() {
-        return match look_up(app, job).await {
-            Ok(Some(view)) => Answer(StatusCode::OK, short(&view)),
+        return Err(match look_up(app, job).await {
+            Ok(Some(view)) => Answer::view(StatusCode::OK, &view),
             Ok(None) => Answer::later("the job's state is not known yet"),
             Err(answer) => answer,
-        };
+        });
+    }
+    Ok((spec, job))
+}
+
+async fn submit(app: &Arc<App>, body: &[u8]) -> Answer {
+    let (spec, job) = match read_submission(app, body).await {
+        Ok(read) => read,
+        Err(answer) => return answer,
+    };
+    let at = wall_ms() as u64;
+    if let Some(told) = app.ask(body, at).await
+        && let Ok(status) = StatusCode::from_u16(told.status)
+        && let Ok(value) = serde_json::from_str(&told.body)
+    {
+        return Answer(status, value, told.retry_after);
+    }
+    submit_here(app, spec, job, at).await
+}
+
+/// Writes a submission that another controller has passed on.
+pub async fn answer_ask(app: &Arc<App>, ask: &Ask) -> Told {
+    let answer = match read_submission(app, &ask.body).await {
+        Ok((spec, job)) => submit_here(app, spec, job, ask.at).await,
+        Err(answer) => answer,
+    };
+    Told {
+        ticket: ask.ticket,
+        status: answer.0.as_u16(),
+        retry_after: answer.2,
+        body: answer.1.to_string(),
     }
+}
+
+async fn submit_here(app: &Arc<App>, mut spec: JobSpec, job: u64, at: u64) -> Answer {
     let (verdict, fresh) =
         app.with(|n, now| (admit(&mut spec, &n.mirror, &n.config), n.state_fresh(now)));
     if !fresh {
@@ -186,14 +220,16 @@
         Err(Reject::Never(why)) => {
             // Accepted elsewhere, it must not be refused here.
             return match look_up(app, job).await {
-                Ok(Some(view)) => Answer(StatusCode::OK, short(&view)),
+                Ok(Some(view)) => Answer::view(StatusCode::OK, &view),
                 Ok(None) => Answer::error(StatusCode::UNPROCESSABLE_ENTITY, why),
                 Err(answer) => answer,
             };
         }
     }
+    if let Err(seconds) = app.with(|n, now| n.take_user_write(now)) {
+        return Answer::later_in("too many submissions at once", seconds);
+    }
     let id = spec.id.clone();
-    let at = wall_ms() as u64;
     let mut open = OpenJob {
         stamp: 0,
         team: app
@@ -226,10 +262,11 @@
                 return Answer(
                     StatusCode::CREATED,
                     serde_json::json!({ "id": id, "status": "queued" }),
+                    0,
                 );
             }
             Outcome::Conflict(_) => match look_up(app, job).await {
-                Ok(Some(view)) => return Answer(StatusCode::OK, short(&view)),
+                Ok(Some(view)) => return Answer::view(StatusCode::OK, &view),
                 Ok(None) => {}
                 Err(answer) => return answer,
             },
@@ -261,7 +298,7 @@
         match look_up(app, job).await {
             Err(answer) => return answer,
             Ok(None) => return Answer::error(StatusCode::NOT_FOUND, "no such job"),
-            Ok(Some(view)) if terminal(&view) => return Answer(StatusCode::OK, short(&view)),
+            Ok(Some(view)) if terminal(&view) => return Answer::view(StatusCode::OK, &view),
             Ok(Some(_)) => {}
         }
         let commit = app.with(|n, _| {
@@ -273,6 +310,9 @@
             Some(commit)
         });
         let Some(commit) = commit else { continue };
+        // Never refused for the pace: what runs for a cancelled job is in
+        // everybody's way.
+        app.with(|n, now| n.spend_user_write(now));
         match app.commit(&commit).await {
             Outcome::Applied(epoch) => app.with(|n, now| n.user_committed(&commit, epoch, now)),
             Outcome::Conflict(_) => {}
