--- a/crates/cherryyard-core/src/leader/mod.rs
+++ b/crates/cherryyard-core/src/leader/mod.rs
@@ -16,7 +16,7 @@
 use cherryyard_wire::peer::{MachineRoom, MachineSort, PartReport};
 use cherryyard_wire::record::{self, Claim, Grant, Key};
 use cherryyard_wire::state::{Apply, Commit, Json};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 /// Whether this controller leads.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -60,6 +60,8 @@
 pub(crate) struct Room {
     report: PartReport,
     at: Millis,
+    /// Not reported, but put together from what else is known.
+    assumed: bool,
     debits: Vec<(Millis, Needs)>,
 }
 
@@ -91,6 +93,9 @@
     refused: HashMap<(String, String, bool), Millis>,
     hired: Vec<Hired>,
     ownerless: HashMap<usize, Millis>,
+    /// Services lately handed over: not again at once, or one went round among
+    /// parts whose reports are a moment old.
+    handed: HashMap<u64, Millis>,
 }
 
 impl Leader {
@@ -112,6 +117,7 @@
             refused: HashMap::new(),
             hired: Vec::new(),
             ownerless: HashMap::new(),
+            handed: HashMap::new(),
         }
     }
 
@@ -154,6 +160,7 @@
         *place = Some(Room {
             report,
             at: now,
+            assumed: false,
             debits,
         });
         self.dirty = true;
@@ -184,9 +191,17 @@
                     .and_then(|i| self.peers[i].as_ref().map(|p| now - p.heard_at));
                 let rank = self.successor_rank(&c.label, now);
                 let limit = 1800.0 + 500.0 * rank as f64;
-                match silent {
+                // Who hears nobody at all cannot tell a dead leader from a cut
+                // between controllers; the state service tells, by its lease.
+                // Else the lead went round among all, again and again.
+                let anyone = self
+                    .peers
+                    .iter()
+                    .flatten()
+                    .any(|p| now - p.heard_at < 1500.0);
+                match silent.filter(|_| anyone) {
                     Some(ms) => ms > limit && now - self.started_at > 4000.0,
-                    None => now - self.started_at > 4000.0 + limit,
+                    None => silent.is_none() && anyone && now - self.started_at > 4000.0 + limit,
                 }
             }
             None => {
@@ -293,6 +308,7 @@
                 self.leader.ownerless.entry(p).or_insert(now);
             }
         }
+        self.assume_rooms(now);
         let commit = self
             .store_kinds()
             .or_else(|| self.divide_new(now))
--- a/crates/cherryyard-core/src/leader/overflow.rs
+++ b/crates/cherryyard-core/src/leader/overflow.rs
@@ -2,11 +2,27 @@
 
 use super::*;
 
+/// Least time between two hand-overs of one service.
+const HANDED_MS: f64 = 5000.0;
+
 impl Node {
     /// Overflow: a part that has kept tasks waiting for the delay loses its
     /// unmarked numbers to parts with room for them.
     pub(crate) fn move_waiting(&mut self, now: Millis) -> Option<Commit> {
         let delay = self.config.tuning.autoscale_multi_cluster_delay_s;
+        // A replica whose image only other parts hold is not kept waiting for
+        // the delay: fetching it would take longer than moving it.
+        self.leader.handed.retain(|_, at| now - *at < HANDED_MS);
+        let handed: HashSet<(usize, u64)> = self
+            .peers
+            .iter()
+            .flatten()
+            .flat_map(|s| s.beat.handing.iter().map(|h| (h.0 as usize, h.1)))
+            .chain(
+                (0..self.parts.len())
+                    .flat_map(|p| self.parts[p].handing.iter().map(move |&job| (p, job))),
+            )
+            .collect();
         for (&job, open) in &self.mirror.open {
             if !open.divided() {
                 continue;
@@ -17,17 +33,21 @@
                 if unmarked.is_empty() {
                     continue;
                 }
-                let due = match self.leader.ownerless.get(&p) {
-                    // Nobody reports for the part, so nobody starts its numbers.
-                    Some(&since) => now - since >= delay * 1000.0,
-                    None => self.current_room(p, now).is_some_and(|r| {
-                        let passed = (now - r.at) / 1000.0;
-                        r.report
-                            .waiting
-                            .iter()
-                            .any(|w| w.0 == job && f64::from(w.2) + passed >= delay)
-                    }),
-                };
+                let handed = handed.contains(&(p, job))
+                    && !self.leader.handed.contains_key(&job)
+                    && self.held_elsewhere(p, open, now) >= 1.0;
+                let due = handed
+                    || match self.leader.ownerless.get(&p) {
+                        // Nobody reports for the part, so nobody starts its numbers.
+                        Some(&since) => now - since >= delay * 1000.0,
+                        None => self.current_room(p, now).is_some_and(|r| {
+                            let passed = (now - r.at) / 1000.0;
+                            r.report
+                                .waiting
+                                .iter()
+                                .any(|w| w.0 == job && f64::from(w.2) + passed >= delay)
+                        }),
+                    };
                 if !due {
                     continue;
                 }
@@ -83,7 +103,16 @@
                 if value.text().len() > self.config.value_bytes {
                     continue;
                 }
-                tracing::debug!(job, from = p, count = moving.len(), "move waiting tasks");
+                if handed {
+                    self.leader.handed.insert(job, now);
+                }
+                tracing::debug!(
+                    job,
+                    handed,
+                    from = p,
+                    count = moving.len(),
+                    "move waiting tasks"
+                );
                 commit.apply.push(Apply::put(record::job_key(job), value));
                 return Some(commit);
             }
--- a/crates/cherryyard-core/src/mirror.rs
+++ b/crates/cherryyard-core/src/mirror.rs
@@ -7,7 +7,7 @@
 use crate::Config;
 use crate::names::Names;
 use cherryyard_wire::cloud::HostKind;
-use cherryyard_wire::job::{JobSpec, JobStatus, JobView, Shape, job_id};
+use cherryyard_wire::job::{JobSpec, JobStatus, JobView, Rank, Shape, job_id};
 use cherryyard_wire::record::{
     Claim, End, Grant, ImagesRecord, JobRecord, Key, MarkGroup, PageRecord, Use,
 };
@@ -65,6 +65,12 @@
         }
     }
 
+    /// Whether its tasks make way for more important work: an array of
+    /// ordinary rank or below.
+    pub fn makes_way(&self) -> bool {
+        self.spec.shape == Shape::Sweep && self.spec.rank <= Rank::Standard
+    }
+
     /// The record, to write it anew.
     pub fn record(&self) -> JobRecord {
         JobRecord::Open {
--- a/crates/cherryyard-core/src/node.rs
+++ b/crates/cherryyard-core/src/node.rs
@@ -493,6 +493,7 @@
         if beat.epoch > self.mirror.epoch + 20 {
             self.effects.push(Effect::Refresh);
         }
+        self.leader.dirty |= !beat.handing.is_empty();
         for report in &beat.parts {
             self.leader.hear(report.clone(), now);
         }
@@ -536,6 +537,15 @@
             }
         }
         Beat {
+            handing: (0..self.parts.len())
+                .flat_map(|p| {
+                    self.parts[p]
+                        .handing
+                        .iter()
+                        .map(move |&job| (p as u32, job))
+                })
+                .take(200)
+                .collect(),
             strays,
             label: self.config.labels[self.config.me].clone(),
             cut_off: now - self.state_ok_at > 2500.0,
--- a/crates/cherryyard-core/src/owner/mod.rs
+++ b/crates/cherryyard-core/src/owner/mod.rs
@@ -37,6 +37,10 @@
 /// Time before placement is tried again where nothing found room and nothing
 /// has changed since.
 const STUCK_MS: f64 = 400.0;
+/// Longest that a service is kept back for another part, and the fetch that is
+/// worth it.
+const HAND_OVER_MS: f64 = 1500.0;
+const HAND_OVER_FETCH_S: f64 = 4.0;
 /// Orders in one message to a worker.
 const MAX_ORDERS: usize = 300;
 
@@ -92,6 +96,8 @@
     /// Machines kept for a task that others were stopped for.
     pub reserved: BTreeMap<u32, (Task, Millis)>,
     pub trouble: HashMap<u64, JobTrouble>,
+    /// Services kept back for a moment, for the leader to move.
+    pub handing: BTreeSet<u64>,
     pub waiting_since: HashMap<u64, Millis>,
     pub owned_since: Millis,
     pub images_at: Millis,
@@ -121,6 +127,7 @@
             preempted: HashMap::new(),
             reserved: BTreeMap::new(),
             trouble: HashMap::new(),
+            handing: BTreeSet::new(),
             waiting_since: HashMap::new(),
             owned_since: now,
             images_at: now,
@@ -135,6 +142,7 @@
         self.looked_at = f64::NEG_INFINITY;
         self.reserved.clear();
         self.waiting_since.clear();
+        self.handing.clear();
         self.trouble.clear();
         self.bump = false;
     }
--- a/crates/cherryyard-core/src/owner/place.rs
+++ b/crates/cherryyard-core/src/owner/place.rs
@@ -77,6 +77,7 @@
             part.waiting_since.entry(job).or_insert(now);
         }
         if queue.is_empty() {
+            part.handing.clear();
             return;
         }
         let silence = self.silence_ms();
@@ -97,6 +98,7 @@
             }
         }
         let preemptible = self.preemptible(p);
+        let mut handing = BTreeSet::new();
         let mut placed = 0;
         'jobs: for (job, waiting) in &queue {
             let open = &self.mirror.open[job];
@@ -182,6 +184,17 @@
                         continue;
                     }
                 }
+                let open = &self.mirror.open[job];
+                if open.spec.shape == Shape::Service
+                    && kept.is_none()
+                    && self.fetch_s(open, host) > HAND_OVER_FETCH_S
+                    && now - self.parts[p].waiting_since.get(job).copied().unwrap_or(now)
+                        < HAND_OVER_MS
+                    && self.held_elsewhere(p, open, now) >= 1.0
+                {
+                    handing.insert(*job);
+                    continue;
+                }
                 let m = &self.machines[&host];
                 // Above every attempt before: each of those was at most the
                 // revision of its own mark, which has been seen since.
@@ -207,6 +220,11 @@
                 self.preempt(p, job, &unplaced, round, now, false);
             }
         }
+        if !handing.is_empty() && handing != self.parts[p].handing {
+            self.effects.push(Effect::Beat);
+            self.leader.dirty = true;
+        }
+        self.parts[p].handing = handing;
     }
 
     pub(crate) fn zone_counts(&self, p: usize, job: u64, round: &Round) -> HashMap<String, u32> {
--- a/crates/cherryyard-core/src/owner/room.rs
+++ b/crates/cherryyard-core/src/owner/room.rs
@@ -45,10 +45,7 @@
     /// Free room if arrays of ordinary rank or below made way.
     pub(crate) fn yielding(&self, m: &Machine, mut free: Needs) -> (f32, f32, f32) {
         for ((job, _), _) in self.mirror.on_host(m.host) {
-            if let Some(o) = self.mirror.open.get(&job)
-                && o.spec.shape == Shape::Sweep
-                && o.spec.rank <= Rank::Standard
-            {
+            if let Some(o) = self.mirror.open.get(&job).filter(|o| o.makes_way()) {
                 free.give(&o.needs());
             }
         }
--- a/crates/cherryyard-wire/src/peer.rs
+++ b/crates/cherryyard-wire/src/peer.rs
@@ -63,6 +63,9 @@
     pub parts: Vec<PartReport>,
     /// Teams that are short of their grants, told by the leader.
     pub short: Vec<String>,
+    /// Services that the sender would rather not start, as only other parts
+    /// hold their images: part and job's number.
+    pub handing: Vec<(u32, u64)>,
     /// Parts of others whose workers have lately reported here: part, how many.
     pub strays: Vec<(u32, u32)>,
 }
@@ -150,6 +153,7 @@
             claims: vec![(0, 3, "a".into())],
             parts: vec![],
             short: vec![],
+            handing: vec![],
             strays: vec![],
         });
         let whole = encode(&beat);
