--- a/crates/cherryyard-core/src/owner/images.rs
+++ b/crates/cherryyard-core/src/owner/images.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// Least time between two records of a part's images.
+const IMAGES_MS: f64 = 10_000.0;
+
 impl Node {
     pub(crate) fn note_images(&mut self, host: u32) {
         let tasks: Vec<Task> = self.mirror.on_host(host).map(|(task, _)| task).collect();
@@ -39,9 +42,13 @@
     }
 
     /// The record of the part's images, if it is due and has changed. It costs
-    /// a write that others may need more, so it is a rare one.
-    pub(crate) fn images_commit(&mut self, p: usize, token: u64, now: Millis) -> Option<Commit> {
-        if now - self.parts[p].images_at < 10_000.0 {
+    /// a write that others may need more, so it is a rare one; but it goes with
+    /// a busy part's rounds too, or a restart there forgets every image.
+    pub(crate) fn images_change(&mut self, p: usize, now: Millis) -> Option<Apply> {
+        // A new owner first hears from all machines: a record of the few that
+        // have reported would forget what the others hold.
+        let part = &self.parts[p];
+        if now - part.images_at < IMAGES_MS || now - part.owned_since < IMAGES_MS {
             return None;
         }
         self.parts[p].images_at = now;
@@ -67,9 +74,6 @@
         if record == self.mirror.images[p].0 || value.text().len() > self.config.value_bytes {
             return None;
         }
-        let mut commit = Commit::default();
-        commit.require(record::part_key(p), token);
-        commit.apply.push(Apply::put(record::images_key(p), value));
-        Some(commit)
+        Some(Apply::put(record::images_key(p), value))
     }
 }
--- a/crates/cherryyard-core/src/owner/mod.rs
+++ b/crates/cherryyard-core/src/owner/mod.rs
@@ -236,14 +236,22 @@
             self.tidy(p, now, &mut round);
         }
         if round.is_empty() {
-            if let Some(commit) = self.images_commit(p, token, now) {
+            if let Some(images) = self.images_change(p, now) {
+                let mut commit = Commit::default();
+                commit.require(record::part_key(p), token);
+                commit.apply.push(images);
                 self.parts[p].budget.spend(1.0);
                 self.parts[p].pending = Some(Pending::default());
                 self.effects.push(Effect::Commit(Ticket::Owner(p), commit));
             }
             return;
         }
-        let commit = self.round_commit(p, token, &round);
+        let mut commit = self.round_commit(p, token, &round);
+        if commit.apply.len() < self.config.txn_ops
+            && round.bytes() + self.config.page_bytes < TXN_BYTES
+        {
+            commit.apply.extend(self.images_change(p, now));
+        }
         tracing::debug!(part = p, writes = commit.apply.len(), "a round of marks");
         self.parts[p].budget.spend(commit.apply.len() as f64);
         self.parts[p].pending = Some(pending);
--- a/crates/cherryyard-core/src/owner/round.rs
+++ b/crates/cherryyard-core/src/owner/round.rs
@@ -58,6 +58,11 @@
         }
     }
 
+    /// About how many bytes the pages take.
+    pub fn bytes(&self) -> usize {
+        self.edits.values().map(|e| e.1).sum()
+    }
+
     pub fn is_empty(&self) -> bool {
         self.edits.is_empty() && self.ends.is_empty()
     }
@@ -74,8 +79,7 @@
     /// The page to edit, if the transaction has room for it.
     fn edit(&mut self, mirror: &Mirror, number: u32) -> Option<&mut (Page, usize)> {
         if !self.edits.contains_key(&number) {
-            let bytes: usize = self.edits.values().map(|e| e.1).sum();
-            if !self.fits(1, 1) || bytes + self.page_bytes > TXN_BYTES {
+            if !self.fits(1, 1) || self.bytes() + self.page_bytes > TXN_BYTES {
                 return None;
             }
             let mut page = mirror.pages[self.part]
