--- a/crates/cherryyard-core/src/owner/place.rs
+++ b/crates/cherryyard-core/src/owner/place.rs
@@ -210,6 +210,13 @@
                     self.parts[p].dirty = true;
                     break 'jobs;
                 }
+                let open = &self.mirror.open[job];
+                if open.spec.shape == Shape::Service {
+                    let waited = self.parts[p].waiting_since.get(job).map(|at| now - at);
+                    let age = now + self.wall_offset - open.at as f64;
+                    let fetch_s = self.fetch_s(open, host);
+                    tracing::debug!(job, host, fetch_s, ?waited, age, "place a service");
+                }
                 rooms[i].1.take(&needs);
                 used[team].give(&needs);
                 pending.hosts.insert(host);
