--- a/crates/cherryyard-core/src/node.rs
+++ b/crates/cherryyard-core/src/node.rs
@@ -167,6 +167,9 @@
     pub(crate) types_from_cloud: Option<Vec<HostKind>>,
     pub(crate) listed: HashMap<String, HostEntry>,
     pub(crate) listed_at: Millis,
+    /// Since when the clock's ticks have come in time.
+    pub(crate) punctual_since: Millis,
+    pub(crate) ticked_at: Millis,
     /// The newest revision known, from the mirror or from our own transactions.
     pub(crate) newest_epoch: u64,
     /// The time of the event at hand.
@@ -204,6 +207,8 @@
             types_from_cloud: None,
             listed: HashMap::new(),
             listed_at: f64::NEG_INFINITY,
+            punctual_since: now,
+            ticked_at: now,
             newest_epoch: 0,
             clock: now,
             strays: BTreeMap::new(),
@@ -676,6 +681,10 @@
 
     /// Lets time pass.
     pub fn tick(&mut self, now: Millis) {
+        if now - self.ticked_at > 700.0 {
+            self.punctual_since = now;
+        }
+        self.ticked_at = now;
         for part in &mut self.parts {
             if now - part.planned_at >= 400.0 {
                 part.dirty = true;
--- a/crates/cherryyard-core/src/owner/returns.rs
+++ b/crates/cherryyard-core/src/owner/returns.rs
@@ -93,10 +93,14 @@
     pub(crate) fn return_silent(&mut self, p: usize, now: Millis) {
         let limit = self.config.report_ms * 1.25 + 2000.0;
         // A machine that merely hangs loses what is left of its lease by this:
-        // worth it only where the lease would be waited for much longer.
-        if self.config.lease_ms - limit < self.config.report_ms * 3.0
+        // worth it only where the lease would be waited for much longer, or
+        // somewhat longer if there is nothing but replicas to lose.
+        let gain = (self.config.lease_ms - limit) / self.config.report_ms;
+        // Reports that wait because this controller is late are no silence.
+        if gain < 2.0
             || !self.state_fresh(now)
             || now - self.parts[p].owned_since < 2.0 * limit
+            || now - self.punctual_since < limit
         {
             return;
         }
@@ -118,16 +122,19 @@
         }
         let mut release = Vec::new();
         for host in silent {
-            let serves = self.mirror.on_host(host).any(|((job, _), _)| {
-                self.mirror
-                    .open
-                    .get(&job)
-                    .is_some_and(|o| o.spec.shape == Shape::Service)
-            });
+            let (mut services, mut others) = (0, 0);
+            for ((job, _), _) in self.mirror.on_host(host) {
+                match self.mirror.open.get(&job).map(|o| o.spec.shape) {
+                    Some(Shape::Service) => services += 1,
+                    Some(_) => others += 1,
+                    None => {}
+                }
+            }
+            let serves = services > 0 && (others == 0 || gain >= 3.0);
             let Some(m) = self.machines.get_mut(&host) else {
                 continue;
             };
-            if serves && now >= m.release_after {
+            if serves && now >= m.release_after && release.len() < 90 {
                 let name = self.mirror.hosts.name(host).to_string();
                 tracing::info!(machine = %name, "return a silent machine with replicas");
                 m.change(HostEvent::ReleaseAsked);
