--- a/crates/cherryyard-core/src/config.rs
+++ b/crates/cherryyard-core/src/config.rs
@@ -135,7 +135,7 @@
             report_ms: c.workers.report_s * 1000.0,
             cancel_ms: c.workers.cancel_s * 1000.0,
             txn_ops: c.state.txn_ops,
-            round_writes_per_s: c.state.write_rps * 0.55 / controllers.len() as f64,
+            round_writes_per_s: c.state.write_rps * 0.7 / controllers.len() as f64,
             user_writes_per_s: c.state.write_rps * 0.35,
             value_bytes,
             list_lag_ms: c.cloud.list_lag_s * 1000.0,
--- a/crates/cherryyard-core/src/owner/mod.rs
+++ b/crates/cherryyard-core/src/owner/mod.rs
@@ -33,6 +33,7 @@
 const TXN_BYTES: usize = 48 * 1024;
 /// Least time between two rounds of a part, and between two looks at leases.
 const ROUND_MS: f64 = 100.0;
+const QUIET_MS: f64 = 700.0;
 const KEEP_MS: f64 = 400.0;
 /// Time before placement is tried again where nothing found room and nothing
 /// has changed since.
@@ -187,7 +188,14 @@
     fn round_due(&mut self, p: usize, now: Millis) -> bool {
         let part = &mut self.parts[p];
         let left = part.budget.left(now);
-        if now - part.planned_at < ROUND_MS {
+        // Where nothing waits, completions can wait a moment for each other;
+        // what that saves is there when something comes.
+        let spacing = if self.mirror.waiting[p].is_empty() {
+            QUIET_MS
+        } else {
+            ROUND_MS
+        };
+        if now - part.planned_at < spacing {
             return false;
         }
         // A service that no round has seen yet need not wait for the budget of
