--- a/crates/cherryyard-core/src/node.rs
+++ b/crates/cherryyard-core/src/node.rs
@@ -414,7 +414,11 @@
             return Reply::Unavailable;
         }
         machine.answered_at = now;
+        let before = machine.state;
         let newer = machine.hear(report, token, now);
+        // A new owner's machines are told of as they come, or the leader gives
+        // the part nothing until its next regular report.
+        self.room_changed |= machine.state != before;
         if !newer {
             return Reply::Answer(ReportAnswer {
                 baton: token,
--- a/crates/cherryyard-rehearsal/src/state.rs
+++ b/crates/cherryyard-rehearsal/src/state.rs
@@ -13,6 +13,14 @@
     next_hold: u64,
     changes: Vec<Change>,
     largest: BTreeMap<String, usize>,
+    /// Puts and deletes of marks so far.
+    pub mark_writes: usize,
+    /// All puts and deletes so far.
+    pub writes: usize,
+    /// Most changes that a transaction has had.
+    pub most_ops: usize,
+    /// Most conditions that a transaction has had.
+    pub most_conditions: usize,
 }
 
 impl StateStandIn {
@@ -108,6 +116,12 @@
 
     /// Applies a transaction, if its conditions hold.
     pub fn commit(&mut self, commit: &Commit) -> Outcome {
+        // Those that fail cost as much.
+        self.writes += commit.apply.len();
+        let mark = |a: &&Apply| a.key().starts_with("c/mark");
+        self.mark_writes += commit.apply.iter().filter(mark).count();
+        self.most_ops = self.most_ops.max(commit.apply.len());
+        self.most_conditions = self.most_conditions.max(commit.when.len());
         let holds = |key: &str, stamp: u64| self.keys.get(key).map_or(0, |k| k.1) == stamp;
         if !commit.when.iter().all(|w| holds(&w.key, w.stamp)) {
             return Outcome::Conflict(self.epoch);
--- a/crates/cherryyard-rehearsal/src/world.rs
+++ b/crates/cherryyard-rehearsal/src/world.rs
@@ -2,7 +2,7 @@
 
 use crate::{StateStandIn, WorkerStandIn};
 use cherryyard_core::{Config, Effect, Node, Outcome, PushOutcome, Reply, Ticket, Tuning};
-use cherryyard_wire::cloud::HostKind;
+use cherryyard_wire::cloud::{HostEntry, HostKind, HostStatus};
 use cherryyard_wire::job::{JobSpec, JobView, job_number};
 use cherryyard_wire::record::{End, Key, job_key};
 use cherryyard_wire::settings::Settings;
@@ -464,6 +464,30 @@
             .collect()
     }
 
+    /// Every controller reads the cloud's list of machines.
+    pub fn list_machines(&mut self) {
+        let now = self.now;
+        let hosts: Vec<HostEntry> = self
+            .workers
+            .values()
+            .map(|w| HostEntry {
+                id: w.host.clone(),
+                addr: format!("{}:9000", w.host),
+                host_kind: "m4".into(),
+                yard: w.yard.clone(),
+                borrowed: false,
+                status: HostStatus::Running,
+                held_s: 10.0,
+            })
+            .collect();
+        for i in 0..self.nodes.len() {
+            if let Some(node) = &mut self.nodes[i] {
+                node.listed(hosts.clone(), now);
+            }
+            self.effects(i);
+        }
+    }
+
     /// How many machines run this task.
     pub fn copies(&self, piece: &str) -> usize {
         self.workers.values().filter(|w| w.runs(piece)).count()
--- a/crates/cherryyard-rehearsal/tests/rules.rs
+++ b/crates/cherryyard-rehearsal/tests/rules.rs
@@ -516,3 +516,146 @@
         w.trace.join("\n")
     );
 }
+
+/// One round writes a page or two however many jobs it touches. A write for
+/// each job and part took the whole budget of a large deployment: most tasks
+/// waited for the state service, not for machines.
+#[test]
+fn a_round_costs_a_write_or_two() {
+    let mut w = settled(Setup {
+        machines: vec![("a", 10)],
+        ..Setup::default()
+    });
+    for x in w.workers.values_mut() {
+        x.run_ms = 3000.0;
+    }
+    w.run(4.0);
+    let before = w.state.mark_writes;
+    for i in 0..10 {
+        w.submit(&World::spec(&format!("j-00001{i}"), "sweep", 2));
+    }
+    w.run_until(3.0, |w| w.running() == 20);
+    let starting = w.state.mark_writes - before;
+    assert!(
+        (1..=4).contains(&starting),
+        "{starting} writes for ten jobs"
+    );
+    w.run(12.0);
+    assert_eq!(w.running(), 0);
+    let all = w.state.mark_writes - before;
+    assert!(all <= 12, "{all} writes from start to end of ten jobs");
+    let left = w
+        .state
+        .pairs()
+        .iter()
+        .filter(|p| p.key.starts_with("c/mark"))
+        .count();
+    assert_eq!(left, 0, "nothing of jobs that are over is kept");
+}
+
+/// At the smallest budgets an array of 100,000 tasks is taken whole over seven
+/// parts, keeps every limit, costs nobody a claim, and is gone soon after it is
+/// cancelled.
+#[test]
+fn a_large_array_at_the_smallest_budgets() {
+    let mut w = settled(Setup {
+        zones: vec!["a"; 7],
+        machines: vec![("a", 21)],
+        ..Setup::default()
+    });
+    for x in w.workers.values_mut() {
+        x.run_ms = 1500.0;
+    }
+    let claims = |w: &World| {
+        w.trace
+            .iter()
+            .filter(|l| l.contains("claims c/part"))
+            .count()
+    };
+    let claimed = claims(&w);
+    w.submit(&World::spec("j-000001", "sweep", 100_000));
+    w.run_until(5.0, |w| w.running() == 42);
+    let writes = w.state.writes;
+    w.run(30.0);
+    let view = w.view(3, "j-000001").unwrap();
+    assert!(view.done > 300, "{view:?}");
+    let rate = (w.state.writes - writes) as f64 / 30.0;
+    assert!(rate <= 20.0, "{rate} writes a second");
+    assert_eq!(claims(&w), claimed, "no claim was lost");
+    w.cancel(5, "j-000001");
+    w.run(10.0);
+    assert_eq!(w.running(), 0);
+    let largest = w.state.largest("c/");
+    assert!((200..=4096).contains(&largest), "{largest} bytes");
+    assert!(w.state.most_ops <= 8, "{}", w.state.most_ops);
+    assert!(w.state.most_conditions <= 32, "{}", w.state.most_conditions);
+    assert!(w.broken.is_empty(), "{:?}", w.broken);
+}
+
+/// Connections between controllers are refused, and all else works: the lead
+/// stays where it is (it went round among all, every few seconds), and a job is
+/// still divided over all parts by what the cloud lists and what is marked (the
+/// leader's own part got everything).
+#[test]
+fn a_cut_between_controllers_changes_little() {
+    let mut w = settled(Setup::default());
+    w.list_machines();
+    w.run(5.0);
+    let lead = w.state.get("c/lead").unwrap().1;
+    w.alone.extend([0, 1, 2]);
+    w.run(20.0);
+    w.list_machines();
+    w.run(3.0);
+    w.submit(&World::spec("j-000001", "sweep", 6));
+    w.run(3.0);
+    assert_eq!(w.state.get("c/lead").unwrap().1, lead, "the lead moved");
+    assert_eq!(w.running(), 6, "{}", w.trace.join("\n"));
+    assert!(w.broken.is_empty(), "{:?}", w.broken);
+}
+
+/// The trace of a replica whose machine is lost. The image is held in another
+/// part only: the replica goes there at once, neither fetching the image in its
+/// own part nor waiting for the delay.
+#[test]
+fn trace_of_a_lost_replica() {
+    let mut w = settled(Setup {
+        zones: vec!["a", "b"],
+        machines: vec![("a", 2), ("b", 2)],
+        ..Setup::default()
+    });
+    let service = |id: &str, yard: Option<&str>| {
+        let mut spec = World::spec(id, "service", 1);
+        spec.cores = 4.0;
+        spec.image_gb = 12.0;
+        spec.yard = yard.map(str::to_string);
+        spec
+    };
+    // One machine in each zone comes to hold the image.
+    for (id, zone) in [("j-000001", "a"), ("j-000002", "b")] {
+        w.submit(&service(id, Some(zone)));
+    }
+    w.run(8.0);
+    w.cancel(0, "j-000001");
+    w.cancel(0, "j-000002");
+    w.run(4.0);
+    w.submit(&service("j-000003", None));
+    w.run(4.0);
+    let holder = |w: &World| {
+        let mut all = w.workers.values();
+        all.find(|x| x.runs("j-000003/0")).map(|x| x.host.clone())
+    };
+    let first = holder(&w).expect("it runs");
+    w.unreachable.insert(first.clone());
+    w.say(format!("{first} is lost"));
+    w.run(14.0);
+    let starts = starts(&w, "j-000003/0");
+    assert_eq!(starts.len(), 2, "{}", w.trace.join("\n"));
+    let other = w
+        .workers
+        .values()
+        .find(|x| x.runs("j-000003/0") && x.host != first);
+    let zone = |host: &str| usize::from(host.as_bytes()[10] - b'0') / 2;
+    let other = other.expect("it runs again").host.clone();
+    assert_ne!(zone(&other), zone(&first), "{}", w.trace.join("\n"));
+    insta::assert_snapshot!(w.trace.join("\n"));
+}
