--- a/crates/cherryyard-rehearsal/src/world.rs
+++ b/crates/cherryyard-rehearsal/src/world.rs
@@ -65,6 +65,8 @@
     pub held_direct: Vec<(String, DoRequest)>,
     /// Owners' transactions get no answer and are held back.
     pub hold_commits: BTreeSet<usize>,
+    /// The leader's transactions get no answer and are held back.
+    pub hold_lead: bool,
     /// Transactions held back.
     pub held_commits: Vec<Commit>,
     /// The time.
@@ -93,6 +95,7 @@
             slow_direct: BTreeSet::new(),
             held_direct: Vec::new(),
             hold_commits: BTreeSet::new(),
+            hold_lead: false,
             held_commits: Vec::new(),
             now: 0.0,
             trace: Vec::new(),
@@ -402,7 +405,9 @@
         let now = self.now;
         let outcome = if self.refused.contains(&i) {
             Outcome::Refused
-        } else if self.hold_commits.contains(&i) && matches!(ticket, Ticket::Owner(_)) {
+        } else if (self.hold_commits.contains(&i) && matches!(ticket, Ticket::Owner(_)))
+            || (self.hold_lead && ticket == Ticket::Leader)
+        {
             self.held_commits.push(commit.clone());
             Outcome::Unknown
         } else {
--- a/crates/cherryyard-rehearsal/tests/rules.rs
+++ b/crates/cherryyard-rehearsal/tests/rules.rs
@@ -659,3 +659,42 @@
     assert_ne!(zone(&other), zone(&first), "{}", w.trace.join("\n"));
     insta::assert_snapshot!(w.trace.join("\n"));
 }
+
+/// A move that reaches the state service late, after its owner has marked
+/// numbers of the job, changes nothing: a page of marks has changed. Applied,
+/// it would have given a running task to another part.
+#[test]
+fn a_move_by_an_old_view_dies() {
+    let mut w = settled(Setup::default());
+    for x in w.workers.values_mut() {
+        x.run_ms = 16_000.0;
+    }
+    w.submit(&World::spec("j-000001", "sweep", 12));
+    w.run_until(5.0, |w| w.running() == 6);
+    for n in 10..13 {
+        let name = format!("host-{n:06}");
+        let worker = cherryyard_rehearsal::WorkerStandIn::new(&name, "c", 2, 10_000.0, w.now);
+        w.workers.insert(name, worker);
+    }
+    w.hold_lead = true;
+    w.run_until(14.0, |w| !w.held_commits.is_empty());
+    let moves = std::mem::take(&mut w.held_commits);
+    assert!(
+        moves
+            .iter()
+            .all(|c| c.apply.iter().all(|a| a.key() == job_key(1)))
+    );
+    w.run(8.0);
+    for commit in moves {
+        let outcome = w.state.commit(&commit);
+        assert!(
+            matches!(outcome, Outcome::Conflict(_)),
+            "{outcome:?}: {commit:?}"
+        );
+    }
+    w.held_commits.clear();
+    w.hold_lead = false;
+    w.run(40.0);
+    assert!(w.broken.is_empty(), "{:?}", w.broken);
+    assert_eq!(w.view(1, "j-000001").map(|v| v.done), Some(12));
+}
