--- /dev/null
+++ b/crates/cherryyard-core/src/leader/assumed.rs
@@ -0,0 +1,105 @@
+//! Rooms of parts whose owners' reports do not arrive.
+
+use super::*;
+
+/// Time without an owner's report after which its room is assumed.
+const ASSUME_AFTER_MS: f64 = 2500.0;
+
+impl Node {
+    /// Where an owner's reports do not arrive (connections between controllers
+    /// are refused), what the cloud lists and what is marked stand for them:
+    /// else every job went to the leader's own part.
+    pub(crate) fn assume_rooms(&mut self, now: Millis) {
+        if now - self.leader.since < ASSUME_AFTER_MS {
+            return;
+        }
+        for p in 0..self.parts.len() {
+            let stamp = self.mirror.stamp(Key::Part(p));
+            let fresh = self.leader.rooms[p].as_ref().is_some_and(|r| {
+                let limit = if r.assumed {
+                    1000.0
+                } else {
+                    self.config.tuning.room_report_s * 1000.0 + ASSUME_AFTER_MS
+                };
+                r.report.stamp == stamp && now - r.at < limit
+            });
+            if stamp != 0 && !fresh && self.owned(p).is_none() {
+                let report = self.assumed_report(p, stamp);
+                let debits = self.leader.rooms[p]
+                    .take()
+                    .map(|r| r.debits.into_iter().filter(|d| now - d.0 < 1500.0));
+                self.leader.rooms[p] = Some(Room {
+                    report,
+                    at: now,
+                    assumed: true,
+                    debits: debits.into_iter().flatten().collect(),
+                });
+            }
+        }
+    }
+
+    fn assumed_report(&self, p: usize, stamp: u64) -> PartReport {
+        let held = &self.mirror.images[p].0;
+        let mut report = PartReport {
+            part: p as u32,
+            stamp,
+            sorts: Vec::new(),
+            images: held.i.iter().map(|i| i.0.clone()).collect(),
+            machines: Vec::new(),
+            waiting: Vec::new(),
+            wants: Vec::new(),
+        };
+        let images: HashMap<&str, &Vec<usize>> =
+            held.h.iter().map(|(host, i)| (host.as_str(), i)).collect();
+        for (name, entry) in &self.listed {
+            if entry.status != HostStatus::Running
+                || self.config.parting.part(&entry.yard, name) != p
+            {
+                continue;
+            }
+            let Some(kind) = self.mirror.kinds.iter().find(|k| k.sku == entry.host_kind) else {
+                continue;
+            };
+            let mut free = Needs {
+                cores: kind.cores,
+                acc: kind.accelerators,
+                ram: kind.ram_gb,
+            };
+            let mut yielding = free;
+            let host = self.mirror.hosts.get(name);
+            for ((job, _), _) in host.into_iter().flat_map(|h| self.mirror.on_host(h)) {
+                let Some((_, needs)) = self.mirror.uses(job) else {
+                    continue;
+                };
+                free.take(&needs);
+                let open = self.mirror.open.get(&job);
+                if !open.is_some_and(OpenJob::makes_way) {
+                    yielding.take(&needs);
+                }
+            }
+            let sort = MachineSort {
+                kind: entry.host_kind.clone(),
+                zone: entry.yard.clone(),
+                spot: entry.borrowed,
+            };
+            let place = report.sorts.iter().position(|s| *s == sort);
+            let place = place.unwrap_or_else(|| {
+                report.sorts.push(sort);
+                report.sorts.len() - 1
+            });
+            report.machines.push(MachineRoom {
+                sort: place as u16,
+                free: (free.cores as f32, free.acc as f32, free.ram as f32),
+                yielding: (
+                    yielding.cores as f32,
+                    yielding.acc as f32,
+                    yielding.ram as f32,
+                ),
+                images: images
+                    .get(name.as_str())
+                    .map_or_else(Vec::new, |i| i.iter().map(|&i| i as u16).collect()),
+            });
+        }
+        report
+    }
+}
--- a/crates/cherryyard-core/src/leader/mod.rs
+++ b/crates/cherryyard-core/src/leader/mod.rs
@@ -1,6 +1,7 @@
 //! The leader: divides jobs among the parts, moves what waits, hands out team
 //! limits, rents machines.
 
+mod assumed;
 mod division;
 mod limits;
 mod overflow;
--- a/crates/cherryyard-core/src/lib.rs
+++ b/crates/cherryyard-core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod node;
 pub mod owner;
 pub mod pace;
+pub mod pages;
 pub mod parting;
 
 pub use config::{Config, Tuning};
--- a/crates/cherryyard-core/src/machine.rs
+++ b/crates/cherryyard-core/src/machine.rs
@@ -1,7 +1,6 @@
 //! One machine as its part's owner sees it.
 
 use crate::Millis;
-use crate::mirror::Needs;
 use cherryyard_wire::cloud::HostEntry;
 use cherryyard_wire::worker::{Cause, PieceStatus, Report, piece_numbers};
 use std::collections::BTreeMap;
@@ -328,19 +327,4 @@
             && now - self.heard_at <= silence_ms
             && now >= self.avoid_until
     }
-
-    /// What tasks on the machine that no mark accounts for may take is unknown;
-    /// the machine then counts as full.
-    pub fn has_strangers(&self, marked: impl Fn(Task, u64) -> bool) -> bool {
-        self.seen
-            .iter()
-            .any(|(&task, s)| !s.ended() && !marked(task, s.attempt))
-    }
-
-    /// Room that is left of `whole` after `taken`.
-    pub fn room(whole: Needs, taken: Needs) -> Needs {
-        let mut left = whole;
-        left.take(&taken);
-        left
-    }
 }
