--- a/crates/cherryyard-core/src/owner/mod.rs
+++ b/crates/cherryyard-core/src/owner/mod.rs
@@ -179,6 +179,7 @@
         self.parts[p].kept_at = now;
         self.expire(p, now);
         self.return_silent(p, now);
+        self.return_unheard(p, now);
         self.push_due(p, now);
     }
 
--- a/crates/cherryyard-core/src/owner/returns.rs
+++ b/crates/cherryyard-core/src/owner/returns.rs
@@ -147,12 +147,77 @@
         }
     }
 
+    /// A machine that was lost while its part had no owner, or just before, has
+    /// never shown the new owner its token: no lease of it can be waited for.
+    /// Once all others have found the new owner, the few that have not are
+    /// released, as only that proves what was on them gone. While many have not
+    /// come, they are with the old owner, or the network is at fault.
+    pub(crate) fn return_unheard(&mut self, p: usize, now: Millis) {
+        // A report that gets no answer, a try or two elsewhere, and the next.
+        let limit = self.config.report_ms * 1.25 + 8000.0;
+        let owned_for = now - self.parts[p].owned_since;
+        if owned_for < limit
+            || owned_for > limit + 60_000.0
+            || now - self.punctual_since < limit
+            || !self.state_fresh(now)
+        {
+            return;
+        }
+        let mut all = 0;
+        let mut unheard = Vec::new();
+        for host in self.mirror.marked_hosts() {
+            match self.machines.get(&host) {
+                Some(m) if m.part != p => {}
+                Some(m) if m.token_ours() || m.state == HostState::Gone => all += 1,
+                Some(m) if now - m.heard_at < limit || now < m.release_after => all += 1,
+                _ if self.mirror.part_of_mark(host) == Some(p) => {
+                    all += 1;
+                    unheard.push(host);
+                }
+                _ => {}
+            }
+        }
+        if unheard.is_empty() || unheard.len() * 5 > all {
+            return;
+        }
+        let release: Vec<String> = unheard
+            .into_iter()
+            .take(90)
+            .map(|host| self.ask_release(host, p, now))
+            .collect();
+        tracing::info!(?release, "return marked machines that have not found us");
+        self.effects.push(Effect::Release(release));
+    }
+
+    /// Notes that a machine, known or not, is being released; says its name.
+    fn ask_release(&mut self, host: u32, p: usize, now: Millis) -> String {
+        let name = self.mirror.hosts.name(host).to_string();
+        let m = self.machines.entry(host).or_insert_with(|| {
+            let entry = HostEntry {
+                id: name.clone(),
+                addr: String::new(),
+                host_kind: String::new(),
+                yard: String::new(),
+                borrowed: false,
+                status: HostStatus::Other,
+                held_s: 0.0,
+            };
+            Machine::unheard(host, p, &entry, now)
+        });
+        m.change(HostEvent::ReleaseAsked);
+        m.release_after = now + 10_000.0;
+        name
+    }
+
     /// Marks may name machines that neither report nor are listed (they were
     /// taken, or died and were dropped from the list); only a release proves
     /// that nothing of them is left.
     pub(crate) fn return_unlisted(&mut self, now: Millis) {
-        let mut release = Vec::new();
+        let mut release: Vec<String> = Vec::new();
         for host in self.mirror.marked_hosts().collect::<Vec<_>>() {
+            if release.len() >= 90 {
+                break;
+            }
             let name = self.mirror.hosts.name(host).to_string();
             let known = self.machines.get(&host);
             if self.listed.contains_key(&name)
@@ -174,23 +239,8 @@
             {
                 continue;
             }
-            let m = self.machines.entry(host).or_insert_with(|| {
-                let entry = HostEntry {
-                    id: name.clone(),
-                    addr: String::new(),
-                    host_kind: String::new(),
-                    yard: String::new(),
-                    borrowed: false,
-                    status: HostStatus::Other,
-                    held_s: 0.0,
-                };
-                Machine::unheard(host, p, &entry, now)
-            });
-            m.change(HostEvent::ReleaseAsked);
-            m.release_after = now + 10_000.0;
-            release.push(name);
+            release.push(self.ask_release(host, p, now));
         }
-        release.truncate(90);
         if !release.is_empty() {
             tracing::info!(?release, "return machines that are marked but not listed");
             self.effects.push(Effect::Release(release));
--- a/crates/cherryyard-rehearsal/tests/rules.rs
+++ b/crates/cherryyard-rehearsal/tests/rules.rs
@@ -699,3 +699,29 @@
     let view = w.view(1, "j-000001").unwrap();
     assert_eq!(view.done + view.running, 12, "{view:?}");
 }
+
+/// The trace of a machine that is lost with its owner: it never shows the next
+/// owner its token, so no lease of it ends there. It is released once the other
+/// machines have come, and its task starts again; not while the fault may be
+/// the network's.
+#[test]
+fn trace_of_a_machine_lost_with_its_owner() {
+    let mut w = settled(Setup {
+        machines: vec![("a", 7)],
+        ..Setup::default()
+    });
+    w.submit(&World::spec("j-000001", "sweep", 7));
+    w.run_until(5.0, |w| w.running() == 7);
+    w.kill(0);
+    w.say("host-000003 is lost");
+    w.unreachable.insert("host-000003".into());
+    w.run(4.0);
+    w.start(0);
+    w.run(9.0);
+    assert!(w.trace.iter().all(|l| !l.contains("releases")));
+    w.run(4.0);
+    assert!(w.broken.is_empty(), "{:?}", w.broken);
+    assert!(!w.workers.contains_key("host-000003"));
+    assert_eq!(w.running(), 7, "{}", w.trace.join("\n"));
+    insta::assert_snapshot!(w.trace.join("\n"));
+}
