--- a/crates/cherryyard-rehearsal/tests/rules.rs
+++ b/crates/cherryyard-rehearsal/tests/rules.rs
@@ -725,3 +725,54 @@
     assert_eq!(w.running(), 7, "{}", w.trace.join("\n"));
     insta::assert_snapshot!(w.trace.join("\n"));
 }
+
+/// A flood of submissions at the smallest budgets: most are refused at once and
+/// told when to come back, no claim is lost for it, and what was accepted runs.
+#[test]
+fn a_flood_is_refused_and_what_was_accepted_runs() {
+    let mut w = settled(Setup {
+        zones: vec!["a"; 7],
+        machines: vec![("a", 21)],
+        ..Setup::default()
+    });
+    for x in w.workers.values_mut() {
+        x.run_ms = 2000.0;
+    }
+    let claims = |w: &World| {
+        let claim = |l: &&String| l.contains("claims c/part");
+        w.trace.iter().filter(claim).count()
+    };
+    let claimed = claims(&w);
+    let leader = (0..7)
+        .find(|&i| w.nodes[i].as_ref().unwrap().lead_stamp().is_some())
+        .expect("someone leads");
+    let (mut taken, mut waits) = (Vec::new(), Vec::new());
+    for i in 0..300 {
+        let now = w.now;
+        match w.nodes[leader].as_mut().unwrap().take_user_write(now) {
+            Ok(()) => {
+                let id = format!("j-{:06}", 100 + i);
+                w.submit(&World::spec(&id, "sweep", 3));
+                taken.push(id);
+            }
+            Err(seconds) => waits.push(seconds),
+        }
+        if i % 30 == 29 {
+            w.run(1.0);
+        }
+    }
+    // Seven a second of the twenty are for users here.
+    assert!((60..=90).contains(&taken.len()), "{} taken", taken.len());
+    assert!(waits.iter().all(|s| (1..=20).contains(s)), "{waits:?}");
+    assert!(
+        waits.iter().any(|s| *s > 10),
+        "they must not all come back at once"
+    );
+    w.run(40.0);
+    for id in &taken {
+        let status = w.view(2, id).map(|v| v.status);
+        assert_eq!(status, Some(JobStatus::Done), "{id}");
+    }
+    assert_eq!(claims(&w), claimed, "no claim was lost");
+    assert!(w.broken.is_empty(), "{:?}", w.broken);
+}
