Urgent work goes first; what is late is refused; pauses grow with lateness

Cause: a controller slowed down eight times, or four, lost its state lease to its own queue. Each step of a renewal waited behind all reports; parts went round among three slow controllers, tokens rose, and every worker reported again.

Now lease, claims, marks, watch and beats run in the runtime's root future, which is polled every 8 tasks; renewals count from when the last one was sent; a task in the ordinary queue measures what reports wait, and judges silence by it; polls are refused above 0.6 s of that, submissions above 1.5 s; watch, rounds, reports of room and lists take longer pauses; one connection is accepted a turn.

--- a/crates/cherryyard-core/src/lib.rs
+++ b/crates/cherryyard-core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod admit;
 pub mod config;
 pub mod divide;
+pub mod lateness;
 pub mod leader;
 pub mod machine;
 pub mod mirror;
--- a/crates/cherryyard-core/src/node.rs
+++ b/crates/cherryyard-core/src/node.rs
@@ -1,5 +1,6 @@
 //! One controller: claims, reports, beats, and what ties the rest together.
 
+use crate::lateness::Lateness;
 use crate::leader::Leader;
 use crate::machine::{HostEvent, HostState, Machine};
 use crate::owner::Part;
@@ -14,6 +15,12 @@
 use rand::rngs::StdRng;
 use std::collections::{BTreeMap, HashMap};
 
+/// Lateness above which polls are refused at once: with the wait for a barrier
+/// they would be answered when nobody waits any more.
+const POLLS_MS: f64 = 600.0;
+/// Lateness above which submissions are.
+const SUBMISSIONS_MS: f64 = 1500.0;
+
 /// Which of this controller's transactions an outcome belongs to. There is at
 /// most one of each under way.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -167,9 +174,8 @@
     pub(crate) types_from_cloud: Option<Vec<HostKind>>,
     pub(crate) listed: HashMap<String, HostEntry>,
     pub(crate) listed_at: Millis,
-    /// Since when the clock's ticks have come in time.
-    pub(crate) punctual_since: Millis,
-    pub(crate) ticked_at: Millis,
+    /// How far behind this controller is with what waits for it.
+    pub lateness: Lateness,
     /// The newest revision known, from the mirror or from our own transactions.
     pub(crate) newest_epoch: u64,
     /// The time of the event at hand.
@@ -207,8 +213,7 @@
             types_from_cloud: None,
             listed: HashMap::new(),
             listed_at: f64::NEG_INFINITY,
-            punctual_since: now,
-            ticked_at: now,
+            lateness: Lateness::new(now),
             newest_epoch: 0,
             clock: now,
             strays: BTreeMap::new(),
@@ -525,7 +530,7 @@
         let every = self.config.tuning.room_report_s * 1000.0;
         let due = now - self.reported_at;
         let mut parts: Vec<PartReport> = Vec::new();
-        if due >= every || (self.room_changed && due >= 900.0) {
+        if due >= every || (self.room_changed && due >= 900.0 * self.lateness.stretch(now)) {
             self.reported_at = now;
             self.room_changed = false;
             for p in 0..self.parts.len() {
@@ -678,6 +683,22 @@
         self.rng.random_range(from..to)
     }
 
+    /// Notes that a task which became due at `due` has had its turn now, behind
+    /// all reports and requests that came before.
+    pub fn queue_passed(&mut self, due: Millis, now: Millis) {
+        self.lateness.passed(due, now);
+    }
+
+    /// Whether users' polls are refused for now.
+    pub fn refuses_polls(&self, now: Millis) -> bool {
+        self.lateness.now(now) > POLLS_MS
+    }
+
+    /// Whether submissions are refused for now.
+    pub fn refuses_submissions(&self, now: Millis) -> bool {
+        self.lateness.now(now) > SUBMISSIONS_MS
+    }
+
     /// The state lease in use.
     pub fn hold(&self) -> Option<u64> {
         self.hold
@@ -685,10 +706,7 @@
 
     /// Lets time pass.
     pub fn tick(&mut self, now: Millis) {
-        if now - self.ticked_at > 700.0 {
-            self.punctual_since = now;
-        }
-        self.ticked_at = now;
+        self.lateness.ticked(now);
         for part in &mut self.parts {
             if now - part.planned_at >= 400.0 {
                 part.dirty = true;
--- a/crates/cherryyard-core/src/owner/returns.rs
+++ b/crates/cherryyard-core/src/owner/returns.rs
@@ -100,7 +100,7 @@
         if gain < 2.0
             || !self.state_fresh(now)
             || now - self.parts[p].owned_since < 2.0 * limit
-            || now - self.punctual_since < limit
+            || self.lateness.punctual_for(now) < limit
         {
             return;
         }
@@ -158,7 +158,7 @@
         let owned_for = now - self.parts[p].owned_since;
         if owned_for < limit
             || owned_for > limit + 60_000.0
-            || now - self.punctual_since < limit
+            || self.lateness.punctual_for(now) < limit
             || !self.state_fresh(now)
         {
             return;
--- a/crates/cherryyard-io/src/lib.rs
+++ b/crates/cherryyard-io/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod http;
 pub mod peer;
 pub mod state;
+pub mod urgent;
 pub mod worker;
--- a/crates/cherryyard/src/routes.rs
+++ b/crates/cherryyard/src/routes.rs
@@ -10,7 +10,8 @@
 use cherryyard_wire::state::{Apply, Commit};
 use cherryyard_wire::worker::{Misdirected, Report};
 use cherryyard_wire::{MAX_BODY, parse_object};
-use salvo::fuse::FuseConfig;
+use salvo::conn::{Accepted, Acceptor, Holding};
+use salvo::fuse::{ArcFusePolicy, FuseConfig};
 use salvo::http::StatusCode;
 use salvo::prelude::*;
 use std::sync::Arc;
@@ -19,6 +20,9 @@
 /// Tries of one user's write before the user is told to come back.
 const TRIES: u64 = 4;
 
+/// When a poll is to come back that is refused because of lateness.
+const BEHIND_RETRY_S: u32 = 5;
+
 /// An answer: a status, a JSON body, and in how many seconds to come back.
 struct Answer(StatusCode, serde_json::Value, u32);
 
@@ -179,6 +183,9 @@
 }
 
 async fn submit(app: &Arc<App>, body: &[u8]) -> Answer {
+    if app.with(|n, now| n.refuses_submissions(now)) {
+        return Answer::later("this controller is behind");
+    }
     let (spec, job) = match read_submission(app, body).await {
         Ok(read) => read,
         Err(answer) => return answer,
@@ -283,6 +290,12 @@
     let Some(job) = job_number(id) else {
         return Answer::error(StatusCode::NOT_FOUND, "no such job");
     };
+    // Behind with reports: what would be too late is refused at once, but for
+    // final states, which cost no more than a refusal.
+    let (view, behind) = app.with(|n, now| (n.mirror.view(job), n.refuses_polls(now)));
+    if behind && !view.as_ref().is_some_and(terminal) {
+        return Answer::later_in("this controller is behind", BEHIND_RETRY_S);
+    }
     match look_up(app, job).await {
         Ok(Some(view)) => Answer::view(StatusCode::OK, &view),
         Ok(None) => Answer::error(StatusCode::NOT_FOUND, "no such job"),
@@ -325,8 +338,29 @@
     Answer::later("the state service did not take the cancellation")
 }
 
+/// Takes one connection a turn. A flood of them, as when another controller
+/// ends, is otherwise taken without a pause, while claims and reports wait.
+struct OneByOne<A>(A);
+
+impl<A: Acceptor + Send> Acceptor for OneByOne<A> {
+    type Coupler = A::Coupler;
+    type Stream = A::Stream;
+
+    fn holdings(&self) -> &[Holding] {
+        self.0.holdings()
+    }
+
+    async fn accept(
+        &mut self,
+        fuse: Option<ArcFusePolicy>,
+    ) -> std::io::Result<Accepted<Self::Coupler, Self::Stream>> {
+        tokio::task::yield_now().await;
+        self.0.accept(fuse).await
+    }
+}
+
 /// Serves until the process is killed.
-pub async fn serve<A: salvo::conn::Acceptor + Send>(acceptor: A, app: Arc<App>, sockets: usize) {
+pub async fn serve<A: Acceptor + Send + 'static>(acceptor: A, app: Arc<App>, sockets: usize) {
     let router = Router::new()
         .push(Router::with_path("ready").get(Ready(app.clone())))
         .push(Router::with_path("hello").post(Hello(app.clone())))
@@ -344,7 +378,7 @@
         .with_connection_idle_timeout(Duration::from_secs(60))
         .with_request_body_timeout(Duration::from_secs(5))
         .with_write_stall_timeout(Duration::from_secs(10));
-    Server::new(acceptor)
+    Server::new(OneByOne(acceptor))
         .fuse_config(fuse)
         .max_connections(sockets * 3 / 4)
         .serve(router)
