Floods cost a bounded room: bodies, heads, connections, answers

Cause: 1,125 connections (three quarters of 1,500 sockets) with unfinished bodies of 64 KB took 122 MB, with heads of 300 KB 353 MB; 53 MB are allowed, and beyond them a controller is ended.

Bodies that are being read or worked on share a sixteenth of the memory, counted as they come; what does not fit is refused at once with Retry-After. A connection buffers 8 KiB, and connections take half of the memory at most. An answer of the state service is read up to 4 MiB instead of 16; a watch that has more to tell than that is replaced by a full read: it failed for ever before.

--- a/crates/cherryyard-io/src/http.rs
+++ b/crates/cherryyard-io/src/http.rs
@@ -2,7 +2,7 @@
 
 use crate::urgent::Urgent;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
@@ -18,6 +18,9 @@
     /// No whole answer: it may have taken effect, or may yet.
     #[error("no answer")]
     Unknown,
+    /// The answer is larger than what is read; the request has taken effect.
+    #[error("too large an answer")]
+    TooLarge,
 }
 
 /// A client with kept connections.
@@ -84,7 +87,13 @@
             let body = Limited::new(answer.into_body(), max)
                 .collect()
                 .await
-                .map_err(|_| Failure::Unknown)?
+                .map_err(|e| {
+                    if e.is::<LengthLimitError>() {
+                        Failure::TooLarge
+                    } else {
+                        Failure::Unknown
+                    }
+                })?
                 .to_bytes();
             Ok((status, body))
         };
--- a/crates/cherryyard-io/src/state.rs
+++ b/crates/cherryyard-io/src/state.rs
@@ -7,8 +7,10 @@
 use hyper::Method;
 use std::time::Duration;
 
-/// Largest answer that is read.
-const MAX_ANSWER: usize = 16 * 1024 * 1024;
+/// Largest answer that is read: a page of a full read has at most 512 KiB, and
+/// what a watch tells beyond this is read in pages instead. With the values
+/// taken out of it, it is held twice.
+const MAX_ANSWER: usize = 4 * 1024 * 1024;
 
 /// Why a call has no result.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -61,7 +63,7 @@
     fn from(f: Failure) -> Self {
         match f {
             Failure::Unsent => Self::Unavailable,
-            Failure::Unknown => Self::Unknown,
+            Failure::Unknown | Failure::TooLarge => Self::Unknown,
         }
     }
 }
@@ -126,7 +128,17 @@
     /// Waits up to `wait_ms` for changes after `since`.
     pub async fn follow(&self, since: u64, wait_ms: u64) -> Result<News, StateError> {
         let path = format!("/follow?starts={PREFIX}&since={since}&wait_ms={wait_ms}");
-        let (status, body) = self.call(Method::GET, &path, None, wait_ms + 1500).await?;
+        let url = format!("{}{path}", self.base);
+        let timeout = Duration::from_millis(wait_ms + 1500);
+        let answer = self
+            .http
+            .call(Method::GET, &url, None, timeout, MAX_ANSWER)
+            .await;
+        let (status, body) = match answer {
+            // Asked for again, it would be as large, for ever.
+            Err(Failure::TooLarge) => return Err(StateError::Gone),
+            answer => answer?,
+        };
         if status != 200 {
             return Err(failed(status));
         }
--- a/crates/cherryyard-wire/src/settings.rs
+++ b/crates/cherryyard-wire/src/settings.rs
@@ -149,6 +149,18 @@
     pub sockets: usize,
 }
 
+impl Limits {
+    /// Memory in bytes, as much as a small machine has if no limit is told.
+    pub fn memory_bytes(&self) -> usize {
+        let mb = if self.memory_mb > 0.0 {
+            self.memory_mb
+        } else {
+            512.0
+        };
+        (mb * 1e6) as usize
+    }
+}
+
 impl Settings {
     /// Reads and checks a settings file; the error names the field.
     pub fn parse(text: &[u8]) -> Result<Self, String> {
--- a/crates/cherryyard/src/app.rs
+++ b/crates/cherryyard/src/app.rs
@@ -9,8 +9,9 @@
 use cherryyard_io::state::{Committed, State, StateError};
 use cherryyard_io::urgent::{Urgent, lane};
 use cherryyard_io::{peer, worker};
+use cherryyard_wire::MAX_BODY;
 use cherryyard_wire::peer::{Ask, Message, Told, encode};
-use cherryyard_wire::settings::Settings;
+use cherryyard_wire::settings::{Limits, Settings};
 use cherryyard_wire::state::Commit;
 use hdrhistogram::Histogram;
 use salvo::conn::Listener;
@@ -18,7 +19,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use tokio::sync::{Notify, mpsc, oneshot, watch};
+use tokio::sync::{Notify, Semaphore, mpsc, oneshot, watch};
 
 /// What all tasks share.
 pub struct App {
@@ -40,6 +41,8 @@
     /// Submissions passed on that wait for an answer.
     asked: Mutex<HashMap<u64, oneshot::Sender<Told>>>,
     tickets: AtomicU64,
+    /// Bytes that all requests' bodies may take at once.
+    pub bodies: Arc<Semaphore>,
     /// The least time between two reads of one kind, from the request budget.
     pace: Duration,
     list_every: Duration,
@@ -60,6 +63,11 @@
 /// Requests that may wait for a barrier at once.
 const MAX_WAITING: usize = 2000;
 
+/// A sixteenth of the memory, and at least a body of the largest size.
+fn body_room(limits: &Limits) -> usize {
+    (limits.memory_bytes() / 16).max(MAX_BODY)
+}
+
 fn jittered(ms: u64) -> Duration {
     use rand::RngExt;
     Duration::from_millis(rand::rng().random_range(ms / 2..=ms + ms / 2))
@@ -121,7 +129,7 @@
                     let outcome = match worker::send(&app.workers, &addr, &request).await {
                         Ok(report) => PushOutcome::Answered(Box::new(report)),
                         Err(Failure::Unsent) => PushOutcome::Unsent,
-                        Err(Failure::Unknown) => PushOutcome::Unknown,
+                        Err(Failure::Unknown | Failure::TooLarge) => PushOutcome::Unknown,
                     };
                     app.with(|n, now| n.pushed(host, &request, outcome, now));
                 });
@@ -474,6 +482,7 @@
         asked: Mutex::new(HashMap::new()),
         // A late answer to a process before this one must find nobody waiting.
         tickets: AtomicU64::new(rand::random()),
+        bodies: Arc::new(Semaphore::new(body_room(&c.limits))),
         pace,
         list_every,
         ttl_ms: ((c.workers.lease_s * 500.0) as u64).clamp(1000, 5000),
@@ -505,7 +514,8 @@
         .await
         .map_err(|e| format!("public_addr: {}: {e}", settings.public_addr))?;
     tracing::info!(label = %settings.label, addr = %settings.public_addr, "serving");
-    tokio::spawn(routes::serve(acceptor, app, c.limits.sockets));
+    let limits = c.limits.clone();
+    tokio::spawn(async move { routes::serve(acceptor, app, &limits).await });
     drop(lane);
     first.run().await;
     Ok(())
--- a/crates/cherryyard/src/routes.rs
+++ b/crates/cherryyard/src/routes.rs
@@ -1,16 +1,18 @@
 //! The HTTP interface of users and workers.
 
 use crate::app::{App, wall_ms};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use cherryyard_core::admit::{Reject, admit};
 use cherryyard_core::mirror::OpenJob;
 use cherryyard_core::{Outcome, Reply};
 use cherryyard_wire::job::{JobSpec, JobStatus, JobView, job_number};
 use cherryyard_wire::peer::{Ask, Told};
 use cherryyard_wire::record::{End, Key, LEAD, job_key};
+use cherryyard_wire::settings::Limits;
 use cherryyard_wire::state::{Apply, Commit};
 use cherryyard_wire::worker::{Misdirected, Report};
 use cherryyard_wire::{MAX_BODY, parse_object};
+use http_body_util::BodyExt;
 use salvo::conn::{Accepted, Acceptor, Holding};
 use salvo::fuse::{ArcFusePolicy, FuseConfig};
 use salvo::http::header::HeaderValue;
@@ -18,6 +20,7 @@
 use salvo::prelude::*;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use tokio::sync::OwnedSemaphorePermit;
 
 /// Tries of one user's write before the user is told to come back.
 const TRIES: u64 = 4;
@@ -65,23 +68,57 @@
     }
 }
 
-/// Reads a body of at most [`MAX_BODY`] bytes; the rest is not buffered.
-async fn body(req: &mut Request) -> Result<Bytes, Answer> {
-    let length = req.header::<u64>("content-length").unwrap_or(0);
-    if length > MAX_BODY as u64 {
+/// A body, and the room it takes of what all bodies may take at once.
+struct Held {
+    text: Bytes,
+    _room: Option<OwnedSemaphorePermit>,
+}
+
+/// Reads a body of at most [`MAX_BODY`] bytes. What is too large, or comes when
+/// all bodies that are being read or worked on take the room that there is, is
+/// refused before it is read: a flood of large or slow bodies must not end the
+/// process for memory.
+async fn body(app: &App, req: &mut Request) -> Result<Held, Answer> {
+    let too_large = || {
         let text = "the body is larger than 64 KiB";
-        return Err(Answer::error(StatusCode::PAYLOAD_TOO_LARGE, text));
+        Answer::error(StatusCode::PAYLOAD_TOO_LARGE, text)
+    };
+    let length = req.header::<usize>("content-length");
+    if length.unwrap_or(0) > MAX_BODY {
+        return Err(too_large());
     }
-    req.payload_with_max_size(MAX_BODY)
-        .await
-        .cloned()
-        .map_err(|e| {
-            let status = match e {
-                salvo::http::ParseError::PayloadTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-                _ => StatusCode::BAD_REQUEST,
-            };
-            Answer::error(status, "the body cannot be read, or is larger than 64 KiB")
-        })
+    let mut held = Held {
+        text: Bytes::new(),
+        _room: None,
+    };
+    let mut rest = BytesMut::new();
+    let mut body = req.take_body();
+    while let Some(frame) = body.frame().await {
+        let frame =
+            frame.map_err(|_| Answer::error(StatusCode::BAD_REQUEST, "the body cannot be read"))?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if rest.len() + data.len() > MAX_BODY {
+            return Err(too_large());
+        }
+        let room = app.bodies.clone();
+        let Ok(room) = room.try_acquire_many_owned(data.len() as u32) else {
+            return Err(Answer::later("too many requests at once"));
+        };
+        match &mut held._room {
+            Some(held) => held.merge(room),
+            none => *none = Some(room),
+        }
+        // Most bodies come whole, and are not copied.
+        if rest.is_empty() && length == Some(data.len()) {
+            held.text = data;
+            return Ok(held);
+        }
+        rest.extend_from_slice(&data);
+    }
+    held.text = rest.freeze();
+    Ok(held)
 }
 
 struct Submit(Arc<App>);
@@ -94,8 +131,8 @@
 impl Handler for Submit {
     async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
         let since = Instant::now();
-        let answer = match body(req).await {
-            Ok(body) => submit(&self.0, &body).await,
+        let answer = match body(&self.0, req).await {
+            Ok(body) => submit(&self.0, &body.text).await,
             Err(answer) => answer,
         };
         self.0.took(since);
@@ -141,9 +178,9 @@
 #[async_trait]
 impl Handler for Hello {
     async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
-        let answer = match body(req).await {
+        let answer = match body(&self.0, req).await {
             Err(answer) => answer,
-            Ok(body) => match parse_object::<Report>(&body) {
+            Ok(body) => match parse_object::<Report>(&body.text) {
                 Err(e) => Answer::error(StatusCode::BAD_REQUEST, e),
                 Ok(report) => match self.0.with(|n, now| n.report(&report, now)) {
                     Reply::Answer(a) => Answer::of(StatusCode::OK, &a),
@@ -366,8 +403,21 @@
     }
 }
 
+/// Most bytes of a head, or of a piece of a body, that a connection buffers: the
+/// least that hyper allows.
+const CONNECTION_BUFFER: usize = 8 * 1024;
+/// What a connection takes with its buffers, as measured with 1,125 of them.
+const CONNECTION_BYTES: usize = 16 * 1024;
+
+/// Connections that are served at once: a quarter of the sockets stays free for
+/// what this controller connects to itself, and they take at most half of the
+/// memory.
+fn most_connections(limits: &Limits) -> usize {
+    (limits.sockets * 3 / 4).min(limits.memory_bytes() / 2 / CONNECTION_BYTES)
+}
+
 /// Serves until the process is killed.
-pub async fn serve<A: Acceptor + Send + 'static>(acceptor: A, app: Arc<App>, sockets: usize) {
+pub async fn serve<A: Acceptor + Send + 'static>(acceptor: A, app: Arc<App>, limits: &Limits) {
     let router = Router::new()
         .push(Router::with_path("ready").get(Ready(app.clone())))
         .push(Router::with_path("hello").post(Hello(app.clone())))
@@ -378,16 +428,15 @@
                     .push(Router::with_path("cancel").post(Cancel(app))),
             ),
         );
-    // Slow or idle clients cost a bounded amount, and a quarter of the sockets
-    // stays free for what this controller connects to itself.
+    // Slow or idle clients cost a bounded amount.
     let fuse = FuseConfig::default()
         .with_http1_header_timeout(Duration::from_secs(30))
         .with_connection_idle_timeout(Duration::from_secs(60))
         .with_request_body_timeout(Duration::from_secs(5))
         .with_write_stall_timeout(Duration::from_secs(10));
-    Server::new(OneByOne(acceptor))
+    let mut server = Server::new(OneByOne(acceptor))
         .fuse_config(fuse)
-        .max_connections(sockets * 3 / 4)
-        .serve(router)
-        .await;
+        .max_connections(most_connections(limits));
+    server.http1_mut().max_buf_size(CONNECTION_BUFFER);
+    server.serve(router).await;
 }
