--- a/crates/cherryyard-core/src/node.rs
+++ b/crates/cherryyard-core/src/node.rs
@@ -184,6 +184,8 @@
     pub(crate) strays: BTreeMap<(usize, String), Millis>,
     /// Users' writes that this controller may make.
     pub(crate) user_pace: Pace,
+    /// Machines whose marks rounds have looked at so far: what rounds cost.
+    pub looked: u64,
     /// Time of day less steady clock, in milliseconds.
     pub wall_offset: f64,
 }
@@ -218,6 +220,7 @@
             clock: now,
             strays: BTreeMap::new(),
             user_pace: Pace::new(config.user_writes_per_s / config.parts() as f64, now),
+            looked: 0,
             wall_offset: 0.0,
             config,
         }
--- a/crates/cherryyard-core/src/owner/round.rs
+++ b/crates/cherryyard-core/src/owner/round.rs
@@ -223,6 +223,7 @@
         }
         let mut blocked = false;
         let mut left = BTreeSet::new();
+        self.looked += hosts.len() as u64;
         for host in hosts {
             for (task, mark) in self.mirror.on_host(host) {
                 let (job, number) = task;
--- a/crates/cherryyard-rehearsal/src/world.rs
+++ b/crates/cherryyard-rehearsal/src/world.rs
@@ -7,12 +7,14 @@
 use cherryyard_wire::record::{End, Key, job_key};
 use cherryyard_wire::settings::Settings;
 use cherryyard_wire::state::{Apply, Commit};
-use cherryyard_wire::worker::DoRequest;
+use cherryyard_wire::worker::{DoRequest, Report};
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Milliseconds between two steps of the clock.
 const STEP: f64 = 50.0;
+/// How long a worker waits for an answer.
+const ANSWER_MS: f64 = 4000.0;
 /// How long a controller's state lease lasts.
 const TTL: f64 = 5000.0;
 
@@ -57,6 +59,13 @@
     pub alone: BTreeSet<usize>,
     /// Controllers that no worker reaches.
     pub deaf: BTreeSet<usize>,
+    /// Controllers that are behind: reports wait this long for their turn, while
+    /// what is urgent goes on.
+    pub late: BTreeMap<usize, f64>,
+    /// Reports that wait: when their turn is, when they were sent, and where.
+    inbox: Vec<(f64, f64, usize, Report)>,
+    /// Workers that wait for an answer, and since when.
+    waiting: BTreeMap<String, f64>,
     /// Machines that nobody reaches.
     pub unreachable: BTreeSet<String>,
     /// Machines to which direct commands are held back.
@@ -91,6 +100,9 @@
             refused: BTreeSet::new(),
             alone: BTreeSet::new(),
             deaf: BTreeSet::new(),
+            late: BTreeMap::new(),
+            inbox: Vec::new(),
+            waiting: BTreeMap::new(),
             unreachable: BTreeSet::new(),
             slow_direct: BTreeSet::new(),
             held_direct: Vec::new(),
@@ -302,11 +314,21 @@
                 }
             }
             node.tick(now);
+            let late = self.late.get(&i).copied().unwrap_or(0.0);
+            node.queue_passed(now - late, now);
             self.effects(i);
         }
         if ((now / STEP) as u64).is_multiple_of(10) {
             self.beats();
         }
+        let waiting = std::mem::take(&mut self.inbox);
+        for (turn, sent_at, i, report) in waiting {
+            if turn <= now {
+                self.reported(i, &report, sent_at);
+            } else {
+                self.inbox.push((turn, sent_at, i, report));
+            }
+        }
         let names: Vec<String> = self.workers.keys().cloned().collect();
         for name in names {
             self.worker_step(&name);
@@ -337,16 +359,44 @@
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
-        let mut log = worker.advance(now);
-        if now >= worker.report_at && !self.unreachable.contains(name) {
+        let log = worker.advance(now);
+        if let Some(&sent_at) = self.waiting.get(name) {
+            if now - sent_at > ANSWER_MS {
+                self.waiting.remove(name);
+                worker.node = (worker.node + 1) % self.nodes.len();
+                worker.report_at = now + 1000.0;
+            }
+        } else if now >= worker.report_at && !self.unreachable.contains(name) {
             worker.report_at = now + 2000.0;
-            let i = worker.node;
-            let report = worker.report();
-            let hears = !self.deaf.contains(&i);
-            let node = self.nodes[i].as_mut().filter(|_| hears);
-            let reply = node.map(|n| n.report(&report, now));
+            let (i, report) = (worker.node, worker.report());
+            self.waiting.insert(name.to_string(), now);
+            match self.late.get(&i) {
+                Some(late) => self.inbox.push((now + late, now, i, report)),
+                None => self.reported(i, &report, now),
+            }
+        }
+        for line in log {
+            self.say(line);
+        }
+    }
+
+    /// A controller takes a report that was sent at `sent_at`, and answers.
+    fn reported(&mut self, i: usize, report: &Report, sent_at: f64) {
+        let now = self.now;
+        let hears = !self.deaf.contains(&i);
+        let node = self.nodes[i].as_mut().filter(|_| hears);
+        let reply = node.map(|n| n.report(report, now));
+        let name = &report.host;
+        let mut log = Vec::new();
+        // A worker that has given up drops the answer.
+        if let Some(worker) = self.workers.get_mut(name)
+            && self.waiting.get(name) == Some(&sent_at)
+        {
+            self.waiting.remove(name);
             match reply {
-                Some(Reply::Answer(answer)) => log.extend(worker.answered(&answer, now, now)),
+                Some(Reply::Answer(answer)) => {
+                    log.extend(worker.answered(&answer, sent_at, now));
+                }
                 Some(Reply::Elsewhere(Some(label))) => {
                     worker.node = label.trim_start_matches("node-").parse().expect("a label");
                     worker.report_at = now + 100.0;
@@ -356,8 +406,8 @@
                     worker.report_at = now + 1000.0;
                 }
             }
-            self.effects(i);
         }
+        self.effects(i);
         for line in log {
             self.say(line);
         }
