A full read is taken in pieces of 100 keys, between which others have their turn

Jobs that are over stay for ever, so a full read may be of very many keys: it was held whole in memory and taken in one turn. What it lacks is forgotten at its end.

--- a/crates/cherryyard-core/src/mirror.rs
+++ b/crates/cherryyard-core/src/mirror.rs
@@ -201,6 +201,8 @@
     /// By machine's index: each round and report looks here for many machines.
     on_host: Vec<BTreeMap<(u64, u32), Mark>>,
     deleted: HashMap<Key, u64>,
+    /// Keys that a full read under way has shown.
+    present: HashSet<Key>,
     teams: Names,
     tasks_done: HashMap<u64, u32>,
     complaints: Vec<String>,
@@ -228,6 +230,7 @@
             ended: HashMap::new(),
             on_host: Vec::new(),
             deleted: HashMap::new(),
+            present: HashSet::new(),
             teams: config.team_names.clone(),
             tasks_done: HashMap::new(),
             complaints: Vec::new(),
@@ -239,22 +242,33 @@
         std::mem::take(&mut self.complaints)
     }
 
-    /// Takes a full read, which describes revision `epoch`.
-    pub fn load(&mut self, pairs: &[Pair], epoch: u64) {
+    /// Begins a full read.
+    pub fn begin_load(&mut self) {
+        self.present.clear();
+    }
+
+    /// Takes a piece of a full read. Each key is as good as if a watch had told
+    /// it; what the read lacks, and that nothing is missing, shows at its end.
+    pub fn load_some(&mut self, pairs: &[Pair]) {
+        for pair in pairs {
+            self.present.extend(Key::parse(&pair.key));
+            self.put(&pair.key, &pair.v, pair.stamp);
+        }
+    }
+
+    /// Ends a full read whose first page described revision `epoch`.
+    pub fn end_load(&mut self, epoch: u64) {
+        let present = std::mem::take(&mut self.present);
         if self.loaded && epoch < self.epoch {
             return;
         }
         // What the read lacks was deleted before it: without this, a job or
         // mark deleted while the watch was too old (410) would live on here.
-        let present: HashSet<Key> = pairs.iter().filter_map(|p| Key::parse(&p.key)).collect();
         for key in self.keys() {
             if !present.contains(&key) && self.stamp(key) <= epoch {
                 self.forget(key);
             }
         }
-        for pair in pairs {
-            self.put(&pair.key, &pair.v, pair.stamp);
-        }
         self.epoch = self.epoch.max(epoch);
         self.loaded = true;
     }
--- a/crates/cherryyard-core/src/node.rs
+++ b/crates/cherryyard-core/src/node.rs
@@ -9,7 +9,7 @@
 use cherryyard_wire::cloud::{HireRequest, HostEntry, HostKind};
 use cherryyard_wire::peer::{Beat, PartReport};
 use cherryyard_wire::record::{self, Claim, Key};
-use cherryyard_wire::state::{Apply, Commit, Json, News, Pair};
+use cherryyard_wire::state::{Apply, Commit, Json, News};
 use cherryyard_wire::worker::{DoRequest, Order, Report, ReportAnswer};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -231,9 +231,11 @@
         std::mem::take(&mut self.effects)
     }
 
-    /// Takes a full read of the state, sent at `sent_at`.
-    pub fn load(&mut self, pairs: &[Pair], epoch: u64, sent_at: Millis, now: Millis) {
-        self.mirror.load(pairs, epoch);
+    /// Ends a full read of the state whose first page was asked for at `sent_at`
+    /// and described revision `epoch`. Its pieces went to the mirror before: a
+    /// long read must not keep reports waiting.
+    pub fn loaded(&mut self, epoch: u64, sent_at: Millis, now: Millis) {
+        self.mirror.end_load(epoch);
         self.after_state(sent_at, now);
     }
 
--- a/crates/cherryyard-io/src/state.rs
+++ b/crates/cherryyard-io/src/state.rs
@@ -3,7 +3,7 @@
 use crate::http::{Failure, Http};
 use cherryyard_wire::parse_object;
 use cherryyard_wire::record::PREFIX;
-use cherryyard_wire::state::{Commit, Epoch, Hold, News, Page, Pair};
+use cherryyard_wire::state::{Commit, Epoch, Hold, News, Page};
 use hyper::Method;
 use std::time::Duration;
 
@@ -99,30 +99,15 @@
         })
     }
 
-    /// Reads everything under our prefix, with the revision of the first page.
-    pub async fn load(&self) -> Result<(Vec<Pair>, u64), StateError> {
-        let mut all: Vec<Pair> = Vec::new();
-        let mut epoch = None;
-        loop {
-            let since = all
-                .last()
-                .map(|p| format!("&since={}", p.key))
-                .unwrap_or_default();
-            let path = format!("/store?starts={PREFIX}{since}&page=1000");
-            let (status, body) = self.call(Method::GET, &path, None, 3000).await?;
-            if status != 200 {
-                return Err(failed(status));
-            }
-            let page: Page = Self::read(&body)?;
-            let first = *epoch.get_or_insert(page.epoch);
-            let empty = page.pairs.is_empty();
-            all.extend(page.pairs);
-            if !page.truncated || empty {
-                return Ok((all, first));
-            }
-            // A long read spends requests that renewals need too.
-            tokio::time::sleep(Duration::from_millis(60)).await;
+    /// Reads a page of all that is under our prefix, after `since`.
+    pub async fn read_page(&self, since: Option<&str>) -> Result<Page, StateError> {
+        let since = since.map(|key| format!("&since={key}")).unwrap_or_default();
+        let path = format!("/store?starts={PREFIX}{since}&page=1000");
+        let (status, body) = self.call(Method::GET, &path, None, 3000).await?;
+        if status != 200 {
+            return Err(failed(status));
         }
+        Self::read(&body)
     }
 
     /// Waits up to `wait_ms` for changes after `since`.
--- a/crates/cherryyard-rehearsal/src/world.rs
+++ b/crates/cherryyard-rehearsal/src/world.rs
@@ -306,7 +306,9 @@
                 if node.mirror.loaded {
                     node.news(&self.state.news(node.mirror.epoch), now, now);
                 } else {
-                    node.load(&self.state.pairs(), self.state.epoch(), now, now);
+                    node.mirror.begin_load();
+                    node.mirror.load_some(&self.state.pairs());
+                    node.loaded(self.state.epoch(), now, now);
                 }
                 match node.hold() {
                     Some(h) if self.state.touch(h, now + TTL) => {}
--- a/crates/cherryyard-rehearsal/tests/rules.rs
+++ b/crates/cherryyard-rehearsal/tests/rules.rs
@@ -1,6 +1,6 @@
 //! The rules, rehearsed: each test is a failure that could break one.
 
-use cherryyard_core::{Outcome, Tuning};
+use cherryyard_core::{Mirror, Outcome, Tuning};
 use cherryyard_rehearsal::{Setup, World};
 use cherryyard_wire::job::{JobStatus, Rank};
 use cherryyard_wire::record::{JobRecord, job_key};
@@ -853,3 +853,52 @@
     let (small, large) = (cost(6), cost(60));
     assert!(small > 0 && large <= small + 70, "{small} {large}");
 }
+
+/// A full read is taken in small pieces between which others have their turn;
+/// what it lacks is forgotten at its end only, and what is newer stays.
+#[test]
+fn a_full_read_in_pieces() {
+    let mut w = settled(Setup::default());
+    for n in 1..=8 {
+        w.submit(&World::spec(&format!("j-{n:06}"), "service", 1));
+    }
+    w.run(10.0);
+    w.cancel(0, "j-000003");
+    w.run(10.0);
+    let whole = &w.nodes[0].as_ref().unwrap().mirror;
+    let mut pieces = Mirror::new(&w.nodes[0].as_ref().unwrap().config);
+    let (pairs, epoch) = (w.state.pairs(), w.state.epoch());
+    pieces.begin_load();
+    for some in pairs.chunks(2) {
+        pieces.load_some(some);
+        assert!(!pieces.loaded && pieces.epoch == 0);
+    }
+    pieces.end_load(epoch);
+    assert!(pieces.loaded && pieces.epoch == epoch);
+    for job in 1..=9 {
+        assert_eq!(pieces.view(job), whole.view(job), "{job}");
+    }
+    // Read again after job 5 was deleted; job 8's record is newer than the read.
+    let newest = pairs.iter().find(|p| p.key == job_key(8)).unwrap().stamp;
+    pieces.begin_load();
+    for some in pairs.chunks(2) {
+        let left: Vec<_> = some
+            .iter()
+            .filter(|p| p.key != job_key(5) && p.key != job_key(8))
+            .cloned()
+            .collect();
+        pieces.load_some(&left);
+    }
+    assert!(pieces.view(5).is_some());
+    pieces.end_load(epoch);
+    assert!(pieces.view(5).is_none() && pieces.view(8).is_none());
+    pieces.begin_load();
+    pieces.load_some(&pairs);
+    pieces.end_load(epoch);
+    pieces.begin_load();
+    let old: Vec<_> = pairs.iter().filter(|p| p.stamp < newest).cloned().collect();
+    pieces.load_some(&old);
+    pieces.epoch = newest - 1;
+    pieces.end_load(newest - 1);
+    assert!(pieces.view(8).is_some());
+}
--- a/crates/cherryyard/src/app.rs
+++ b/crates/cherryyard/src/app.rs
@@ -60,6 +60,8 @@
 const ASK_STALE_MS: f64 = 5000.0;
 /// Messages that may wait for one other controller.
 const PEER_QUEUE: usize = 64;
+/// Keys of a full read that are taken before others have their turn.
+const LOAD_STEP: usize = 100;
 /// Requests that may wait for a barrier at once.
 const MAX_WAITING: usize = 2000;
 
@@ -213,16 +215,39 @@
         }
     }
 
+    /// Reads all of the state into the mirror, piece by piece; says how many
+    /// keys there are, and which revision the first page described. Jobs that
+    /// are over stay for ever, so there may be very many.
+    async fn load(self: &Arc<Self>) -> Result<(usize, u64), StateError> {
+        let (mut keys, mut first, mut last) = (0, None, None);
+        self.with(|n, _| n.mirror.begin_load());
+        loop {
+            let page = self.state.read_page(last.as_deref()).await?;
+            let epoch = *first.get_or_insert(page.epoch);
+            for some in page.pairs.chunks(LOAD_STEP) {
+                self.with(|n, _| n.mirror.load_some(some));
+                tokio::task::yield_now().await;
+            }
+            keys += page.pairs.len();
+            last = page.pairs.into_iter().last().map(|p| p.key);
+            if !page.truncated || last.is_none() {
+                return Ok((keys, epoch));
+            }
+            // A long read spends requests that renewals need too.
+            tokio::time::sleep(Duration::from_millis(60)).await;
+        }
+    }
+
     /// Keeps the mirror: one full read, then one watch.
     async fn mirror(self: Arc<Self>) {
         let mut reload = true;
         loop {
             let sent_at = self.now();
             if reload {
-                match self.state.load().await {
-                    Ok((pairs, epoch)) => {
-                        self.with(|n, now| n.load(&pairs, epoch, sent_at, now));
-                        tracing::info!(keys = pairs.len(), epoch, "read the state");
+                match self.load().await {
+                    Ok((keys, epoch)) => {
+                        self.with(|n, now| n.loaded(epoch, sent_at, now));
+                        tracing::info!(keys, epoch, "read the state");
                         reload = false;
                     }
                     Err(e) => {
