Urgent work first, stretched pauses and handing over when late: taken back

Cause: a claim that is renewed before all else outlives its owner's use: of a very slow controller, the state lease must end as its workers' do, for another to adopt the part.

--- a/crates/cherryyard-core/src/lateness.rs
+++ b/crates/cherryyard-core/src/lateness.rs
@@ -1,16 +1,12 @@
 //! How far behind a controller is with what waits for it.
 //!
-//! Claims and leases are renewed before anything else, so that they tell
-//! nothing of the reports and requests that wait. A task in the ordinary queue
-//! does: what it waits, they wait.
+//! A task that is woken now and then waits as long as the reports and requests
+//! that came before it.
 
 use crate::Millis;
 
 /// Longer waits, or gaps between ticks, are late.
 const LATE_MS: f64 = 700.0;
-/// Lateness from which pauses grow, and the most that they grow by.
-const STRETCH_MS: f64 = 200.0;
-const MOST_STRETCH: f64 = 8.0;
 /// Time between two such tasks.
 pub const QUEUE_CHECK_MS: f64 = 100.0;
 
@@ -57,12 +53,6 @@
         self.last.max(now - self.due)
     }
 
-    /// By how much pauses between pieces of work are longer while reports wait:
-    /// fewer, larger pieces do as much in less time.
-    pub fn stretch(&self, now: Millis) -> f64 {
-        (self.now(now) / STRETCH_MS).clamp(1.0, MOST_STRETCH)
-    }
-
     /// For how long nothing has been late: only what was silent for less than
     /// that may be silent because of this controller itself.
     pub fn punctual_for(&self, now: Millis) -> Millis {
--- a/crates/cherryyard-core/src/node.rs
+++ b/crates/cherryyard-core/src/node.rs
@@ -175,7 +175,7 @@
     pub(crate) listed: HashMap<String, HostEntry>,
     pub(crate) listed_at: Millis,
     /// How far behind this controller is with what waits for it.
-    pub lateness: Lateness,
+    pub(crate) lateness: Lateness,
     /// The newest revision known, from the mirror or from our own transactions.
     pub(crate) newest_epoch: u64,
     /// The time of the event at hand.
@@ -537,7 +537,7 @@
         let every = self.config.tuning.room_report_s * 1000.0;
         let due = now - self.reported_at;
         let mut parts: Vec<PartReport> = Vec::new();
-        if due >= every || (self.room_changed && due >= 900.0 * self.lateness.stretch(now)) {
+        if due >= every || (self.room_changed && due >= 900.0) {
             self.reported_at = now;
             self.room_changed = false;
             for p in 0..self.parts.len() {
--- a/crates/cherryyard-core/src/owner/mod.rs
+++ b/crates/cherryyard-core/src/owner/mod.rs
@@ -177,7 +177,7 @@
 impl Node {
     /// What time alone brings about: leases that end, commands that are due.
     fn keep_part(&mut self, p: usize, now: Millis) {
-        if now - self.parts[p].kept_at < KEEP_MS * self.lateness.stretch(now) {
+        if now - self.parts[p].kept_at < KEEP_MS {
             return;
         }
         self.parts[p].kept_at = now;
@@ -194,7 +194,6 @@
     /// reports are served by one round: a write for each, from every owner,
     /// would leave none for users and claims.
     fn round_due(&mut self, p: usize, now: Millis) -> bool {
-        let stretch = self.lateness.stretch(now);
         let part = &mut self.parts[p];
         let left = part.budget.left(now);
         // Where nothing waits, completions can wait a moment for each other;
@@ -204,7 +203,7 @@
         } else {
             ROUND_MS
         };
-        if now - part.planned_at < spacing * stretch {
+        if now - part.planned_at < spacing {
             return false;
         }
         // A service that no round has seen yet need not wait for the budget of
@@ -243,7 +242,7 @@
         let news = (self.mirror.epoch, self.newest_epoch);
         if !round.gone.is_empty()
             || self.parts[p].placed_as_of != news
-            || now - self.parts[p].placed_at >= STUCK_MS * self.lateness.stretch(now)
+            || now - self.parts[p].placed_at >= STUCK_MS
         {
             self.parts[p].placed_as_of = news;
             self.parts[p].placed_at = now;
--- a/crates/cherryyard-io/src/http.rs
+++ b/crates/cherryyard-io/src/http.rs
@@ -1,12 +1,10 @@
 //! One HTTP/1.1 client for all outside services.
 
-use crate::urgent::Urgent;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
-use std::pin::Pin;
 use std::time::Duration;
 
 /// How a request failed.
@@ -32,26 +30,10 @@
 impl Http {
     /// A client that gives a connection attempt `connect` time.
     pub fn new(connect: Duration, idle_per_host: usize) -> Self {
-        Self::with(connect, idle_per_host, TokioExecutor::new())
-    }
-
-    /// A client whose connections go before all work that is not urgent.
-    pub fn urgent(connect: Duration, idle_per_host: usize, lane: Urgent) -> Self {
-        Self::with(connect, idle_per_host, lane)
-    }
-
-    fn with<E>(connect: Duration, idle_per_host: usize, executor: E) -> Self
-    where
-        E: hyper::rt::Executor<Pin<Box<dyn Future<Output = ()> + Send>>>
-            + Clone
-            + Send
-            + Sync
-            + 'static,
-    {
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(connect));
         connector.set_nodelay(true);
-        let client = Client::builder(executor)
+        let client = Client::builder(TokioExecutor::new())
             .pool_idle_timeout(Duration::from_secs(20))
             .pool_timer(TokioTimer::new())
             .pool_max_idle_per_host(idle_per_host)
--- a/crates/cherryyard-io/src/lib.rs
+++ b/crates/cherryyard-io/src/lib.rs
@@ -7,5 +7,4 @@
 pub mod http;
 pub mod peer;
 pub mod state;
-pub mod urgent;
 pub mod worker;
--- a/crates/cherryyard-io/src/peer.rs
+++ b/crates/cherryyard-io/src/peer.rs
@@ -1,6 +1,5 @@
 //! Messages between controllers, over length-delimited frames.
 
-use crate::urgent::Urgent;
 use bytes::Bytes;
 use cherryyard_wire::peer::{MAX_FRAME, Message, decode};
 use futures_util::{SinkExt, StreamExt};
@@ -60,11 +59,7 @@
 }
 
 /// Takes messages from whoever connects; a bad frame ends its connection.
-pub async fn take(
-    listener: TcpListener,
-    lane: Urgent,
-    take: impl Fn(Message) + Clone + Send + 'static,
-) {
+pub async fn take(listener: TcpListener, take: impl Fn(Message) + Clone + Send + 'static) {
     let slots = std::sync::Arc::new(Semaphore::new(MAX_CONNECTIONS));
     loop {
         let Ok((stream, from)) = listener.accept().await else {
@@ -75,7 +70,7 @@
             continue;
         };
         let take = take.clone();
-        lane.spawn(async move {
+        tokio::spawn(async move {
             let mut frames = framed(stream);
             while let Ok(Some(Ok(frame))) = tokio::time::timeout(IDLE, frames.next()).await {
                 match decode(&frame) {
--- a/crates/cherryyard/src/app.rs
+++ b/crates/cherryyard/src/app.rs
@@ -7,7 +7,6 @@
 use cherryyard_io::cloud::{Cloud, CloudError};
 use cherryyard_io::http::{Failure, Http};
 use cherryyard_io::state::{Committed, State, StateError};
-use cherryyard_io::urgent::{Urgent, lane};
 use cherryyard_io::{peer, worker};
 use cherryyard_wire::MAX_BODY;
 use cherryyard_wire::peer::{Ask, Message, Told, encode};
@@ -28,8 +27,6 @@
     pub state: State,
     cloud: Cloud,
     workers: Http,
-    /// What goes before all other work.
-    lane: Urgent,
     born: Instant,
     barrier: Mutex<Vec<oneshot::Sender<bool>>>,
     /// How long users' requests took since the last log line, in milliseconds.
@@ -102,19 +99,13 @@
         result
     }
 
-    /// A pause between two pieces of work that others should go before: longer
-    /// while this controller is behind.
-    fn stretched(self: &Arc<Self>, pause: Duration) -> Duration {
-        pause.mul_f64(self.with(|n, now| n.lateness.stretch(now)))
-    }
-
     fn perform(self: &Arc<Self>, effect: Effect) {
         let app = self.clone();
         match effect {
             Effect::Refresh => self.barrier_wanted.notify_one(),
             Effect::Beat => self.beat_wanted.notify_one(),
             Effect::Commit(ticket, commit) => {
-                self.lane.spawn(async move {
+                tokio::spawn(async move {
                     let outcome = app.commit(&commit).await;
                     app.with(|n, now| n.committed(ticket, &commit, outcome, now));
                     if matches!(ticket, Ticket::Claim(_)) && outcome == Outcome::NoLease {
@@ -211,7 +202,7 @@
                 let _ = tell.send(good);
             }
             let pace = if good { self.pace } else { self.pace * 2 };
-            tokio::time::sleep(self.stretched(pace)).await;
+            tokio::time::sleep(pace).await;
         }
     }
 
@@ -261,7 +252,7 @@
             match self.state.follow(since, self.follow_ms).await {
                 Ok(news) => {
                     self.with(|n, now| n.news(&news, sent_at, now));
-                    tokio::time::sleep(self.stretched(self.pace)).await;
+                    tokio::time::sleep(self.pace).await;
                 }
                 Err(StateError::Gone) => {
                     tracing::info!(since, "the watch is too old, reading everything again");
@@ -277,33 +268,22 @@
 
     /// Keeps the state lease under which claims are made.
     async fn lease(self: Arc<Self>) {
-        let every = self.ttl_ms as f64 / 4.0;
-        // From when the last renewal was sent: the service counts from about
-        // then, and an answer that is late must not make the next one later.
-        let mut renewed_at = f64::NEG_INFINITY;
+        let every = Duration::from_millis(self.ttl_ms / 4);
         loop {
             let sent_at = self.now();
             match self.with(|n, _| n.hold()) {
                 None => match self.state.hold(self.ttl_ms).await {
-                    Ok(hold) => {
-                        renewed_at = sent_at;
-                        self.with(|n, now| {
-                            n.state_answered(sent_at);
-                            n.lease(Some(hold), now);
-                        });
-                    }
+                    Ok(hold) => self.with(|n, now| {
+                        n.state_answered(sent_at);
+                        n.lease(Some(hold), now);
+                    }),
                     Err(_) => tokio::time::sleep(jittered(400)).await,
                 },
                 Some(hold) => {
-                    // Never faster than four times that, for the budget's sake.
-                    let wait = (renewed_at + every - sent_at).max(every / 4.0);
-                    tokio::time::sleep(Duration::from_secs_f64(wait / 1000.0)).await;
+                    tokio::time::sleep(every).await;
                     let sent_at = self.now();
                     match self.state.touch(hold).await {
-                        Ok(()) => {
-                            renewed_at = sent_at;
-                            self.with(|n, _| n.state_answered(sent_at));
-                        }
+                        Ok(()) => self.with(|n, _| n.state_answered(sent_at)),
                         Err(StateError::Gone) => {
                             tracing::info!(hold, "our lease in the state service is over");
                             self.with(|n, now| n.lease(None, now));
@@ -460,7 +440,7 @@
             tokio::time::sleep(if unknown {
                 jittered(1500)
             } else {
-                self.stretched(self.list_every)
+                self.list_every
             })
             .await;
         }
@@ -471,7 +451,6 @@
 pub async fn run(settings: Settings, tuning: Tuning) -> Result<(), String> {
     let c = &settings.cluster;
     let controllers = (settings.known.len() + 1) as f64;
-    let (lane, first) = lane();
     let connect = Duration::from_millis(1200);
     // A third of the requests each for watch and barrier, the rest for renewals
     // and transactions.
@@ -489,13 +468,9 @@
     }
     let app = Arc::new(App {
         node: Mutex::new(Node::new(Config::new(&settings, tuning), seed, 0.0)),
-        state: State::new(
-            Http::urgent(connect, 8, lane.clone()),
-            &settings.services.state,
-        ),
+        state: State::new(Http::new(connect, 8), &settings.services.state),
         cloud: Cloud::new(Http::new(connect, 1), &settings.services.cloud),
         workers: Http::new(Duration::from_millis(1000), 1),
-        lane: lane.clone(),
         born: Instant::now(),
         barrier: Mutex::new(Vec::new()),
         latency: Mutex::new(
@@ -519,16 +494,16 @@
         .map_err(|e| format!("peer_listen: {}: {e}", settings.peer_listen))?;
     let taker = app.clone();
     // In the order in which a controller that starts needs them.
-    lane.spawn(app.clone().lease());
-    lane.spawn(app.clone().mirror());
-    lane.spawn(peer::take(listener, lane.clone(), move |message| {
+    tokio::spawn(app.clone().lease());
+    tokio::spawn(app.clone().mirror());
+    tokio::spawn(peer::take(listener, move |message| {
         taker.take_message(message);
     }));
     for (addr, others) in ways {
-        lane.spawn(peer::send(addr, beats.clone(), others));
+        tokio::spawn(peer::send(addr, beats.clone(), others));
     }
-    lane.spawn(app.clone().beats(out));
-    lane.spawn(app.clone().clock());
+    tokio::spawn(app.clone().beats(out));
+    tokio::spawn(app.clone().clock());
     tokio::spawn(app.clone().serve_barriers());
     tokio::spawn(app.clone().watch_queue());
     tokio::spawn(app.clone().tell_latency());
@@ -539,9 +514,6 @@
         .await
         .map_err(|e| format!("public_addr: {}: {e}", settings.public_addr))?;
     tracing::info!(label = %settings.label, addr = %settings.public_addr, "serving");
-    let limits = c.limits.clone();
-    tokio::spawn(async move { routes::serve(acceptor, app, &limits).await });
-    drop(lane);
-    first.run().await;
+    routes::serve(acceptor, app, &c.limits).await;
     Ok(())
 }
--- a/crates/cherryyard/src/cli.rs
+++ b/crates/cherryyard/src/cli.rs
@@ -107,15 +107,9 @@
         .init();
 }
 
-/// Tasks between two looks at timers, sockets and urgent work (see
-/// [`cherryyard_io::urgent`]): with reports of about a tenth of a millisecond, a
-/// renewal waits for a millisecond of work.
-const EVENT_INTERVAL: u32 = 8;
-
 fn runtime() -> Result<tokio::runtime::Runtime, String> {
     tokio::runtime::Builder::new_current_thread()
         .enable_all()
-        .event_interval(EVENT_INTERVAL)
         .build()
         .map_err(|e| format!("cannot start: {e}"))
 }
--- a/crates/cherryyard/src/routes.rs
+++ b/crates/cherryyard/src/routes.rs
@@ -13,8 +13,8 @@
 use cherryyard_wire::worker::{Misdirected, Report};
 use cherryyard_wire::{MAX_BODY, parse_object};
 use http_body_util::BodyExt;
-use salvo::conn::{Accepted, Acceptor, Holding};
-use salvo::fuse::{ArcFusePolicy, FuseConfig};
+use salvo::conn::Acceptor;
+use salvo::fuse::FuseConfig;
 use salvo::http::header::HeaderValue;
 use salvo::http::{ResBody, StatusCode};
 use salvo::prelude::*;
@@ -382,27 +382,6 @@
     Answer::later("the state service did not take the cancellation")
 }
 
-/// Takes one connection a turn. A flood of them, as when another controller
-/// ends, is otherwise taken without a pause, while claims and reports wait.
-struct OneByOne<A>(A);
-
-impl<A: Acceptor + Send> Acceptor for OneByOne<A> {
-    type Coupler = A::Coupler;
-    type Stream = A::Stream;
-
-    fn holdings(&self) -> &[Holding] {
-        self.0.holdings()
-    }
-
-    async fn accept(
-        &mut self,
-        fuse: Option<ArcFusePolicy>,
-    ) -> std::io::Result<Accepted<Self::Coupler, Self::Stream>> {
-        tokio::task::yield_now().await;
-        self.0.accept(fuse).await
-    }
-}
-
 /// Most bytes of a head, or of a piece of a body, that a connection buffers: the
 /// least that hyper allows.
 const CONNECTION_BUFFER: usize = 8 * 1024;
@@ -434,7 +413,7 @@
         .with_connection_idle_timeout(Duration::from_secs(60))
         .with_request_body_timeout(Duration::from_secs(5))
         .with_write_stall_timeout(Duration::from_secs(10));
-    let mut server = Server::new(OneByOne(acceptor))
+    let mut server = Server::new(acceptor)
         .fuse_config(fuse)
         .max_connections(most_connections(limits));
     server.http1_mut().max_buf_size(CONNECTION_BUFFER);
