--- a/crates/cherryyard-core/src/lib.rs
+++ b/crates/cherryyard-core/src/lib.rs
@@ -6,6 +6,7 @@
 //! the same effects, which is what the rehearsal crate builds on.
 
 pub mod admit;
+mod claims;
 pub mod config;
 pub mod divide;
 pub mod lateness;
--- /dev/null
+++ b/crates/cherryyard-rehearsal/tests/late.rs
@@ -0,0 +1,87 @@
+//! Controllers that are behind, and what rounds cost.
+
+use cherryyard_rehearsal::{Setup, World};
+
+/// A running cluster whose parts are owned and whose machines have reported.
+fn settled(setup: Setup) -> World {
+    let mut w = World::new(setup);
+    w.run(5.0);
+    w
+}
+
+/// A controller that is behind takes its own lateness for nobody's silence: no
+/// machine is released, no lease taken for over, no claim lost, nothing runs
+/// twice; what is late is only late.
+#[test]
+fn trace_of_a_late_controller() {
+    let mut w = settled(Setup::default());
+    w.submit(&World::spec("j-000001", "service", 6));
+    w.run_until(10.0, |w| w.running() == 6);
+    w.run(20.0);
+    w.say("node-0 is 3.5 s behind");
+    w.late.insert(0, 3500.0);
+    w.run(40.0);
+    w.submit(&World::spec("j-000002", "service", 1));
+    w.cancel(1, "j-000001");
+    w.run(15.0);
+    assert_eq!(w.running(), 1, "{}", w.trace.join("\n"));
+    w.late.clear();
+    w.say("node-0 is in time again");
+    w.run(20.0);
+    assert!(w.broken.is_empty(), "{:?}", w.broken);
+    let bad = |l: &&String| l.contains("releases") || l.contains("loses its lease");
+    assert_eq!(w.trace.iter().find(bad), None);
+    insta::assert_snapshot!(w.trace.join("\n"));
+}
+
+/// So far behind that no answer comes in time, a controller still breaks no
+/// rule: leases run out, and what was lost starts again once that is proven.
+#[test]
+fn a_controller_too_late_for_its_workers_breaks_nothing() {
+    let mut w = settled(Setup {
+        machines: vec![("a", 4), ("b", 2), ("c", 2)],
+        ..Setup::default()
+    });
+    w.submit(&World::spec("j-000001", "service", 10));
+    w.run_until(10.0, |w| w.running() == 10);
+    for late in [5000.0, 1000.0, 9000.0, 6000.0] {
+        w.late.insert(0, late);
+        w.run(25.0);
+    }
+    w.late.clear();
+    w.run(90.0);
+    assert_eq!(w.running(), 10, "{}", w.trace.join("\n"));
+    assert!(w.broken.is_empty(), "{:?}", w.broken);
+}
+
+/// Work follows what changed: reports that tell nothing new have no round look
+/// at their machines' marks, and one completion costs as much in a part ten
+/// times as large. All machines are looked at every 5 s, in case.
+#[test]
+fn rounds_look_at_what_changed() {
+    let looked = |machines: usize, change: bool| {
+        let mut w = settled(Setup {
+            zones: vec!["a"],
+            machines: vec![("a", machines)],
+            ..Setup::default()
+        });
+        w.submit(&World::spec("j-000001", "service", machines as u32));
+        w.run_until(10.0, |w| w.running() == machines);
+        w.run(20.0);
+        let before = w.nodes[0].as_ref().unwrap().looked;
+        if change {
+            w.workers.values_mut().next().unwrap().run_ms = 0.0;
+            w.workers.values_mut().next().unwrap().faulty = true;
+        }
+        w.run(20.0);
+        w.nodes[0].as_ref().unwrap().looked - before
+    };
+    for machines in [6, 60] {
+        let all = looked(machines, false);
+        // 4 looks at all; each report had one before, 40 in all.
+        assert!(all <= 5 * machines as u64, "{all} for {machines}");
+    }
+    let cost = |n: usize| looked(n, true).saturating_sub(looked(n, false));
+    let (small, large) = (cost(6), cost(60));
+    assert!(small > 0 && large <= small + 70, "{small} {large}");
+}
