Pace the packer's reads; one function each for uses and a team's grant

A fold that is done again after its leader's end finds its leaves written, and read all of them (some 500 at the most) without a pause; placement and the account each had a check of a team's grant; a record's use was taken apart in two places.

Change: reads have a share of a tenth of the request budget of their own, next to that of writes. Node::beyond_grant serves placement and account, Mirror::uses_of both forms of a job's record. The cache's order is a set, the first bucket no special case.

--- a/crates/cherryyard-core/src/account.rs
+++ b/crates/cherryyard-core/src/account.rs
@@ -307,11 +307,7 @@
         let free = self.free_on(m, None).unwrap_or_default();
         let why = |&(job, open): &(u64, &OpenJob)| {
             let needs = open.needs();
-            let team = open.team as usize;
-            let (limits, grant) = (&self.config.teams[team], self.mirror.grants[team][p].0);
-            let at_limit = limits.cores_max.is_finite()
-                && used[team].cores + needs.cores > grant.cores + 1e-6
-                || limits.acc_max.is_finite() && used[team].acc + needs.acc > grant.acc + 1e-6;
+            let at_limit = self.beyond_grant(p, open.team, used, &needs);
             let trouble = self.parts[p].trouble.get(&job);
             if !self.allowed(open, m) {
                 Went::Excluded
--- a/crates/cherryyard-core/src/config.rs
+++ b/crates/cherryyard-core/src/config.rs
@@ -97,6 +97,8 @@
     pub user_writes_per_s: f64,
     /// Writes a second that go into the history, at most.
     pub history_writes_per_s: f64,
+    /// Reads a second for them, at most.
+    pub history_reads_per_s: f64,
     /// Largest value in bytes.
     pub value_bytes: usize,
     /// How late the machine list usually is.
@@ -155,6 +157,7 @@
             round_writes_per_s: c.state.write_rps * 0.7 / controllers.len() as f64,
             user_writes_per_s: c.state.write_rps * 0.35,
             history_writes_per_s: c.state.write_rps * 0.1,
+            history_reads_per_s: c.state.rps * 0.1,
             value_bytes,
             list_lag_ms: c.cloud.list_lag_s * 1000.0,
             page_bytes: value_bytes.saturating_sub(64).clamp(256, MAX_PAGE),
--- a/crates/cherryyard-core/src/leader/packing.rs
+++ b/crates/cherryyard-core/src/leader/packing.rs
@@ -36,6 +36,9 @@
 pub(crate) struct Packing {
     packer: Packer,
     pace: Pace,
+    /// Reads of leaves: a fold that is done again finds what it would write there
+    /// already, and would read leaf after leaf without a pause.
+    reads: Pace,
     under: Under,
     retry_after: Millis,
     small_batch_at: Millis,
@@ -52,12 +55,23 @@
                 keep_days: config.tuning.history_keep_days,
             }),
             pace: Pace::new(config.history_writes_per_s, now),
+            reads: Pace::new(config.history_reads_per_s, now),
             under: Under::Nothing,
             retry_after: now,
             small_batch_at: now,
             looked_at: f64::NEG_INFINITY,
         }
     }
+
+    /// Whether the budgets have room for another read or transaction.
+    fn may_step(&mut self, now: Millis) -> bool {
+        now >= self.retry_after && self.pace.left(now) >= 1.0 && self.reads.left(now) >= 1.0
+    }
+
+    fn begin_read(&mut self) {
+        self.under = Under::Packer;
+        self.reads.spend(1.0);
+    }
 }
 
 impl Node {
@@ -73,8 +87,7 @@
         }
         let packing = &mut self.leader.packing;
         if packing.under != Under::Nothing
-            || now < packing.retry_after
-            || packing.pace.left(now) < 1.0
+            || !packing.may_step(now)
             || !self.state_fresh(now)
             || self.lateness.now(now) > 300.0
         {
@@ -106,7 +119,7 @@
             Step::Nothing if self.leader.packing.under == Under::Nothing => self.sweep(),
             Step::Nothing => {}
             Step::Read(level, job) => {
-                self.leader.packing.under = Under::Packer;
+                self.leader.packing.begin_read();
                 self.effects.push(Effect::ReadLeaf(level, job));
             }
             Step::Write(write) => {
@@ -324,3 +337,28 @@
     /// Buckets that jobs stand in.
     pub buckets: usize,
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Reads keep within a share of the request budget of their own. They were paced
+    /// by the writes between them only, and a fold that is done again after its
+    /// leader's end finds its leaves written: it read all of them without a pause.
+    #[test]
+    fn reads_of_leaves_are_paced() {
+        let text = include_bytes!("../../../../examples/controller.json");
+        let settings = cherryyard_wire::settings::Settings::parse(text).unwrap();
+        let config = crate::Config::new(&settings, crate::Tuning::default());
+        let mut packing = Packing::new(&config, 0.0);
+        let mut reads = 0;
+        for now in 0..60_000 {
+            if packing.may_step(f64::from(now)) {
+                packing.begin_read();
+                reads += 1;
+            }
+        }
+        let most = config.history_reads_per_s * 62.0;
+        assert!(reads > 30 && f64::from(reads) <= most, "{reads}, {most}");
+    }
+}
--- a/crates/cherryyard-core/src/mirror/buckets.rs
+++ b/crates/cherryyard-core/src/mirror/buckets.rs
@@ -92,15 +92,7 @@
         for (job, end, n, generation) in record.e {
             jobs.insert(job);
             self.bucket_of.insert(job, from);
-            let uses = uses.remove(&job).map(|u| {
-                let team = self.teams.get(&u.team).unwrap_or(u32::MAX);
-                let needs = crate::needs::Needs {
-                    cores: u.cores,
-                    acc: u.acc,
-                    ram: u.ram,
-                };
-                (team, needs)
-            });
+            let uses = uses.remove(&job).map(|u| self.uses_of(&u));
             let ended = EndedJob {
                 end,
                 n,
@@ -269,7 +261,7 @@
         let count = txn_ops.saturating_sub(1).clamp(1, 16) as u64;
         let width = (u64::MAX / count).saturating_add(1);
         for i in 0..count {
-            let from = if i == 0 { 0 } else { width * i };
+            let from = width * i;
             commit.require(bucket_key(from), 0);
             let empty = BucketRecord::default();
             commit.apply.push(Apply::set(bucket_key(from), &empty));
--- a/crates/cherryyard-core/src/mirror/jobs.rs
+++ b/crates/cherryyard-core/src/mirror/jobs.rs
@@ -115,14 +115,7 @@
     ) -> Result<(), String> {
         match record {
             JobRecord::Ended { end, n, r#use, g } => {
-                let uses = (
-                    self.teams.get(&r#use.team).unwrap_or(u32::MAX),
-                    Needs {
-                        cores: r#use.cores,
-                        acc: r#use.acc,
-                        ram: r#use.ram,
-                    },
-                );
+                let uses = self.uses_of(&r#use);
                 let ended = EndedJob {
                     end,
                     n,
@@ -170,6 +163,18 @@
         Ok(())
     }
 
+    /// The team, and what a task takes, of a job's record; a team that is not in the
+    /// settings is none of ours.
+    pub(super) fn uses_of(&self, r#use: &Use) -> (u32, Needs) {
+        let team = self.teams.get(&r#use.team).unwrap_or(u32::MAX);
+        let needs = Needs {
+            cores: r#use.cores,
+            acc: r#use.acc,
+            ram: r#use.ram,
+        };
+        (team, needs)
+    }
+
     /// Takes a job's end.
     pub(super) fn put_end(&mut self, job: u64, ended: EndedJob, uses: Option<(u32, Needs)>) {
         if self.open.remove(&job).is_some() {
--- a/crates/cherryyard-core/src/owner/place.rs
+++ b/crates/cherryyard-core/src/owner/place.rs
@@ -108,21 +108,15 @@
             if trouble.until > now {
                 continue;
             }
-            let team_cfg = self.config.teams[team].clone();
-            let grant = self.mirror.grants[team][p].0;
+            let limited = self.config.teams[team].limited().then_some(team as u32);
             let mut zones = self.zone_counts(p, *job, round);
             let mut unplaced = Vec::new();
             for number in waiting.iter() {
                 if placed >= 300 {
                     break 'jobs;
                 }
-                if team_cfg.limited() {
-                    let after = (used[team].cores + needs.cores, used[team].acc + needs.acc);
-                    if (team_cfg.cores_max.is_finite() && after.0 > grant.cores + 1e-6)
-                        || (team_cfg.acc_max.is_finite() && after.1 > grant.acc + 1e-6)
-                    {
-                        continue 'jobs;
-                    }
+                if self.beyond_grant(p, team as u32, &used, &needs) {
+                    continue 'jobs;
                 }
                 let kept = self.parts[p]
                     .reserved
@@ -207,7 +201,6 @@
                     attempt,
                 };
                 *zones.entry(m.zone.clone()).or_default() += 1;
-                let limited = team_cfg.limited().then_some(team as u32);
                 if !round.mark(&self.mirror, (*job, number), mark, limited) {
                     self.parts[p].dirty = true;
                     break 'jobs;
@@ -236,6 +229,15 @@
         self.parts[p].handing = handing;
     }
 
+    /// Whether one more task would take its team beyond what the part may use of
+    /// its limit, with what each team uses there now.
+    pub(crate) fn beyond_grant(&self, p: usize, team: u32, used: &[Needs], more: &Needs) -> bool {
+        let team = team as usize;
+        let (limits, grant) = (&self.config.teams[team], self.mirror.grants[team][p].0);
+        limits.cores_max.is_finite() && used[team].cores + more.cores > grant.cores + 1e-6
+            || limits.acc_max.is_finite() && used[team].acc + more.acc > grant.acc + 1e-6
+    }
+
     pub(crate) fn zone_counts(&self, p: usize, job: u64, round: &Round) -> HashMap<String, u32> {
         let mut counts = HashMap::new();
         if self.mirror.open.get(&job).is_none_or(|o| o.caps.is_empty()) {
--- a/crates/cherryyard-history/src/cache.rs
+++ b/crates/cherryyard-history/src/cache.rs
@@ -3,7 +3,7 @@
 use crate::leaf::{Leaf, Past};
 use cherryyard_wire::history::Level;
 use lru::LruCache;
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 /// A leaf as it was read.
 #[derive(Clone, Debug)]
@@ -36,7 +36,7 @@
     /// By run and last id, the least recently used first to go.
     leaves: LruCache<(Level, u64), Read>,
     /// The same keys in order.
-    order: BTreeMap<(Level, u64), ()>,
+    order: BTreeSet<(Level, u64)>,
     jobs: usize,
     most: usize,
 }
@@ -46,7 +46,7 @@
     pub fn new(most: usize) -> Self {
         Self {
             leaves: LruCache::unbounded(),
-            order: BTreeMap::new(),
+            order: BTreeSet::new(),
             jobs: 0,
             most,
         }
@@ -56,7 +56,7 @@
     /// history last moved (its record's stamp): a leaf read before it may lack what
     /// has come into it since, so its silence tells nothing.
     pub fn look(&mut self, level: Level, job: u64, moved: u64) -> Answer {
-        let Some((&key, ())) = self.order.range((level, job)..=(level, u64::MAX)).next() else {
+        let Some(&key) = self.order.range((level, job)..=(level, u64::MAX)).next() else {
             return Answer::Unknown;
         };
         let Some(read) = self.leaves.get(&key) else {
@@ -84,7 +84,7 @@
             }
         }
         self.leaves.put(key, read);
-        self.order.insert(key, ());
+        self.order.insert(key);
         while self.jobs > self.most
             && let Some((key, gone)) = self.leaves.pop_lru()
         {
