--- a/crates/cherryyard-classad/src/expr.rs
+++ b/crates/cherryyard-classad/src/expr.rs
@@ -143,6 +143,43 @@
         }
     }
 
+    /// The expressions that all must hold for this one to: it is taken apart at `&&`.
+    pub fn clauses(&self) -> Vec<Self> {
+        let (mut todo, mut all) = (vec![self.root()], Vec::new());
+        while let Some(at) = todo.pop() {
+            match &self.nodes[at as usize] {
+                Node::Binary(BinaryOp::And, a, b) => todo.extend([*b, *a]),
+                _ => all.push(Self {
+                    nodes: self.nodes[..=at as usize].to_vec(),
+                }),
+            }
+        }
+        all
+    }
+
+    /// Names of the other ad's attributes that it may ask for, each once.
+    pub fn attributes(&self) -> Vec<u32> {
+        let (mut todo, mut all) = (vec![self.root()], Vec::new());
+        while let Some(at) = todo.pop() {
+            match &self.nodes[at as usize] {
+                Node::Const(_) | Node::Attr(Side::My, _) => {}
+                Node::Attr(_, name) => {
+                    if !all.contains(name) {
+                        all.push(*name);
+                    }
+                }
+                Node::Unary(_, a) | Node::Select(a, _) => todo.push(*a),
+                Node::Binary(_, a, b) | Node::Elvis(a, b) | Node::Index(a, b) => {
+                    todo.extend([*b, *a]);
+                }
+                Node::Choice(a, b, c) => todo.extend([*c, *b, *a]),
+                Node::Call(_, parts) | Node::List(parts) => todo.extend(parts.iter().rev()),
+                Node::Ad(parts) => todo.extend(parts.iter().rev().map(|p| p.1)),
+            }
+        }
+        all
+    }
+
     /// The expression as text that parses to the same.
     pub fn print(&self, names: &Names) -> String {
         let mut text = String::new();
--- a/crates/cherryyard-core/src/admit.rs
+++ b/crates/cherryyard-core/src/admit.rs
@@ -3,6 +3,8 @@
 use crate::{Config, Mirror};
 use cherryyard_wire::cloud::HostKind;
 use cherryyard_wire::job::{JobSpec, Shape};
+use cherryyard_wire::rules::Rules;
+use std::collections::BTreeSet;
 
 /// Why a submission is not taken.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -30,8 +32,14 @@
         .is_none_or(|k| k.iter().any(|name| name == sku))
 }
 
-/// Checks a submission, and drops what the record need not keep.
-pub fn admit(spec: &mut JobSpec, mirror: &Mirror, config: &Config) -> Result<(), Reject> {
+/// Checks a submission made at `at`, and drops what the record need not keep.
+pub fn admit(
+    spec: &mut JobSpec,
+    rules: Option<&Rules>,
+    at: u64,
+    mirror: &Mirror,
+    config: &Config,
+) -> Result<(), Reject> {
     if mirror.kinds.is_empty() {
         return Err(Reject::NotYet("the machine types are not known yet"));
     }
@@ -50,7 +58,7 @@
         kinds.sort();
         kinds.dedup();
     }
-    let zones: std::collections::BTreeSet<&str> = mirror
+    let mut zones: BTreeSet<&str> = mirror
         .kinds
         .iter()
         .filter(|k| fits_kind(spec, k))
@@ -60,6 +68,26 @@
     if zones.is_empty() {
         return never("kinds_of_host: a task fits no allowed machine type".into());
     }
+    if let Some(rules) = rules {
+        let cells = mirror.matcher.evaluate(rules, at);
+        let cells = cells.map_err(Reject::Malformed)?;
+        let open = |zone: &str| {
+            let fits = mirror.kinds.iter().filter(|k| fits_kind(spec, k));
+            fits.filter(|k| k.yards.iter().any(|y| y == zone)).any(|k| {
+                let spots = [false, true]
+                    .into_iter()
+                    .take(1 + usize::from(spec.borrowed));
+                spots
+                    .into_iter()
+                    .any(|s| cells.tier(&k.sku, zone, s).is_some())
+            })
+        };
+        zones.retain(|zone| open(zone));
+        if zones.is_empty() {
+            let why = mirror.matcher.explain(spec, rules, &mirror.kinds, at);
+            return never(why.map_or_else(|e| e, |w| w.told()));
+        }
+    }
     if spec.apart && spec.pieces > 1 && (spec.together || zones.len() < 2) {
         return never("apart: the tasks would have to be in one zone".into());
     }
@@ -75,7 +103,8 @@
     if spec.accelerators * count > team.acc_max + 1e-9 {
         return never("accelerators: more than the team's limit".into());
     }
-    let size = serde_json::to_vec(&spec).map_or(usize::MAX, |v| v.len());
+    let size = |v: serde_json::Result<Vec<u8>>| v.map_or(usize::MAX / 4, |v| v.len());
+    let size = size(serde_json::to_vec(&spec)) + rules.map_or(0, |r| size(serde_json::to_vec(r)));
     if size + 300 > config.value_bytes {
         return Err(Reject::Malformed(
             "bundle: the job's names are too long to keep".into(),
--- a/crates/cherryyard-core/src/config.rs
+++ b/crates/cherryyard-core/src/config.rs
@@ -2,6 +2,7 @@
 
 use crate::names::Names;
 use crate::parting::Parting;
+use cherryyard_wire::rules::Attributes;
 use cherryyard_wire::settings::Settings;
 use std::collections::HashMap;
 use std::num::NonZeroUsize;
@@ -30,6 +31,11 @@
     pub history_keep_days: u32,
     /// Whether an account of core-seconds is kept and logged.
     pub account: bool,
+    /// Whether submissions may have rules of their own, and HTCondor's submit files
+    /// are served.
+    pub condor: bool,
+    /// Operators' own attributes of machines, for rules.
+    pub attributes: Attributes,
 }
 
 impl Default for Tuning {
@@ -43,6 +49,8 @@
             history_batch: 8192,
             history_keep_days: 0,
             account: false,
+            condor: false,
+            attributes: Attributes::default(),
         }
     }
 }
--- a/crates/cherryyard-core/src/effects.rs
+++ b/crates/cherryyard-core/src/effects.rs
@@ -21,6 +21,8 @@
     Leader,
     /// The history's packer.
     Packer,
+    /// The creator of submissions' jobs.
+    Creator,
 }
 
 /// How a transaction came out.
@@ -73,6 +75,8 @@
     Hire(HireRequest),
     /// Read the first leaf of a run whose last possible id is this one or later.
     ReadLeaf(Level, u64),
+    /// Read a chunk of a submission.
+    ReadChunk(u64, u32),
 }
 
 /// The answer to a worker's report.
--- a/crates/cherryyard-core/src/leader/division.rs
+++ b/crates/cherryyard-core/src/leader/division.rs
@@ -2,24 +2,31 @@
 
 use super::*;
 
+/// Any tier of preference.
+pub(crate) const ANY: u16 = u16::MAX;
+
 impl Node {
-    /// Whether a job's rules allow this sort of machine.
-    pub(crate) fn sort_allowed(open: &OpenJob, m: &MachineSort) -> bool {
-        (open.spec.borrowed || !m.spot)
+    /// How much a job prefers this sort of machine, 0 the most; none if its rules
+    /// exclude it.
+    pub(crate) fn sort_tier(open: &OpenJob, m: &MachineSort) -> Option<u16> {
+        let allowed = (open.spec.borrowed || !m.spot)
             && admit::allows_kind(&open.spec, &m.kind)
             && open.spec.yard.as_ref().is_none_or(|y| *y == m.zone)
-            && open.zone.as_ref().is_none_or(|z| *z == m.zone)
+            && open.zone.as_ref().is_none_or(|z| *z == m.zone);
+        let tier = allowed.then(|| open.tier(&m.kind, &m.zone, m.spot));
+        tier.flatten()
     }
 
-    /// A report's machines that the job may use.
+    /// A report's machines that the job may use, up to a tier of its preference.
     pub(crate) fn rooms_for<'a>(
         open: &OpenJob,
         report: &'a PartReport,
+        most: u16,
     ) -> impl Iterator<Item = &'a MachineRoom> + use<'a> {
         let allowed: Vec<bool> = report
             .sorts
             .iter()
-            .map(|s| Self::sort_allowed(open, s))
+            .map(|s| Self::sort_tier(open, s).is_some_and(|t| t <= most))
             .collect();
         report
             .machines
@@ -37,9 +44,9 @@
     /// image, arrays making way if its rank allows.
     pub(crate) fn held_elsewhere(&self, p: usize, open: &OpenJob, now: Millis) -> f64 {
         let mut fits = if open.spec.rank > Rank::Standard {
-            self.fits(open, now, true, |m| m.yielding)
+            self.fits(open, now, true, ANY, |m| m.yielding)
         } else {
-            self.fits(open, now, true, |m| m.free)
+            self.fits(open, now, true, ANY, |m| m.free)
         };
         fits[p] = 0.0;
         fits.iter().sum()
@@ -50,30 +57,40 @@
     /// A service counts only machines that hold its image, while these have
     /// room for it, arrays making way if its rank allows: elsewhere a replica
     /// would wait for the image, and inside its part the image decides too.
+    ///
+    /// Where rules prefer some cells, those count alone while they have room for all.
     pub(crate) fn weights(&self, open: &OpenJob, now: Millis) -> Vec<f64> {
         let all = |weights: &[f64]| weights.iter().sum::<f64>() >= f64::from(open.spec.pieces);
+        let tiers = open.rules.as_ref().map_or(1, |r| r.1.tiers());
+        for most in 0..tiers.saturating_sub(1) {
+            let free = self.fits(open, now, false, most, |m| m.free);
+            if all(&free) {
+                return free;
+            }
+        }
         if open.spec.shape == Shape::Service {
-            let free = self.fits(open, now, true, |m| m.free);
+            let free = self.fits(open, now, true, ANY, |m| m.free);
             if all(&free) {
                 return free;
             }
             if open.spec.rank > Rank::Standard {
-                let yielding = self.fits(open, now, true, |m| m.yielding);
+                let yielding = self.fits(open, now, true, ANY, |m| m.yielding);
                 if all(&yielding) {
                     return yielding;
                 }
             }
         }
-        self.fits(open, now, false, |m| m.free)
+        self.fits(open, now, false, ANY, |m| m.free)
     }
 
-    /// How many of the job's tasks fit into each part; `holding`: on machines
-    /// that hold its image.
+    /// How many of the job's tasks fit into each part, on machines up to a tier of its
+    /// preference; `holding`: on those that hold its image.
     pub(crate) fn fits(
         &self,
         open: &OpenJob,
         now: Millis,
         holding: bool,
+        most: u16,
         room_of: impl Fn(&MachineRoom) -> (f32, f32, f32),
     ) -> Vec<f64> {
         let needs = open.needs();
@@ -91,7 +108,7 @@
                     return 0.0;
                 }
                 let held = |m: &MachineRoom| m.images.iter().any(|&i| Some(i.into()) == image);
-                let fits: u32 = Self::rooms_for(open, &room.report)
+                let fits: u32 = Self::rooms_for(open, &room.report, most)
                     .filter(|m| !holding || held(m))
                     .map(|m| {
                         let (cores, acc, ram) = room_of(m);
@@ -112,8 +129,9 @@
     pub(crate) fn counts(&self, open: &OpenJob, now: Millis) -> Vec<f64> {
         (0..self.parts.len())
             .map(|p| {
-                self.current_room(p, now)
-                    .map_or(0.0, |r| Self::rooms_for(open, &r.report).count() as f64)
+                self.current_room(p, now).map_or(0.0, |r| {
+                    Self::rooms_for(open, &r.report, ANY).count() as f64
+                })
             })
             .collect()
     }
@@ -191,7 +209,7 @@
                 let Some(room) = self.current_room(p, now) else {
                     continue;
                 };
-                for m in Self::rooms_for(open, &room.report) {
+                for m in Self::rooms_for(open, &room.report, ANY) {
                     if room.report.sorts[usize::from(m.sort)].zone == zone {
                         let (cores, acc, ram) = m.free;
                         fits += open.needs().times_in(&Needs {
--- a/crates/cherryyard-core/src/leader/mod.rs
+++ b/crates/cherryyard-core/src/leader/mod.rs
@@ -2,6 +2,7 @@
 //! limits, rents machines.
 
 mod assumed;
+mod creating;
 mod division;
 mod limits;
 mod overflow;
@@ -168,6 +169,7 @@
         self.assume_rooms(now);
         let commit = self
             .store_kinds()
+            .or_else(|| self.store_attributes())
             .or_else(|| self.divide_new(now))
             .or_else(|| self.hand_out_grants(now))
             .or_else(|| self.move_waiting(now));
@@ -200,6 +202,28 @@
         Some(commit)
     }
 
+    /// Operators' attributes of machines, if they are not as this leader's file has
+    /// them: all controllers decide by what is stored.
+    pub(crate) fn store_attributes(&mut self) -> Option<Commit> {
+        let own = &self.config.tuning.attributes;
+        if !self.config.tuning.condor || self.mirror.attributes == *own {
+            return None;
+        }
+        let value = Json::of(own);
+        if value.text().len() > self.config.value_bytes {
+            if !self.leader.warned {
+                self.leader.warned = true;
+                tracing::warn!("operators' attributes are too many to keep, and do not count");
+            }
+            return None;
+        }
+        tracing::info!("operators' attributes of machines are stored");
+        let mut commit = Commit::default();
+        self.mirror.require(&mut commit, Key::Attributes);
+        commit.apply.push(Apply::put(record::ATTRIBUTES, value));
+        Some(commit)
+    }
+
     /// The claim's stamp that a division at submission depends on.
     pub fn lead_stamp(&self) -> Option<u64> {
         self.leader
--- a/crates/cherryyard-core/src/leader/rent.rs
+++ b/crates/cherryyard-core/src/leader/rent.rs
@@ -2,6 +2,13 @@
 
 use super::*;
 
+/// A sort of machine that could be rented: spot or not, its cores, how many machines
+/// are in its zone, type, zone, and how long it takes to be up.
+type Choice<'a> = (bool, f64, u32, &'a str, &'a str, f64);
+
+/// Waiting jobs with rules of which renting takes account.
+const RULED_JOBS: usize = 50;
+
 impl Node {
     /// Rents ahead of need.
     pub(crate) fn rent(&mut self, now: Millis) {
@@ -55,7 +62,7 @@
             return;
         }
         // Ordinary machines serve everything; spot ones only what may be lost.
-        let mut options: Vec<(bool, f64, u32, &str, &str, f64)> = Vec::new();
+        let mut options: Vec<Choice<'_>> = Vec::new();
         for kind in kinds {
             for zone in &kind.yards {
                 let here = listed.values().filter(|h| h.yard == *zone).count() as u32;
@@ -70,6 +77,7 @@
             }
         }
         options.sort_by(|a, b| a.0.cmp(&b.0).then(a.2.cmp(&b.2)).then(a.4.cmp(b.4)));
+        self.for_rules(&mut options, need > waiting, now);
         let Some(&(spot, cores, _, sku, zone, _)) = options.first() else {
             return;
         };
@@ -92,6 +100,43 @@
         self.effects.push(Effect::Hire(request));
     }
 
+    /// Jobs with rules may be able to use few sorts of machine. Where one waits that
+    /// no machine here is for, a sort that it allows comes first; and where only such
+    /// jobs wait, nothing is rented that is of use to none of them.
+    fn for_rules(&self, options: &mut Vec<Choice<'_>>, ahead: bool, now: Millis) {
+        let waiting = self.mirror.open.iter().filter(|(job, open)| {
+            let gone = self.mirror.done(**job) + self.mirror.marked(**job);
+            open.spec.pieces > gone
+        });
+        let (mut ruled, mut others) = (Vec::new(), false);
+        for (_, open) in waiting {
+            if open.rules.is_none() {
+                others = true;
+            } else if ruled.len() < RULED_JOBS {
+                ruled.push(open);
+            }
+        }
+        if ruled.is_empty() {
+            return;
+        }
+        let takes = |open: &OpenJob, o: &Choice<'_>| {
+            let sort = MachineSort {
+                kind: o.3.to_string(),
+                zone: o.4.to_string(),
+                spot: o.0,
+            };
+            let kind = self.mirror.kinds.iter().find(|k| k.sku == o.3);
+            kind.is_some_and(|k| admit::fits_kind(&open.spec, k))
+                && Self::sort_tier(open, &sort).is_some()
+        };
+        if !others && !ahead {
+            options.retain(|o| ruled.iter().any(|open| takes(open, o)));
+        }
+        let stuck = |open: &&&OpenJob| self.counts(open, now).iter().all(|&n| n == 0.0);
+        let stuck: Vec<&OpenJob> = ruled.iter().filter(stuck).copied().collect();
+        options.sort_by_key(|o| !stuck.iter().any(|open| takes(open, o)));
+    }
+
     /// Takes the answer to a rental: the machines, a refusal, or neither.
     pub fn hired(&mut self, request: &HireRequest, answer: Result<Vec<String>, bool>, now: Millis) {
         let key = (
--- a/crates/cherryyard-core/src/leader/state.rs
+++ b/crates/cherryyard-core/src/leader/state.rs
@@ -1,5 +1,6 @@
 //! What a leader remembers; every controller keeps it, so that taking over is quick.
 
+use super::creating::Creating;
 use super::packing::Packing;
 use crate::needs::Needs;
 use crate::{Config, Millis, Mirror};
@@ -86,8 +87,12 @@
     /// Services lately handed over: not again at once, or one went round among
     /// parts whose reports are a moment old.
     pub(crate) handed: HashMap<u64, Millis>,
+    /// Whether it has been said that attributes cannot be kept.
+    pub(crate) warned: bool,
     /// The history's packer.
     pub(crate) packing: Packing,
+    /// The creator of submissions' jobs.
+    pub(crate) creating: Creating,
 }
 
 impl Leader {
@@ -110,7 +115,9 @@
             hired: Vec::new(),
             ownerless: HashMap::new(),
             handed: HashMap::new(),
+            warned: false,
             packing: Packing::new(config, now),
+            creating: Creating::new(config, now),
         }
     }
 
--- a/crates/cherryyard-core/src/lib.rs
+++ b/crates/cherryyard-core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod account;
 pub mod admit;
 mod beats;
+pub mod cells;
 mod claims;
 pub mod config;
 pub mod divide;
--- a/crates/cherryyard-core/src/mirror/buckets.rs
+++ b/crates/cherryyard-core/src/mirror/buckets.rs
@@ -53,7 +53,7 @@
 
 impl Mirror {
     /// The key of the record that a job stands in, or would stand in.
-    pub(super) fn home(&self, job: u64) -> Key {
+    pub(crate) fn home(&self, job: u64) -> Key {
         if self.format < BUCKETS || self.has_own_record(job) {
             return Key::Job(job);
         }
--- a/crates/cherryyard-core/src/mirror/jobs.rs
+++ b/crates/cherryyard-core/src/mirror/jobs.rs
@@ -1,10 +1,13 @@
 //! Jobs in the mirror, open and over.
 
 use super::Mirror;
+use crate::cells::CellSet;
 use crate::needs::Needs;
 use cherryyard_wire::RangeSet;
 use cherryyard_wire::job::{JobSpec, JobStatus, JobView, Rank, Shape, job_id};
 use cherryyard_wire::record::{End, JobRecord, Use};
+use cherryyard_wire::rules::Rules;
+use std::sync::Arc;
 
 /// A job that is not over.
 #[derive(Clone, Debug)]
@@ -23,6 +26,9 @@
     pub zone: Option<String>,
     /// Most tasks per part and zone, if tasks are to be apart.
     pub caps: Vec<Vec<u32>>,
+    /// Where it may run, beyond what the submission's fields say, and the cells that
+    /// this comes to now.
+    pub rules: Option<(Box<Rules>, Arc<CellSet>)>,
 }
 
 impl OpenJob {
@@ -31,6 +37,14 @@
         !self.div.is_empty()
     }
 
+    /// How much its rules prefer a cell, 0 the most; none if they exclude it.
+    pub fn tier(&self, kind: &str, zone: &str, spot: bool) -> Option<u16> {
+        match &self.rules {
+            None => Some(0),
+            Some((_, cells)) => cells.tier(kind, zone, spot),
+        }
+    }
+
     /// When it should be complete, in milliseconds of the day's clock.
     pub fn due_ms(&self) -> f64 {
         self.spec
@@ -61,6 +75,7 @@
             div: self.div.clone(),
             zone: self.zone.clone(),
             caps: self.caps.clone(),
+            rules: self.rules.as_ref().map(|r| r.0.clone()),
         }
     }
 
@@ -130,6 +145,7 @@
                 div,
                 zone,
                 caps,
+                rules,
             } => {
                 // A job's end is final; nothing may bring it back, so a record
                 // that does is older or bad.
@@ -143,6 +159,10 @@
                     return Err("bad division".into());
                 }
                 let team = self.teams.get(&spec.owner).ok_or("unknown team")?;
+                let rules = rules.map(|rules| {
+                    let cells = self.matcher.cells(&rules, at);
+                    (rules, cells)
+                });
                 let open = OpenJob {
                     stamp,
                     spec: *spec,
@@ -151,6 +171,7 @@
                     div,
                     zone,
                     caps,
+                    rules,
                 };
                 // A bucket tells of jobs that have not changed, too.
                 let before = self.open.insert(job, open);
@@ -175,6 +196,23 @@
         (team, needs)
     }
 
+    /// A new job, with what its rules come to; none if its team is unknown.
+    pub fn new_job(&mut self, spec: JobSpec, rules: Option<Rules>, at: u64) -> Option<OpenJob> {
+        Some(OpenJob {
+            stamp: 0,
+            team: self.teams.get(&spec.owner)?,
+            rules: rules.map(|rules| {
+                let cells = self.matcher.cells(&rules, at);
+                (Box::new(rules), cells)
+            }),
+            spec,
+            at,
+            div: Vec::new(),
+            zone: None,
+            caps: Vec::new(),
+        })
+    }
+
     /// Takes a job's end.
     pub(super) fn put_end(&mut self, job: u64, ended: EndedJob, uses: Option<(u32, Needs)>) {
         if self.open.remove(&job).is_some() {
@@ -198,6 +236,15 @@
         }
     }
 
+    /// Whether a job with one of these numbers is open, or over and not only in the
+    /// history.
+    pub fn knows_any(&self, mut jobs: std::ops::Range<u64>) -> bool {
+        self.open.range(jobs.clone()).next().is_some()
+            || self.ended.keys().any(|job| jobs.contains(job))
+            || self.recent.iter().any(|(job, _)| jobs.contains(job))
+            || jobs.next().is_none()
+    }
+
     /// Whether any part's pages name the job.
     pub fn named_in_pages(&self, job: u64) -> bool {
         (0..self.parts.len()).any(|p| self.marks.contains_key(&(p, job)))
--- a/crates/cherryyard-core/src/mirror/mod.rs
+++ b/crates/cherryyard-core/src/mirror/mod.rs
@@ -9,13 +9,16 @@
 mod marks;
 
 use crate::Config;
+use crate::cells::Matcher;
 use crate::names::Names;
 use crate::needs::Needs;
 use crate::pages::{JobMarks, Mark, Page};
 use buckets::Bucket;
 use cherryyard_wire::cloud::HostKind;
+use cherryyard_wire::condor::{IdsRecord, SubmissionRecord, submission_key};
 use cherryyard_wire::history::PackedRecord;
 use cherryyard_wire::record::{Claim, End, FormatRecord, Grant, ImagesRecord, Key};
+use cherryyard_wire::rules::Attributes;
 use cherryyard_wire::state::{Apply, Commit, Json, News, Pair};
 use cherryyard_wire::{RangeSet, record};
 pub use jobs::{EndedJob, OpenJob, over};
@@ -67,10 +70,20 @@
     pub parts: Vec<Option<ClaimState>>,
     /// The claim on the lead.
     pub lead: Option<ClaimState>,
-    /// Machine types, as last stored.
+    /// Machine types, as last stored: see [`set_kinds`](Self::set_kinds).
     pub kinds: Vec<HostKind>,
     /// Stamp of the machine types.
     pub kinds_stamp: u64,
+    /// Operators' own attributes of machines, as stored.
+    pub attributes: Attributes,
+    attributes_stamp: u64,
+    /// What jobs' rules come to, by types and attributes.
+    pub matcher: Matcher,
+    /// Submissions of many jobs, by number, with their stamps.
+    pub submissions: BTreeMap<u64, (SubmissionRecord, u64)>,
+    /// Ids handed out to them.
+    pub ids: IdsRecord,
+    ids_stamp: u64,
     /// Jobs that are not over, by number.
     pub open: BTreeMap<u64, OpenJob>,
     /// Pages of marks, by part. New marks go into a part's last page or the one
@@ -124,6 +137,12 @@
             lead: None,
             kinds: Vec::new(),
             kinds_stamp: 0,
+            attributes: Attributes::default(),
+            attributes_stamp: 0,
+            matcher: Matcher::default(),
+            submissions: BTreeMap::new(),
+            ids: IdsRecord::default(),
+            ids_stamp: 0,
             open: BTreeMap::new(),
             pages: vec![BTreeMap::new(); parts],
             marks: BTreeMap::new(),
@@ -217,6 +236,9 @@
     fn keys(&self) -> Vec<Key> {
         let mut keys = Vec::new();
         keys.extend(self.lead.iter().map(|_| Key::Lead));
+        keys.extend((self.attributes_stamp != 0).then_some(Key::Attributes));
+        keys.extend((self.ids_stamp != 0).then_some(Key::Ids));
+        keys.extend(self.submissions.keys().map(|&n| Key::Submission(n)));
         keys.extend(
             (0..self.parts.len())
                 .filter(|&p| self.parts[p].is_some())
@@ -240,6 +262,9 @@
         match key {
             Key::Lead => self.lead.as_ref().map_or(0, |c| c.stamp),
             Key::Kinds => self.kinds_stamp,
+            Key::Attributes => self.attributes_stamp,
+            Key::Ids => self.ids_stamp,
+            Key::Submission(n) => self.submissions.get(&n).map_or(0, |s| s.1),
             Key::Part(p) => self
                 .parts
                 .get(p)
@@ -267,10 +292,34 @@
         }
     }
 
+    /// Takes machine types.
+    pub fn set_kinds(&mut self, kinds: Vec<HostKind>) {
+        if self.kinds != kinds {
+            self.kinds = kinds;
+            self.match_anew();
+        }
+    }
+
+    /// Types or attributes have changed: what jobs' rules come to is worked out
+    /// afresh. What runs stays where it is, what waits follows.
+    fn match_anew(&mut self) {
+        self.matcher = Matcher::new(&self.kinds, &self.attributes);
+        for open in self.open.values_mut() {
+            if let Some((rules, cells)) = &mut open.rules {
+                *cells = self.matcher.cells(rules, open.at);
+            }
+        }
+    }
+
     fn forget(&mut self, key: Key) {
         match key {
             Key::Lead => self.lead = None,
             Key::Kinds => self.kinds_stamp = 0,
+            Key::Attributes => {
+                self.attributes_stamp = 0;
+                self.attributes = Attributes::default();
+                self.match_anew();
+            }
             Key::Part(p) => {
                 if let Some(claim) = self.parts.get_mut(p) {
                     *claim = None;
@@ -281,6 +330,10 @@
                     *images = StoredImages::default();
                 }
             }
+            Key::Ids => (self.ids, self.ids_stamp) = (IdsRecord::default(), 0),
+            Key::Submission(n) => {
+                self.submissions.remove(&n);
+            }
             Key::Job(j) => self.drop_job(j),
             Key::Bucket(from) => self.drop_bucket(from),
             Key::Format => (self.format, self.format_stamp) = (0, 0),
@@ -323,9 +376,14 @@
                 self.lead = Some(ClaimState::of(value.read()?, stamp));
             }
             Key::Kinds => {
-                self.kinds = value.read()?;
+                self.set_kinds(value.read()?);
                 self.kinds_stamp = stamp;
             }
+            Key::Attributes => {
+                self.attributes = value.read()?;
+                self.attributes_stamp = stamp;
+                self.match_anew();
+            }
             Key::Part(p) => {
                 let claim = ClaimState::of(value.read()?, stamp);
                 *self.parts.get_mut(p).ok_or("no such part")? = Some(claim);
@@ -343,6 +401,10 @@
                     stamp,
                 };
             }
+            Key::Ids => (self.ids, self.ids_stamp) = (value.read()?, stamp),
+            Key::Submission(n) => {
+                self.submissions.insert(n, (value.read()?, stamp));
+            }
             Key::Job(j) => self.put_job(j, value.read()?, stamp)?,
             Key::Bucket(from) => self.put_bucket(from, value.read()?, stamp),
             Key::Format => {
@@ -380,6 +442,9 @@
         let text = match key {
             Key::Lead => record::LEAD.to_string(),
             Key::Kinds => record::KINDS.to_string(),
+            Key::Attributes => record::ATTRIBUTES.to_string(),
+            Key::Ids => record::IDS.to_string(),
+            Key::Submission(n) => submission_key(n),
             Key::Format => record::FORMAT.to_string(),
             Key::Packed => record::PACKED.to_string(),
             Key::Part(p) => record::part_key(p),
--- a/crates/cherryyard-core/src/node.rs
+++ b/crates/cherryyard-core/src/node.rs
@@ -219,7 +219,7 @@
     pub fn kinds(&mut self, kinds: Vec<HostKind>, now: Millis) {
         self.notice(now);
         if self.mirror.kinds_stamp == 0 && !kinds.is_empty() {
-            self.mirror.kinds.clone_from(&kinds);
+            self.mirror.set_kinds(kinds.clone());
         }
         self.types_from_cloud = Some(kinds);
         self.leader.dirty = true;
@@ -289,6 +289,7 @@
             Ticket::Lead => self.lead_committed(outcome, now),
             Ticket::Leader => self.leader_committed(outcome, now),
             Ticket::Packer => self.packer_committed(outcome, now),
+            Ticket::Creator => self.creator_committed(outcome, now),
         }
         if outcome == Outcome::NoLease {
             self.hold = None;
@@ -347,6 +348,7 @@
             self.plan_lead(now);
         }
         self.pack(now);
+        self.create(now);
     }
 
     /// Takes a reading of the cloud's machine list.
--- a/crates/cherryyard-core/src/owner/place.rs
+++ b/crates/cherryyard-core/src/owner/place.rs
@@ -1,6 +1,7 @@
 //! Placement: which waiting number goes to which machine.
 
 use super::*;
+use std::cmp::Reverse;
 
 impl Node {
     /// Which of the deadline's multiples the job can still make if its waiting
@@ -32,7 +33,7 @@
                 let sweep = o.spec.shape == Shape::Sweep;
                 let left = o.spec.pieces.saturating_sub(self.mirror.done(job));
                 let work = f64::from(left) * o.spec.expected_s * o.spec.cores;
-                let key = (std::cmp::Reverse(o.spec.rank), sweep, self.hope(o, wall));
+                let key = (Reverse(o.spec.rank), sweep, self.hope(o, wall));
                 (key, work, o.due_ms(), o.at, job, waiting)
             })
             .collect();
@@ -56,6 +57,7 @@
             && open.spec.yard.as_ref().is_none_or(|y| *y == m.zone)
             && open.zone.as_ref().is_none_or(|z| *z == m.zone)
             && (!open.spec.together || open.zone.is_some())
+            && open.tier(&m.kind, &m.zone, m.spot).is_some()
     }
 
     pub(crate) fn place(
@@ -148,7 +150,8 @@
                             };
                             // A spot machine may be taken with its work: only for
                             // what finds no other room.
-                            (image, !m.spot)
+                            let tier = open.tier(&m.kind, &m.zone, m.spot);
+                            (Reverse(tier), image, !m.spot)
                         };
                         key(a)
                             .cmp(&key(b))
--- a/crates/cherryyard-core/src/owner/round.rs
+++ b/crates/cherryyard-core/src/owner/round.rs
@@ -26,6 +26,8 @@
     /// Jobs that get new marks, and their teams with limits.
     jobs: BTreeSet<u64>,
     teams: BTreeSet<u32>,
+    /// Whether any of these jobs' rules depend on machines' attributes.
+    ruled: bool,
     ends: BTreeSet<u64>,
     gained: BTreeMap<u64, u32>,
     /// Marks that go, and marks that come, by machine.
@@ -51,6 +53,7 @@
             last: mirror.last_page(part),
             jobs: BTreeSet::new(),
             teams: BTreeSet::new(),
+            ruled: false,
             ends: BTreeSet::new(),
             gained: BTreeMap::new(),
             gone: HashSet::new(),
@@ -73,6 +76,7 @@
             && 2 + self.edits.len()
                 + self.jobs.union(&self.ends).count()
                 + self.teams.len()
+                + usize::from(self.ruled)
                 + conditions
                 <= self.max_conditions
     }
@@ -121,8 +125,10 @@
     /// Puts a mark into the last page, or a new one; false if that must wait.
     pub fn mark(&mut self, mirror: &Mirror, task: Task, mark: Mark, team: Option<u32>) -> bool {
         let (job, number) = task;
+        let ruled = mirror.open.get(&job).is_some_and(|o| o.rules.is_some());
         let fresh = usize::from(!self.jobs.contains(&job))
-            + usize::from(team.is_some_and(|t| !self.teams.contains(&t)));
+            + usize::from(team.is_some_and(|t| !self.teams.contains(&t)))
+            + usize::from(ruled && !self.ruled);
         if !self.fits(0, fresh) {
             return false;
         }
@@ -155,6 +161,7 @@
         page.jobs.entry(job).or_default().marks.insert(number, mark);
         self.jobs.insert(job);
         self.teams.extend(team);
+        self.ruled |= ruled;
         self.put.entry(mark.host).or_default().push(task);
         true
     }
@@ -387,6 +394,11 @@
         for &job in &round.jobs {
             self.mirror.require(&mut commit, Key::Job(job));
         }
+        if round.ruled {
+            // Placed by attributes as they were: if an operator has changed them
+            // meanwhile, it is decided anew.
+            self.mirror.require(&mut commit, Key::Attributes);
+        }
         for &team in &round.teams {
             // A lowering of the grant whose answer was lost may have been
             // applied; marks made by the old grant must then die.
--- a/crates/cherryyard-io/src/state.rs
+++ b/crates/cherryyard-io/src/state.rs
@@ -1,10 +1,11 @@
 //! Client of the state service.
 
 use crate::http::{Failure, Http};
+use cherryyard_wire::condor::{Chunk, chunk_key};
 use cherryyard_wire::history::{LeafRecord, Level, leaf_of_key, since_key};
 use cherryyard_wire::parse_object;
 use cherryyard_wire::record::PREFIX;
-use cherryyard_wire::state::{Commit, Epoch, Hold, News, Page};
+use cherryyard_wire::state::{Commit, Epoch, Hold, News, Page, Pair};
 use hyper::Method;
 use std::time::Duration;
 
@@ -141,6 +142,24 @@
         Ok((page.epoch, Some((last, pair.stamp, record))))
     }
 
+    /// Reads a chunk of a submission, if it is there.
+    pub async fn read_chunk(&self, number: u64, chunk: u32) -> Result<Option<Chunk>, StateError> {
+        let path = format!("/store/{}", chunk_key(number, chunk));
+        let (status, body) = self.call(Method::GET, &path, None, 1500).await?;
+        match status {
+            200 => {
+                let pair: Pair = Self::read(&body)?;
+                let chunk = pair.v.read().map_err(|e| {
+                    tracing::error!("a bad chunk of a submission: {}: {e}", pair.key);
+                    StateError::Bad
+                })?;
+                Ok(Some(chunk))
+            }
+            404 => Ok(None),
+            other => Err(failed(other)),
+        }
+    }
+
     /// Waits up to `wait_ms` for changes after `since`.
     pub async fn follow(&self, since: u64, wait_ms: u64) -> Result<News, StateError> {
         let path = format!("/follow?starts={PREFIX}&since={since}&wait_ms={wait_ms}");
--- a/crates/cherryyard-rehearsal/src/bin/history.rs
+++ b/crates/cherryyard-rehearsal/src/bin/history.rs
@@ -5,6 +5,7 @@
 use cherryyard_history::{Leaf, Level, Past, fold, leaf_key};
 use cherryyard_io::http::Http;
 use cherryyard_rehearsal::http::{Budgets, HttpState};
+use cherryyard_rehearsal::process::{self, Process};
 use cherryyard_rehearsal::{StateStandIn, World, small_kind};
 use cherryyard_wire::RangeSet;
 use cherryyard_wire::history::{LAST, PackedRecord};
@@ -17,9 +18,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use serde_json::json;
-use std::net::{SocketAddr, TcpListener};
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
 /// Measure a controller's start on a history of jobs that are over.
@@ -91,6 +90,7 @@
         div: vec![RangeSet::span(0, args.tasks.max(1) - 1)],
         zone: None,
         caps: Vec::new(),
+        rules: None,
     };
     let mut jobs: Vec<u64> = (0..args.open).collect();
     if args.format < BUCKETS {
@@ -170,61 +170,6 @@
     }
 }
 
-/// A running controller, ended with its holder.
-struct Controller(Child);
-
-impl Drop for Controller {
-    fn drop(&mut self) {
-        // Gone already, if this fails.
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
-impl Controller {
-    fn memory_mb(&self) -> f64 {
-        let path = format!("/proc/{}/status", self.0.id());
-        let text = std::fs::read_to_string(path).unwrap_or_default();
-        let line = text.lines().find(|l| l.starts_with("VmHWM"));
-        let kb = line.and_then(|l| l.split_whitespace().nth(1)?.parse::<f64>().ok());
-        kb.unwrap_or(0.0) / 1024.0
-    }
-}
-
-fn start(program: &Path, state: SocketAddr, args: &Args, dir: &Path) -> (Controller, String) {
-    let port = || {
-        let socket = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        socket.local_addr().expect("its address").port()
-    };
-    let public = format!("127.0.0.1:{}", port());
-    let settings = json!({
-        "label": "controller-0", "domain": "a", "public_addr": public,
-        "peer_listen": format!("127.0.0.1:{}", port()), "known": [],
-        "services": { "cloud": format!("127.0.0.1:{}", port()), "state": state.to_string() },
-        "cluster": {
-            "zones": ["a"], "teams": [{ "name": "team" }],
-            "workers": { "report_s": 5.0, "lease_s": 26.5, "cancel_s": 51.5 },
-            "state": { "rps": args.rps, "write_rps": args.write_rps, "value_kb": 4.0, "txn_ops": 8 },
-            "cloud": { "rps": 4.0, "list_lag_s": 6.0 },
-            "limits": { "cpu_share": 0.1, "memory_mb": 53.0, "sockets": 1000 },
-        },
-    });
-    let config = dir.join("controller.json");
-    std::fs::write(&config, settings.to_string()).expect("a settings file");
-    let operator = dir.join("operator.hcl");
-    std::fs::write(&operator, "history = true\n").expect("an operators' file");
-    let child = Command::new(program)
-        .arg("--config")
-        .arg(&config)
-        .arg("--operator")
-        .arg(&operator)
-        .env("LOG_LEVEL", "error")
-        .stderr(Stdio::inherit())
-        .spawn()
-        .unwrap_or_else(|e| panic!("{}: {e}", program.display()));
-    (Controller(child), public)
-}
-
 #[tokio::main(flavor = "current_thread")]
 async fn main() {
     let args = Args::parse();
@@ -242,10 +187,15 @@
     };
     let service = HttpState::new(state, budgets);
     let addr = service.serve().await;
-    let dir = std::env::temp_dir().join(format!("cherryyard-history-{}", std::process::id()));
-    std::fs::create_dir_all(&dir).expect("a folder for settings");
+    let mut settings = process::settings(&addr.to_string());
+    let cluster = &mut settings["cluster"];
+    cluster["workers"] = json!({ "report_s": 5.0, "lease_s": 26.5, "cancel_s": 51.5 });
+    cluster["state"]["rps"] = args.rps.into();
+    cluster["state"]["write_rps"] = args.write_rps.into();
+    cluster["limits"] = json!({ "cpu_share": 0.1, "memory_mb": 53.0, "sockets": 1000 });
     let born = Instant::now();
-    let (controller, public) = start(&program, addr, &args, &dir);
+    let controller = Process::start(&program, &settings, "history = true\n");
+    let public = controller.addr.clone();
     let http = Http::new(Duration::from_secs(1), 4);
     let get = async |path: String| {
         let url = format!("http://{public}{path}");
@@ -296,6 +246,4 @@
         );
     }
     println!("peak {:.1} MB", controller.memory_mb());
-    // Left behind only if something else has gone wrong already.
-    let _ = std::fs::remove_dir_all(dir);
 }
--- a/crates/cherryyard-rehearsal/src/lib.rs
+++ b/crates/cherryyard-rehearsal/src/lib.rs
@@ -6,6 +6,7 @@
 //! made of stand-ins and a script, whatever format its jobs come in.
 
 pub mod http;
+pub mod process;
 pub mod state;
 pub mod worker;
 pub mod world;
--- /dev/null
+++ b/crates/cherryyard-rehearsal/src/process.rs
@@ -0,0 +1,131 @@
+//! The real program as a process on loopback, and a client of it.
+
+use cherryyard_io::http::Http;
+use serde_json::{Value, json};
+use std::net::TcpListener;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+/// A port that nobody listens on.
+pub fn free_port() -> u16 {
+    let socket = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    socket.local_addr().expect("its address").port()
+}
+
+/// Settings of a controller alone, with its state service at `state`.
+pub fn settings(state: &str) -> Value {
+    let here = || format!("127.0.0.1:{}", free_port());
+    json!({
+        "label": "controller-0", "domain": "a", "public_addr": here(),
+        "peer_listen": here(), "known": [],
+        "services": { "cloud": here(), "state": state },
+        "cluster": {
+            "zones": ["a"], "teams": [{ "name": "team" }],
+            "workers": { "report_s": 2.0, "lease_s": 10.0, "cancel_s": 40.0 },
+            "state": { "rps": 400.0, "write_rps": 100.0, "value_kb": 4.0, "txn_ops": 8 },
+            "cloud": { "rps": 4.0, "list_lag_s": 6.0 },
+            "limits": { "memory_mb": 64.0, "sockets": 1500 },
+        },
+    })
+}
+
+/// A running controller, ended with its holder.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+    dir: PathBuf,
+    /// Where users and workers reach it.
+    pub addr: String,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // Gone already, if this fails.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+impl Process {
+    /// Starts the program with these settings and operators' settings.
+    pub fn start(program: &Path, settings: &Value, operator: &str) -> Self {
+        let addr = settings["public_addr"].as_str().expect("an address");
+        let place = addr.replace([':', '.'], "-");
+        let dir = std::env::temp_dir().join(format!("cherryyard-{place}"));
+        std::fs::create_dir_all(&dir).expect("a folder for settings");
+        let (config, own) = (dir.join("controller.json"), dir.join("operator.hcl"));
+        std::fs::write(&config, settings.to_string()).expect("a settings file");
+        std::fs::write(&own, operator).expect("an operators' file");
+        let level = std::env::var("LOG_LEVEL").unwrap_or_else(|_| "error".into());
+        let child = Command::new(program)
+            .arg("--config")
+            .arg(&config)
+            .arg("--operator")
+            .arg(&own)
+            .env("LOG_LEVEL", level)
+            .stderr(Stdio::inherit())
+            .spawn()
+            .unwrap_or_else(|e| panic!("{}: {e}", program.display()));
+        Self {
+            child,
+            dir,
+            addr: addr.into(),
+        }
+    }
+
+    /// Most memory that it has taken, in MB.
+    pub fn memory_mb(&self) -> f64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let text = std::fs::read_to_string(path).unwrap_or_default();
+        let line = text.lines().find(|l| l.starts_with("VmHWM"));
+        let kb = line.and_then(|l| l.split_whitespace().nth(1)?.parse::<f64>().ok());
+        kb.unwrap_or(0.0) / 1024.0
+    }
+
+    /// A client of it.
+    pub fn client(&self) -> Client {
+        Client {
+            http: Http::new(Duration::from_secs(2), 50),
+            addr: self.addr.clone(),
+        }
+    }
+}
+
+/// A client of a controller.
+#[derive(Clone, Debug)]
+pub struct Client {
+    http: Http,
+    addr: String,
+}
+
+impl Client {
+    /// A request's status and answer; 0 if there is none.
+    pub async fn call(&self, method: &str, path: &str, body: Option<String>) -> (u16, String) {
+        let url = format!("http://{}{path}", self.addr);
+        let method = method.parse().expect("a method");
+        let body = body.map(String::into_bytes);
+        let patience = Duration::from_secs(20);
+        let answer = self.http.call(method, &url, body, patience, 65_536).await;
+        let (status, body) = answer.unwrap_or_default();
+        (status, String::from_utf8_lossy(&body).into_owned())
+    }
+
+    /// The same until the answer is another than 503, or none.
+    pub async fn insist(&self, method: &str, path: &str, body: Option<String>) -> (u16, String) {
+        for _ in 0..300 {
+            let answer = self.call(method, path, body.clone()).await;
+            if answer.0 != 503 && answer.0 != 0 {
+                return answer;
+            }
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        panic!("{method} {path}: never taken");
+    }
+
+    /// Waits until the controller is ready.
+    pub async fn ready(&self) {
+        self.insist("GET", "/ready", None).await;
+    }
+}
--- a/crates/cherryyard-rehearsal/src/worker.rs
+++ b/crates/cherryyard-rehearsal/src/worker.rs
@@ -10,6 +10,8 @@
 pub struct WorkerStandIn {
     /// Its name.
     pub host: String,
+    /// Its type.
+    pub kind: String,
     /// Its zone.
     pub yard: String,
     /// Its session.
@@ -41,6 +43,7 @@
     pub fn new(host: &str, yard: &str, node: usize, lease_ms: f64, now: f64) -> Self {
         Self {
             host: host.into(),
+            kind: "m4".into(),
             yard: yard.into(),
             tenure: 1,
             tick: 0,
@@ -99,7 +102,7 @@
         Report {
             host: self.host.clone(),
             addr: format!("{}:9000", self.host),
-            host_kind: "m4".into(),
+            host_kind: self.kind.clone(),
             yard: self.yard.clone(),
             borrowed: false,
             tenure: self.tenure,
--- a/crates/cherryyard-rehearsal/src/world.rs
+++ b/crates/cherryyard-rehearsal/src/world.rs
@@ -5,9 +5,14 @@
 use cherryyard_core::mirror::over;
 use cherryyard_core::{Config, Effect, Node, Outcome, PushOutcome, Reply, Ticket, Tuning};
 use cherryyard_history::Leaf;
-use cherryyard_wire::cloud::{HostEntry, HostKind, HostStatus};
+use cherryyard_wire::cloud::{HireRequest, HostEntry, HostKind, HostStatus};
+use cherryyard_wire::condor::{
+    Chunk, FIRST_ID, IdsRecord, Phase, PhaseEvent, SubmissionRecord, chunk_key, submission_key,
+    submission_number,
+};
 use cherryyard_wire::job::{JobSpec, JobView, job_number};
-use cherryyard_wire::record::{End, JobRecord, job_key};
+use cherryyard_wire::record::{End, IDS, JobRecord, job_key};
+use cherryyard_wire::rules::Rules;
 use cherryyard_wire::settings::Settings;
 use cherryyard_wire::state::{Apply, Commit};
 use cherryyard_wire::worker::{DoRequest, Report};
@@ -28,6 +33,10 @@
     pub zones: Vec<&'static str>,
     /// Machines per zone, 4 cores each.
     pub machines: Vec<(&'static str, usize)>,
+    /// The same of machines of 8 cores each.
+    pub large: Vec<(&'static str, usize)>,
+    /// Operators' settings.
+    pub tuning: Tuning,
     /// The team's limit in cores; 0: none.
     pub limit: f64,
     /// Largest value of the state service.
@@ -59,6 +68,8 @@
         Self {
             zones: vec!["a", "b", "c"],
             machines: vec![("a", 1), ("b", 1), ("c", 1)],
+            large: Vec::new(),
+            tuning: Tuning::default(),
             limit: 0.0,
             value_kb: 4.0,
             txn_ops: 8,
@@ -107,6 +118,12 @@
     pub cut_packer: Option<(usize, bool)>,
     /// The packer's transactions so far.
     pub packer_commits: usize,
+    /// The same of the creator of submissions' jobs.
+    pub cut_creator: Option<(usize, bool)>,
+    /// The creator's transactions so far.
+    pub creator_commits: usize,
+    /// Machines that were to be rented; there are none.
+    pub hires: Vec<HireRequest>,
     /// The time.
     pub now: f64,
     /// What happened.
@@ -141,6 +158,9 @@
             held_commits: Vec::new(),
             cut_packer: None,
             packer_commits: 0,
+            cut_creator: None,
+            creator_commits: 0,
+            hires: Vec::new(),
             now: 0.0,
             trace: Vec::new(),
             broken: Vec::new(),
@@ -153,14 +173,14 @@
             world.nodes.push(Some(node));
         }
         let mut number = 0;
-        for (zone, count) in &setup.machines {
+        let small = setup.machines.iter().map(|m| ("m4", m));
+        for (kind, (zone, count)) in small.chain(setup.large.iter().map(|m| ("m8", m))) {
             for _ in 0..*count {
                 let name = format!("host-{number:06}");
                 let node = number % setup.zones.len();
-                world.workers.insert(
-                    name.clone(),
-                    WorkerStandIn::new(&name, zone, node, 10_000.0, 0.0),
-                );
+                let mut worker = WorkerStandIn::new(&name, zone, node, 10_000.0, 0.0);
+                worker.kind = kind.into();
+                world.workers.insert(name, worker);
                 number += 1;
             }
         }
@@ -202,7 +222,7 @@
 
     fn new_node(&mut self, i: usize) -> Node {
         self.starts += 1;
-        let mut tuning = Tuning::default();
+        let mut tuning = self.setup.tuning.clone();
         if let Some(batch) = self.setup.history {
             (tuning.history, tuning.history_batch) = (true, batch);
         }
@@ -215,7 +235,15 @@
             .iter()
             .map(|m| m.0.to_string())
             .collect();
-        node.kinds(vec![small_kind(zones)], self.now);
+        let mut kinds = vec![small_kind(zones)];
+        if !self.setup.large.is_empty() {
+            let zones = self.setup.large.iter().map(|m| m.0.to_string());
+            let mut large = small_kind(zones.collect());
+            large.sku = "m8".into();
+            (large.cores, large.ram_gb) = (8.0, 32.0);
+            kinds.push(large);
+        }
+        node.kinds(kinds, self.now);
         node
     }
 
@@ -258,8 +286,18 @@
         JobSpec::parse(text.to_string().as_bytes()).expect("the rehearsal's job is good")
     }
 
+    /// Operators' settings for controllers that start from now on.
+    pub fn tuning(&mut self) -> &mut Tuning {
+        &mut self.setup.tuning
+    }
+
     /// A user's submission takes effect.
     pub fn submit(&mut self, spec: &JobSpec) {
+        self.submit_with(spec, None);
+    }
+
+    /// A user's submission with rules of its own takes effect.
+    pub fn submit_with(&mut self, spec: &JobSpec, rules: Option<Rules>) {
         let job = job_number(&spec.id).expect("a good id");
         let now = self.now;
         let mut commit = Commit::default();
@@ -269,6 +307,7 @@
             div: Vec::new(),
             zone: None,
             caps: Vec::new(),
+            rules: rules.map(Box::new),
         };
         let able =
             (0..self.nodes.len()).find(|i| self.nodes[*i].is_some() && !self.refused.contains(i));
@@ -288,6 +327,60 @@
         self.say(format!("{} submitted: {outcome:?}", spec.id));
     }
 
+    /// A submission of many jobs has come, in these chunks; gives its number and that
+    /// of its first job. Its ids follow those of the submissions before it.
+    pub fn queue(&mut self, name: &str, chunks: &[Chunk]) -> (u64, u64) {
+        let number = submission_number(name);
+        let ids = self.state.get(IDS).map(|(v, _)| v.read::<IdsRecord>());
+        let first = ids.map_or(FIRST_ID, |i| i.expect("ids").next);
+        let jobs: u64 = chunks.iter().map(Chunk::jobs).sum();
+        let record = SubmissionRecord {
+            name: name.into(),
+            phase: Phase::Creating,
+            at: self.now as u64,
+            of: chunks.len() as u32,
+            chunks: chunks.len() as u32,
+            jobs,
+            first,
+            chunk: (0, first),
+            next: 0,
+            swept: 0,
+        };
+        let mut commit = Commit::default();
+        for (i, chunk) in chunks.iter().enumerate() {
+            chunk.check().expect("a good chunk");
+            let key = chunk_key(number, i as u32);
+            commit.apply.push(Apply::set(key, chunk));
+        }
+        let next = first + jobs;
+        commit.apply.push(Apply::set(IDS, &IdsRecord { next }));
+        commit
+            .apply
+            .push(Apply::set(submission_key(number), &record));
+        let outcome = self.state.commit(&commit);
+        self.say(format!("{name} queued: {jobs} jobs, {outcome:?}"));
+        (number, first)
+    }
+
+    /// A submission's record.
+    pub fn submission(&self, number: u64) -> Option<SubmissionRecord> {
+        let (value, _) = self.state.get(&submission_key(number))?;
+        Some(value.read().expect("a submission's record"))
+    }
+
+    /// A user's removal of a submission takes effect.
+    pub fn remove(&mut self, number: u64) {
+        let mut record = self.submission(number).expect("a submission");
+        record.phase = record.phase.after(PhaseEvent::Removed);
+        let mut commit = Commit::default();
+        let key = submission_key(number);
+        let stamp = self.state.get(&key).map_or(0, |(_, stamp)| stamp);
+        commit.require(key.clone(), stamp);
+        commit.apply.push(Apply::set(key, &record));
+        let outcome = self.state.commit(&commit);
+        self.say(format!("{} removed: {outcome:?}", record.name));
+    }
+
     /// A user's cancellation through controller `i` takes effect.
     pub fn cancel(&mut self, i: usize, id: &str) {
         let job = job_number(id).expect("a good id");
@@ -516,6 +609,7 @@
                         }
                     }
                     Effect::Hire(request) => {
+                        self.hires.push(request.clone());
                         if let Some(n) = &mut self.nodes[i] {
                             n.hired(&request, Err(true), now);
                         }
@@ -530,6 +624,20 @@
                             n.leaf_read(leaf, now);
                         }
                     }
+                    Effect::ReadChunk(number, chunk) => {
+                        let read = if self.refused.contains(&i) {
+                            Err(())
+                        } else {
+                            let key = chunk_key(number, chunk);
+                            Ok(self
+                                .state
+                                .get(&key)
+                                .map(|(v, _)| v.read().expect("a chunk")))
+                        };
+                        if let Some(n) = &mut self.nodes[i] {
+                            n.chunk_read(number, chunk, read, now);
+                        }
+                    }
                     Effect::Refresh | Effect::Beat => {}
                 }
             }
@@ -538,22 +646,27 @@
 
     fn commit(&mut self, i: usize, ticket: Ticket, commit: &Commit) {
         let now = self.now;
-        if ticket == Ticket::Packer {
+        let cut = match ticket {
+            Ticket::Packer => {
+                self.packer_commits += 1;
+                self.cut_packer.filter(|c| c.0 == self.packer_commits)
+            }
+            Ticket::Creator => {
+                self.creator_commits += 1;
+                self.cut_creator.filter(|c| c.0 == self.creator_commits)
+            }
+            _ => None,
+        };
+        if let Some((_, applied)) = cut {
             // The cut is before the transaction is applied, or after: its answer
             // never arrives.
-            self.packer_commits += 1;
-            match self.cut_packer {
-                Some((n, applied)) if n == self.packer_commits => {
-                    if applied {
-                        self.state.commit(commit);
-                    } else {
-                        self.held_commits.push(commit.clone());
-                    }
-                    self.kill(i);
-                    return;
-                }
-                _ => {}
+            if applied {
+                self.state.commit(commit);
+            } else {
+                self.held_commits.push(commit.clone());
             }
+            self.kill(i);
+            return;
         }
         let outcome = if self.refused.contains(&i) {
             Outcome::Refused
@@ -630,7 +743,7 @@
             .map(|w| HostEntry {
                 id: w.host.clone(),
                 addr: format!("{}:9000", w.host),
-                host_kind: "m4".into(),
+                host_kind: w.kind.clone(),
                 yard: w.yard.clone(),
                 borrowed: false,
                 status: HostStatus::Running,
--- /dev/null
+++ b/crates/cherryyard-rehearsal/tests/cells.rs
@@ -0,0 +1,161 @@
+//! Jobs with rules of their own: where they may run, whatever changes.
+
+use cherryyard_core::Tuning;
+use cherryyard_rehearsal::{Setup, World};
+use cherryyard_wire::rules::{Attributes, Rules};
+use serde_json::json;
+use std::collections::BTreeSet;
+
+fn attributes(of_zones: serde_json::Value) -> Attributes {
+    serde_json::from_value(json!({ "zones": of_zones })).unwrap()
+}
+
+fn cluster(of_zones: serde_json::Value) -> World {
+    let mut w = World::new(Setup {
+        machines: vec![("a", 3), ("b", 3), ("c", 3)],
+        large: vec![("b", 1)],
+        tuning: Tuning {
+            condor: true,
+            attributes: attributes(of_zones),
+            ..Tuning::default()
+        },
+        ..Setup::default()
+    });
+    w.run(5.0);
+    w
+}
+
+fn requires(text: &str) -> Option<Rules> {
+    Some(Rules {
+        requirements: Some(text.into()),
+        ..Rules::default()
+    })
+}
+
+/// Types and zones in which a job's tasks were ever started from line `from` on.
+fn started(w: &World, from: usize, id: &str) -> BTreeSet<String> {
+    let needle = format!("starts {id}/");
+    let lines = w.trace[from..].iter().filter(|l| l.contains(&needle));
+    let host = |l: &String| l.split_whitespace().nth(1).map(str::to_string);
+    lines
+        .filter_map(host)
+        .map(|h| {
+            let worker = &w.workers[&h];
+            format!("{}/{}", worker.kind, worker.yard)
+        })
+        .collect()
+}
+
+/// Cells that are no product of types and zones: the division, the overflow of what
+/// finds no room, and placement keep to them, and what is too much waits.
+#[test]
+fn a_job_runs_in_its_cells_only() {
+    let mut w = cluster(json!({}));
+    let rules = requires("MachineType == \"m8\" || Zone == \"c\"");
+    w.submit_with(&World::spec("j-000001", "sweep", 40), rules);
+    w.run(40.0);
+    // Six on the three machines of zone c, four on the large one.
+    assert_eq!(w.running(), 10);
+    let cells: Vec<String> = started(&w, 0, "j-000001").into_iter().collect();
+    assert_eq!(cells, ["m4/c", "m8/b"]);
+    // Others have the rest.
+    w.submit(&World::spec("j-000002", "sweep", 40));
+    w.run(30.0);
+    assert_eq!(w.running(), 22);
+    assert!(w.broken.is_empty(), "{:?}", w.broken);
+}
+
+/// What a job prefers comes before its image and room, and does not keep it waiting.
+#[test]
+fn the_preferred_cell_comes_first() {
+    let mut w = cluster(json!({}));
+    // Zone a holds the image.
+    let mut first = World::spec("j-000001", "service", 2);
+    first.yard = Some("a".into());
+    w.submit(&first);
+    w.run(5.0);
+    let rules = Some(Rules {
+        rank: Some("(Zone == \"c\") * 2 + (MachineType == \"m8\")".into()),
+        ..Rules::default()
+    });
+    w.submit_with(&World::spec("j-000002", "sweep", 3), rules.clone());
+    w.run(12.0);
+    assert_eq!(started(&w, 0, "j-000002"), ["m4/c".to_string()].into());
+    w.submit_with(&World::spec("j-000003", "sweep", 9), rules);
+    w.run(5.0);
+    assert_eq!(w.running(), 2 + 3 + 9);
+    let cells = started(&w, 0, "j-000003");
+    assert!(
+        cells.contains("m4/c") && cells.contains("m8/b"),
+        "{cells:?}"
+    );
+}
+
+/// An operator changes attributes while a job runs and waits: what runs stays, what
+/// waits follows, by the file of whoever leads and one write.
+#[test]
+fn what_waits_follows_a_changed_attribute() {
+    let mut w = cluster(json!({ "a": { "Ledger": true }, "b": { "Ledger": false } }));
+    w.submit_with(&World::spec("j-000001", "service", 10), requires("Ledger"));
+    w.run(20.0);
+    assert_eq!(w.running(), 6);
+    assert_eq!(started(&w, 0, "j-000001"), ["m4/a".to_string()].into());
+    let from = w.trace.len();
+    w.tuning().attributes = attributes(json!({ "c": { "Ledger": true } }));
+    w.restart_all();
+    w.run(40.0);
+    assert_eq!(w.running(), 10);
+    assert_eq!(started(&w, from, "j-000001"), ["m4/c".to_string()].into());
+    assert!(w.broken.is_empty(), "{:?}", w.broken);
+}
+
+/// A round whose answer is lost and that arrives after an operator's change is not
+/// applied: its marks were placed by attributes that are none any more.
+#[test]
+fn a_late_round_dies_with_the_attributes_it_was_placed_by() {
+    let mut w = cluster(json!({ "a": { "Ledger": true } }));
+    w.hold_commits = [0, 1, 2].into();
+    w.submit_with(&World::spec("j-000001", "sweep", 2), requires("Ledger"));
+    w.run(3.0);
+    let late = std::mem::take(&mut w.held_commits);
+    assert!(
+        late.iter()
+            .any(|c| c.apply.iter().any(|a| a.key().starts_with("c/mark/")))
+    );
+    w.tuning().attributes = attributes(json!({ "c": { "Ledger": true } }));
+    w.hold_commits.clear();
+    w.kill(0);
+    w.kill(1);
+    w.kill(2);
+    let changed = serde_json::to_value(attributes(json!({ "c": { "Ledger": true } }))).unwrap();
+    w.state.commit(&cherryyard_wire::state::Commit {
+        when: Vec::new(),
+        apply: vec![cherryyard_wire::state::Apply::set("c/attributes", &changed)],
+    });
+    for commit in &late {
+        let outcome = w.state.commit(commit);
+        assert!(!matches!(outcome, cherryyard_core::Outcome::Applied(_)));
+    }
+    for i in 0..3 {
+        w.start(i);
+    }
+    w.run(30.0);
+    assert_eq!(started(&w, 0, "j-000001"), ["m4/c".to_string()].into());
+    assert_eq!(w.running(), 2);
+}
+
+/// Where jobs wait that no machine here is for, a sort that they allow is rented.
+#[test]
+fn renting_follows_the_rules() {
+    let mut w = cluster(json!({}));
+    w.list_machines();
+    let rules = requires("MachineType == \"m8\" && Zone == \"b\" && Cpus == 8");
+    let mut spec = World::spec("j-000001", "sweep", 30);
+    spec.cores = 8.0;
+    w.submit_with(&spec, rules);
+    w.run(12.0);
+    w.list_machines();
+    w.run(20.0);
+    let wanted: BTreeSet<_> = w.hires.iter().map(|h| (&*h.host_kind, &*h.yard)).collect();
+    assert!(wanted.contains(&("m8", "b")), "{wanted:?}");
+}
--- a/crates/cherryyard-rehearsal/tests/history.rs
+++ b/crates/cherryyard-rehearsal/tests/history.rs
@@ -293,6 +293,7 @@
             div: Vec::new(),
             zone: None,
             caps: Vec::new(),
+            rules: None,
         };
         let mut commit = Commit::default();
         let job = cherryyard_wire::job::job_number(&spec.id).unwrap();
--- /dev/null
+++ b/crates/cherryyard-rehearsal/tests/submissions.rs
@@ -0,0 +1,273 @@
+//! Submissions of many jobs: each of their jobs is created once, whatever fails.
+
+use cherryyard_rehearsal::{Setup, World};
+use cherryyard_wire::condor::{Chunk, NO_ID, Phase, Template};
+use cherryyard_wire::job::job_id;
+use cherryyard_wire::record::End;
+use std::collections::BTreeSet;
+
+fn cluster(history: Option<usize>, limit: f64) -> World {
+    let mut w = World::new(Setup {
+        machines: vec![("a", 4), ("b", 4), ("c", 4)],
+        history,
+        limit,
+        ..Setup::default()
+    });
+    w.run(5.0);
+    w.workers.values_mut().for_each(|x| x.run_ms = 400.0);
+    w
+}
+
+/// Runs of jobs: how many, with how many tasks each.
+fn chunk(runs: &[(u32, u32)]) -> Chunk {
+    Chunk {
+        t: vec![Template {
+            spec: World::spec(NO_ID, "sweep", 1),
+            rules: None,
+        }],
+        r: runs.iter().map(|&(jobs, tasks)| (0, tasks, jobs)).collect(),
+    }
+}
+
+/// How many times each task of a block of jobs was started, by the trace.
+fn starts(w: &World, first: u64, jobs: u64) -> (usize, BTreeSet<String>) {
+    let mut all = BTreeSet::new();
+    let mut count = 0;
+    for line in &w.trace {
+        let mut words = line.split_whitespace().skip(2);
+        if words.next() == Some("starts")
+            && let Some(piece) = words.next()
+            && let Some((id, _)) = piece.split_once('/')
+            && (0..jobs).any(|k| job_id(first + k) == id)
+        {
+            all.insert(piece.to_string());
+            count += 1;
+        }
+    }
+    (count, all)
+}
+
+fn open_jobs(w: &World) -> usize {
+    let up = w.nodes.iter().flatten().next().unwrap();
+    up.mirror.open.len()
+}
+
+/// All jobs of a submission are created, in both formats of records, and run; their
+/// chunks go, and the name stays. Neighbours by hash share writes.
+#[test]
+fn every_job_is_created_and_runs() {
+    for (history, most_writes) in [(None, 125), (Some(400), 70)] {
+        let mut w = cluster(history, 0.0);
+        // The first is created at once, so that no others' writes are counted.
+        w.workers.values_mut().for_each(|x| x.run_ms = 1e9);
+        let before = w.state.writes - w.state.mark_writes;
+        let (number, first) = w.queue("june", &[chunk(&[(60, 1), (1, 5)]), chunk(&[(39, 2)])]);
+        w.run_until(60.0, |w| {
+            w.submission(number).unwrap().phase == Phase::Created
+        });
+        let writes = w.state.writes - w.state.mark_writes - before;
+        // A hundred jobs; with them the queue's own records and claims renewed.
+        assert!(writes < most_writes, "{history:?}: {writes} writes");
+        assert_eq!(open_jobs(&w), 100);
+        w.workers.values_mut().for_each(|x| x.run_ms = 400.0);
+        w.run_until(120.0, |w| open_jobs(w) == 0);
+        let (count, tasks) = starts(&w, first, 100);
+        assert_eq!((count, tasks.len()), (143, 143));
+        let record = w.submission(number).unwrap();
+        assert_eq!((record.swept, record.created()), (2, 100));
+        assert!(
+            w.state
+                .get(&cherryyard_wire::condor::chunk_key(number, 0))
+                .is_none()
+        );
+        assert!(w.broken.is_empty());
+    }
+}
+
+/// The leader ends at every step of a creation in turn, before it is applied or after;
+/// the held one arrives when another leads. Every job is created once.
+#[test]
+fn cut_at_every_step_of_a_creation() {
+    let chunks = [chunk(&[(14, 1)]), chunk(&[(1, 3), (6, 1)])];
+    let total = {
+        let mut w = cluster(Some(400), 0.0);
+        w.queue("june", &chunks);
+        w.run(25.0);
+        w.creator_commits
+    };
+    assert!((3..30).contains(&total), "{total}");
+    for n in 1..=total {
+        for applied in [false, true] {
+            let what = format!("cut at {n}, applied {applied}");
+            let mut w = cluster(Some(400), 0.0);
+            w.cut_creator = Some((n, applied));
+            let (number, first) = w.queue("june", &chunks);
+            w.run(12.0);
+            let ended = w
+                .nodes
+                .iter()
+                .position(Option::is_none)
+                .expect("one has ended");
+            for commit in std::mem::take(&mut w.held_commits) {
+                w.state.commit(&commit);
+            }
+            w.run(3.0);
+            w.start(ended);
+            w.run_until(60.0, |w| {
+                w.submission(number).unwrap().swept == 2 && open_jobs(w) == 0
+            });
+            let (_, tasks) = starts(&w, first, 21);
+            assert_eq!(tasks.len(), 23, "{what}");
+            assert!(w.broken.is_empty(), "{what}: {:?}", w.broken);
+        }
+    }
+}
+
+/// The state service is down midway, and meanwhile all controllers end and start.
+#[test]
+fn an_outage_midway_with_all_controllers_ending() {
+    let mut w = cluster(Some(400), 0.0);
+    let (number, first) = w.queue("june", &[chunk(&[(150, 1)])]);
+    w.run_until(30.0, |w| w.submission(number).unwrap().next > 20);
+    w.refused = [0, 1, 2].into();
+    w.run(5.0);
+    w.restart_all();
+    w.run(15.0);
+    w.refused.clear();
+    w.run_until(120.0, |w| {
+        w.submission(number).unwrap().swept == 1 && open_jobs(w) == 0
+    });
+    assert_eq!(starts(&w, first, 150).1.len(), 150);
+    assert!(w.broken.is_empty(), "{:?}", w.broken);
+}
+
+/// A removal against creation: steps that were under way arrive late and are not
+/// applied, nothing more is created, and what was is cancelled, tasks and all.
+#[test]
+fn a_removal_stops_creation() {
+    let mut w = cluster(Some(400), 0.0);
+    w.workers.values_mut().for_each(|x| x.run_ms = 1e9);
+    let (number, first) = w.queue("june", &[chunk(&[(300, 1)])]);
+    w.cut_creator = Some((6, false));
+    w.run_until(30.0, |w| w.nodes.iter().any(Option::is_none));
+    let late = std::mem::take(&mut w.held_commits);
+    w.remove(number);
+    let created = w.submission(number).unwrap().created();
+    assert!(created > 5 && created < 300, "{created}");
+    for commit in &late {
+        let outcome = w.state.commit(commit);
+        assert!(!matches!(outcome, cherryyard_core::Outcome::Applied(_)));
+    }
+    let ended = w.nodes.iter().position(Option::is_none).unwrap();
+    w.start(ended);
+    w.run_until(60.0, |w| {
+        w.submission(number).unwrap().phase == Phase::Cancelled
+    });
+    assert_eq!(w.submission(number).unwrap().created(), created);
+    assert_eq!(open_jobs(&w), 0);
+    // Gone within `cancel_s`.
+    w.run(40.0);
+    assert_eq!(w.running(), 0);
+    let node = w.nodes.iter().flatten().next().unwrap();
+    let block = first..first + 300;
+    let ends = node.mirror.ended_jobs().filter(|(j, _)| block.contains(j));
+    let ends: Vec<End> = ends.map(|(_, e)| e.end).collect();
+    assert_eq!(ends.len() as u64, created);
+    assert!(ends.iter().all(|e| *e == End::Cancelled));
+    // Removed again, or after all that: nothing changes.
+    let record = w.submission(number).unwrap();
+    w.remove(number);
+    assert_eq!(w.submission(number).unwrap().phase, record.phase);
+}
+
+/// A team at its limit is fed by both ways at once, and never beyond it.
+#[test]
+fn both_ways_count_under_one_limit() {
+    let mut w = cluster(Some(400), 12.0);
+    w.workers.values_mut().for_each(|x| x.run_ms = 1500.0);
+    w.queue("june", &[chunk(&[(30, 1), (2, 10)])]);
+    for n in 1..=10 {
+        w.submit(&World::spec(&job_id(n), "sweep", 4));
+        w.run(0.7);
+    }
+    w.run_until(200.0, |w| open_jobs(w) == 0);
+    assert_eq!(w.most_cores, 12.0);
+    assert!(w.broken.is_empty());
+}
+
+/// Random overlaps of ends, outages, held steps and removals: at the end every job
+/// of a submission that was not removed has been created once and is done, every job
+/// of a removed one is over, and no task ever ran twice.
+#[test]
+fn random_overlaps() {
+    for seed in 0..60u64 {
+        let mut draw = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1;
+        let mut next = |n: u64| {
+            draw ^= draw << 13;
+            draw ^= draw >> 7;
+            draw ^= draw << 17;
+            draw % n
+        };
+        let mut w = cluster((next(2) == 0).then_some(400), 0.0);
+        let mut all = Vec::new();
+        for name in ["june", "july"] {
+            let chunks = [chunk(&[(10 + next(20) as u32, 1)]), chunk(&[(5, 2)])];
+            let jobs: u64 = chunks.iter().map(Chunk::jobs).sum();
+            let (number, first) = w.queue(name, &chunks);
+            all.push((number, first, jobs, false));
+            w.run(next(20) as f64 / 10.0);
+        }
+        for _ in 0..6 {
+            match next(5) {
+                0 => {
+                    let i = next(3) as usize;
+                    if w.nodes.iter().flatten().count() > 1 && w.nodes[i].is_some() {
+                        w.kill(i);
+                    }
+                }
+                1 => w.refused = [0, 1, 2].into(),
+                2 => w.refused = [next(3) as usize].into(),
+                3 => {
+                    let at = w.creator_commits + 1;
+                    w.cut_creator = Some((at, next(2) == 0));
+                }
+                _ => {
+                    let one = &mut all[next(2) as usize];
+                    w.remove(one.0);
+                    one.3 = true;
+                }
+            }
+            w.run(next(60) as f64 / 10.0);
+            w.refused.clear();
+            for i in 0..3 {
+                if w.nodes[i].is_none() && next(2) == 0 {
+                    w.start(i);
+                }
+            }
+            w.deliver_commits();
+        }
+        w.cut_creator = None;
+        for i in 0..3 {
+            if w.nodes[i].is_none() {
+                w.start(i);
+            }
+        }
+        w.run(20.0);
+        w.run_until(150.0, |w| {
+            all.iter()
+                .all(|s| w.submission(s.0).unwrap().phase.chunks_may_go())
+                && open_jobs(w) == 0
+        });
+        for (number, first, jobs, removed) in all {
+            let record = w.submission(number).unwrap();
+            if !removed {
+                assert_eq!(record.phase, Phase::Created, "seed {seed}");
+                let tasks = starts(&w, first, jobs).1.len() as u64;
+                assert_eq!(tasks, jobs + 5, "seed {seed}: {} of {jobs}", record.name);
+            } else {
+                assert_eq!(record.phase, Phase::Cancelled, "seed {seed}");
+            }
+        }
+        assert!(w.broken.is_empty(), "seed {seed}: {:?}", w.broken);
+    }
+}
--- a/crates/cherryyard-wire/src/job.rs
+++ b/crates/cherryyard-wire/src/job.rs
@@ -82,7 +82,8 @@
         Ok(spec)
     }
 
-    fn check(&self) -> Result<(), String> {
+    /// Checks the fields; the error names one.
+    pub fn check(&self) -> Result<(), String> {
         if job_number(&self.id).is_none() {
             return Err("id: must be `j-` and digits, such as j-000412".into());
         }
--- a/crates/cherryyard-wire/src/lib.rs
+++ b/crates/cherryyard-wire/src/lib.rs
@@ -7,11 +7,13 @@
 //! I/O, so clients can use it too.
 
 pub mod cloud;
+pub mod condor;
 pub mod history;
 pub mod job;
 pub mod peer;
 pub mod ranges;
 pub mod record;
+pub mod rules;
 pub mod settings;
 pub mod state;
 pub mod worker;
--- a/crates/cherryyard-wire/src/record.rs
+++ b/crates/cherryyard-wire/src/record.rs
@@ -4,6 +4,7 @@
 
 use crate::RangeSet;
 use crate::job::JobSpec;
+use crate::rules::Rules;
 use serde::{Deserialize, Serialize};
 
 /// Start of every key.
@@ -13,6 +14,10 @@
 /// The machine types, for a start while the cloud is down.
 pub const KINDS: &str = "c/kinds";
 
+/// Operators' own attributes of machines.
+pub const ATTRIBUTES: &str = "c/attributes";
+/// Ids handed out to submissions of many jobs.
+pub const IDS: &str = "c/ids";
 /// Which formats of records are in use; absent: the first.
 pub const FORMAT: &str = "c/format";
 /// How far the history of jobs that are over goes.
@@ -62,6 +67,9 @@
 pub enum Key {
     Lead,
     Kinds,
+    Attributes,
+    Ids,
+    Submission(u64),
     Part(usize),
     Images(usize),
     Job(u64),
@@ -72,6 +80,11 @@
     Grant { team: usize, part: usize },
 }
 
+fn hex(word: &str) -> Option<u64> {
+    let whole = Some(word).filter(|w| w.len() == 16);
+    whole.and_then(|w| u64::from_str_radix(w, 16).ok())
+}
+
 impl Key {
     /// Reads a key; `None` for one that this version does not know.
     pub fn parse(key: &str) -> Option<Self> {
@@ -81,6 +94,12 @@
         if key == KINDS {
             return Some(Self::Kinds);
         }
+        if key == ATTRIBUTES {
+            return Some(Self::Attributes);
+        }
+        if key == IDS {
+            return Some(Self::Ids);
+        }
         if key == FORMAT {
             return Some(Self::Format);
         }
@@ -92,11 +111,8 @@
             "part" => Self::Part(words.next()?.parse().ok()?),
             "images" => Self::Images(words.next()?.parse().ok()?),
             "job" => Self::Job(crate::job::job_number(words.next()?)?),
-            "jobs" => Self::Bucket(
-                Some(words.next()?)
-                    .filter(|w| w.len() == 16)
-                    .and_then(|w| u64::from_str_radix(w, 16).ok())?,
-            ),
+            "jobs" => Self::Bucket(hex(words.next()?)?),
+            "sub" => Self::Submission(hex(words.next()?)?),
             "mark" => Self::Mark {
                 part: words.next()?.parse().ok()?,
                 page: words.next()?.parse().ok()?,
@@ -186,6 +202,9 @@
         /// Most tasks per part and zone, where the user asked for tasks apart.
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         caps: Vec<Vec<u32>>,
+        /// Where it may run, beyond what the submission's fields say.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        rules: Option<Box<Rules>>,
     },
 }
 
--- a/crates/cherryyard/src/app/mod.rs
+++ b/crates/cherryyard/src/app/mod.rs
@@ -118,6 +118,12 @@
                     app.with(|n, now| n.leaf_read(leaf, now));
                 });
             }
+            Effect::ReadChunk(number, chunk) => {
+                tokio::spawn(async move {
+                    let read = app.state.read_chunk(number, chunk).await;
+                    app.with(|n, now| n.chunk_read(number, chunk, read.map_err(|_| ()), now));
+                });
+            }
             Effect::Release(hosts) => {
                 tokio::spawn(async move {
                     let ok = app.cloud.release(&hosts).await.is_ok();
--- a/crates/cherryyard/src/operator.rs
+++ b/crates/cherryyard/src/operator.rs
@@ -1,7 +1,9 @@
 //! Operators' own settings, in HCL.
 
 use cherryyard_core::Tuning;
+use cherryyard_wire::rules::{Attributes, Group};
 use serde::Deserialize;
+use std::collections::BTreeMap;
 
 /// The file's fields; each may be left out.
 #[derive(Debug, Default, Deserialize)]
@@ -14,6 +16,16 @@
     account: Option<bool>,
     history: Option<bool>,
     history_keep_days: Option<f64>,
+    condor: Option<bool>,
+    /// Attributes of all machines.
+    #[serde(default)]
+    machines: Group,
+    /// Attributes of a type's machines, by type.
+    #[serde(default)]
+    machine_type: BTreeMap<String, Group>,
+    /// Attributes of a zone's machines, by zone.
+    #[serde(default)]
+    zone: BTreeMap<String, Group>,
 }
 
 /// Reads operators' settings; the error names the field.
@@ -68,6 +80,13 @@
     tuning.history_keep_days = keep_days as u32;
     tuning.history = file.history.unwrap_or(tuning.history);
     tuning.account = file.account.unwrap_or(tuning.account);
+    tuning.condor = file.condor.unwrap_or(tuning.condor);
+    tuning.attributes = Attributes {
+        all: file.machines,
+        kinds: file.machine_type,
+        zones: file.zone,
+    };
+    tuning.attributes.check()?;
     Ok(tuning)
 }
 
@@ -75,6 +94,26 @@
 mod tests {
     use super::parse;
 
+    /// Attributes by type and zone are blocks with a label.
+    #[test]
+    fn attributes_are_blocks() {
+        let text = r#"
+            condor = true
+            machines { OpSys = "LINUX" }
+            machine_type "g8" {
+              Software = ["ledger-4", "solver"]
+              Licensed = true
+            }
+            zone "lahore-east" { Department = "posting" }
+        "#;
+        let t = parse(text).unwrap();
+        assert!(t.condor && t.attributes.all["OpSys"] == "LINUX");
+        assert_eq!(t.attributes.kinds["g8"]["Licensed"], true);
+        assert_eq!(t.attributes.zones["lahore-east"]["Department"], "posting");
+        let error = parse("machine_type \"g8\" { Cpus = 3 }").unwrap_err();
+        assert!(error.contains("Cpus of g8"), "{error}");
+    }
+
     /// Errors name the field; what is left out keeps its default.
     #[test]
     fn hcl_is_checked() {
--- a/crates/cherryyard/src/routes/jobs.rs
+++ b/crates/cherryyard/src/routes/jobs.rs
@@ -4,10 +4,13 @@
 use crate::app::{App, Look, wall_ms};
 use cherryyard_core::Outcome;
 use cherryyard_core::admit::{Reject, admit};
-use cherryyard_core::mirror::{OpenJob, over};
-use cherryyard_wire::job::{JobSpec, JobStatus, JobView, job_number};
+use cherryyard_core::mirror::over;
+use cherryyard_wire::condor::{FIRST_ID, is_reserved};
+use cherryyard_wire::job::{JobSpec, JobStatus, JobView, job_id, job_number};
+use cherryyard_wire::parse_object;
 use cherryyard_wire::peer::{Ask, Told};
 use cherryyard_wire::record::{End, LEAD, PACKED};
+use cherryyard_wire::rules::{Additions, Rules};
 use cherryyard_wire::state::Commit;
 use salvo::http::StatusCode;
 use std::sync::Arc;
@@ -48,9 +51,18 @@
     }
 }
 
+/// A submission as it was read: the job, its number, and its rules.
+type Submission = (JobSpec, u64, Option<Rules>);
+
 /// Reads a submission, and answers it if its job is known already.
-async fn read_submission(app: &Arc<App>, body: &[u8]) -> Result<(JobSpec, u64), Answer> {
-    let spec = JobSpec::parse(body).map_err(|e| Answer::error(StatusCode::BAD_REQUEST, e))?;
+async fn read_submission(app: &Arc<App>, body: &[u8]) -> Result<Submission, Answer> {
+    let bad = |e: String| Answer::error(StatusCode::BAD_REQUEST, e);
+    let spec = JobSpec::parse(body).map_err(bad)?;
+    let mut rules = None;
+    if app.with(|n, _| n.config.tuning.condor) {
+        rules = parse_object::<Additions>(body).map_err(bad)?.rules;
+        rules = rules.filter(|r| !r.is_empty());
+    }
     let Some(job) = job_number(&spec.id) else {
         return Err(Answer::error(StatusCode::BAD_REQUEST, "id: not a job id"));
     };
@@ -61,14 +73,14 @@
             Err(answer) => answer,
         });
     }
-    Ok((spec, job))
+    Ok((spec, job, rules))
 }
 
 pub(super) async fn submit(app: &Arc<App>, body: &[u8]) -> Answer {
     if app.with(|n, now| n.refuses_submissions(now)) {
         return Answer::later("this controller is behind");
     }
-    let (spec, job) = match read_submission(app, body).await {
+    let submission = match read_submission(app, body).await {
         Ok(read) => read,
         Err(answer) => return answer,
     };
@@ -78,13 +90,13 @@
     {
         return Answer(status, told.body.into(), told.retry_after);
     }
-    submit_here(app, spec, job, at).await
+    submit_here(app, submission, at).await
 }
 
 /// Writes a submission that another controller has passed on.
 pub async fn answer_ask(app: &Arc<App>, ask: &Ask) -> Told {
     let answer = match read_submission(app, &ask.body).await {
-        Ok((spec, job)) => submit_here(app, spec, job, ask.at).await,
+        Ok(submission) => submit_here(app, submission, ask.at).await,
         Err(answer) => answer,
     };
     Told {
@@ -95,9 +107,12 @@
     }
 }
 
-async fn submit_here(app: &Arc<App>, mut spec: JobSpec, job: u64, at: u64) -> Answer {
-    let (verdict, fresh) =
-        app.with(|n, now| (admit(&mut spec, &n.mirror, &n.config), n.state_fresh(now)));
+async fn submit_here(app: &Arc<App>, submission: Submission, at: u64) -> Answer {
+    let (mut spec, job, rules) = submission;
+    let (verdict, fresh) = app.with(|n, now| {
+        let verdict = admit(&mut spec, rules.as_ref(), at, &n.mirror, &n.config);
+        (verdict, n.state_fresh(now))
+    });
     if !fresh {
         return Answer::later("the state service cannot be reached");
     }
@@ -118,16 +133,9 @@
         return Answer::later_in("too many submissions at once", seconds);
     }
     let id = spec.id.clone();
-    let mut open = OpenJob {
-        stamp: 0,
-        team: app
-            .with(|n, _| n.config.team_names.get(&spec.owner))
-            .unwrap_or(0),
-        spec,
-        at,
-        div: Vec::new(),
-        zone: None,
-        caps: Vec::new(),
+    let new = app.with(|n, _| n.mirror.new_job(spec, rules, at));
+    let Some(mut open) = new else {
+        return Answer::error(StatusCode::UNPROCESSABLE_ENTITY, "owner: unknown team");
     };
     for attempt in 0..TRIES {
         // It may be over, and only the history may know it.
@@ -137,6 +145,10 @@
         if let Some(p) = found.past {
             return Answer::view(StatusCode::OK, &over(job, p.end, p.done));
         }
+        if is_reserved(job) && app.with(|n, _| n.config.tuning.condor) {
+            let why = format!("id: from {} on they are for submissions", job_id(FIRST_ID));
+            return Answer::error(StatusCode::BAD_REQUEST, why);
+        }
         let mut commit = Commit::default();
         let written = app.with(|n, now| {
             open.div = Vec::new();
--- a/crates/cherryyard/src/routes/mod.rs
+++ b/crates/cherryyard/src/routes/mod.rs
@@ -1,6 +1,7 @@
 //! The HTTP interface of users and workers.
 
 mod answer;
+mod condor;
 mod jobs;
 
 use crate::app::App;
@@ -24,6 +25,58 @@
 struct Ready(Arc<App>);
 struct Hello(Arc<App>);
 struct History(Arc<App>);
+struct Receive(Arc<App>);
+struct Submissions(Arc<App>);
+struct SubmissionState(Arc<App>);
+struct Remove(Arc<App>);
+struct Explain(Arc<App>);
+
+#[async_trait]
+impl Handler for Receive {
+    async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
+        let since = Instant::now();
+        let answer = match body(&self.0, req).await {
+            Ok(body) => condor::receive(&self.0, &body.text).await,
+            Err(answer) => answer,
+        };
+        self.0.took(since);
+        answer.write(res);
+    }
+}
+
+#[async_trait]
+impl Handler for Submissions {
+    async fn handle(&self, _: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
+        condor::list(&self.0).await.write(res);
+    }
+}
+
+#[async_trait]
+impl Handler for SubmissionState {
+    async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
+        let name = req.param::<String>("name").unwrap_or_default();
+        condor::state(&self.0, &name).await.write(res);
+    }
+}
+
+#[async_trait]
+impl Handler for Remove {
+    async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
+        let name = req.param::<String>("name").unwrap_or_default();
+        condor::remove(&self.0, &name).await.write(res);
+    }
+}
+
+#[async_trait]
+impl Handler for Explain {
+    async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
+        let answer = match body(&self.0, req).await {
+            Ok(body) => condor::explain(&self.0, &body.text),
+            Err(answer) => answer,
+        };
+        answer.write(res);
+    }
+}
 
 #[async_trait]
 impl Handler for Submit {
@@ -116,7 +169,7 @@
 
 /// Serves until the process is killed.
 pub async fn serve<A: Acceptor + Send + 'static>(acceptor: A, app: Arc<App>, limits: &Limits) {
-    let history = app.with(|n, _| n.config.tuning.history);
+    let (history, condor) = app.with(|n, _| (n.config.tuning.history, n.config.tuning.condor));
     let mut router = Router::new()
         .push(Router::with_path("ready").get(Ready(app.clone())))
         .push(Router::with_path("hello").post(Hello(app.clone())))
@@ -128,7 +181,19 @@
             ),
         );
     if history {
-        router = router.push(Router::with_path("v2/history").get(History(app)));
+        router = router.push(Router::with_path("v2/history").get(History(app.clone())));
+    }
+    if condor {
+        let one = Router::with_path("{name}")
+            .get(SubmissionState(app.clone()))
+            .push(Router::with_path("cancel").post(Remove(app.clone())));
+        router = router.push(
+            Router::with_path("v2/condor")
+                .post(Receive(app.clone()))
+                .get(Submissions(app.clone()))
+                .push(Router::with_path("match").post(Explain(app)))
+                .push(Router::with_path("submissions").push(one)),
+        );
     }
     // Slow or idle clients cost a bounded amount.
     let fuse = FuseConfig::default()
--- /dev/null
+++ b/crates/cherryyard/tests/condor.rs
@@ -0,0 +1,128 @@
+//! The real program with submissions of many jobs turned on, over loopback.
+
+use cherryyard_rehearsal::http::{Budgets, HttpState};
+use cherryyard_rehearsal::process::{self, Client, Process};
+use cherryyard_rehearsal::{StateStandIn, World, small_kind};
+use cherryyard_wire::condor::{NO_ID, Phase, SubmissionView};
+use cherryyard_wire::record::KINDS;
+use serde_json::{Value, json};
+use std::path::Path;
+use std::time::Duration;
+
+const OPERATOR: &str = r#"
+condor = true
+zone "a" { Department = "posting" }
+"#;
+
+async fn start() -> (HttpState, Process, Client) {
+    let mut state = StateStandIn::default();
+    state.seed(KINDS, &[small_kind(vec!["a".into()])]);
+    let budgets = Budgets {
+        rps: 400.0,
+        write_rps: 100.0,
+    };
+    let service = HttpState::new(state, budgets);
+    let addr = service.serve().await;
+    let program = Path::new(env!("CARGO_BIN_EXE_cherryyard"));
+    let settings = process::settings(&addr.to_string());
+    let controller = Process::start(program, &settings, OPERATOR);
+    let client = controller.client();
+    client.ready().await;
+    (service, controller, client)
+}
+
+fn chunk(name: &str, chunk: u32, of: u32, requirements: Value) -> Option<String> {
+    let spec = World::spec(NO_ID, "sweep", 1);
+    let post = json!({ "name": name, "chunk": chunk, "of": of,
+        "t": [{ "spec": spec, "rules": { "requirements": requirements } }], "r": [[0, 1, 40]] });
+    Some(post.to_string())
+}
+
+async fn view(client: &Client, name: &str) -> SubmissionView {
+    let path = format!("/v2/condor/submissions/{name}");
+    let (status, body) = client.insist("GET", &path, None).await;
+    assert_eq!(status, 200, "{body}");
+    serde_json::from_str(&body).expect("a view")
+}
+
+/// A submission comes in chunks and is accepted with the last; what comes again is
+/// known; one with a job that can never run is refused as one; a removal ends it.
+#[tokio::test]
+async fn a_submission_from_chunk_to_removal() {
+    let (service, _controller, client) = start().await;
+    let post = async |body| client.insist("POST", "/v2/condor", body).await;
+    let good = || json!("Department == \"POSTING\" && MY.Foo =?= undefined");
+    // Attributes are stored by the leader first.
+    for _ in 0..100 {
+        if service.with(|s| s.get("c/attributes").is_some()) {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert_eq!(post(chunk("june", 1, 3, good())).await.0, 409);
+    assert_eq!(post(chunk("june", 0, 3, good())).await.0, 202);
+    assert_eq!(post(chunk("june", 0, 3, good())).await.0, 202);
+    assert_eq!(post(chunk("june", 2, 3, good())).await.0, 409);
+    assert_eq!(post(chunk("june", 1, 3, good())).await.0, 202);
+    let (status, body) = post(chunk("june", 2, 3, good())).await;
+    assert_eq!(status, 201, "{body}");
+    let first: SubmissionView = serde_json::from_str(&body).expect("a view");
+    assert_eq!((first.jobs, first.chunks), (120, 3));
+    for again in 0..3 {
+        let (status, _) = post(chunk("june", again, 3, good())).await;
+        assert_eq!(status, 200);
+    }
+    // Users cannot choose its ids, and see its jobs as any others.
+    let id = first.first.expect("an id");
+    let known = serde_json::to_string(&World::spec(&id, "sweep", 1)).ok();
+    let mut last = World::spec(&id, "sweep", 1);
+    last.id = "j-899999999999999999".into();
+    let unknown = serde_json::to_string(&last).ok();
+    for _ in 0..200 {
+        if view(&client, "june").await.phase == Phase::Created {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let created = view(&client, "june").await;
+    assert_eq!((created.created, created.queued), (120, 120));
+    assert_eq!(client.insist("POST", "/v2/runs", known).await.0, 200);
+    assert_eq!(client.insist("POST", "/v2/runs", unknown).await.0, 400);
+
+    // One of whose jobs can never run.
+    let bad = || json!("HasGluster && Department == \"posting\"");
+    assert_eq!(post(chunk("july", 0, 2, good())).await.0, 202);
+    let (status, body) = post(chunk("july", 1, 2, bad())).await;
+    assert_eq!(status, 422, "{body}");
+    assert!(body.contains("no machine advertises HasGluster"), "{body}");
+    let (status, body) = post(chunk("august", 0, 1, json!("1 +"))).await;
+    assert_eq!(status, 400, "{body}");
+    assert!(body.contains("t[0].rules.requirements: 1:4"), "{body}");
+
+    let path = "/v2/condor/submissions/june/cancel";
+    let (status, body) = client.insist("POST", path, Some("{}".into())).await;
+    assert_eq!(status, 202, "{body}");
+    for _ in 0..200 {
+        if view(&client, "june").await.phase == Phase::Cancelled {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let gone = view(&client, "june").await;
+    assert_eq!((gone.phase, gone.over), (Phase::Cancelled, 120));
+    assert_eq!(client.insist("POST", path, Some("{}".into())).await.0, 200);
+    let (_, list) = client.insist("GET", "/v2/condor", None).await;
+    assert!(
+        list.contains("june") && list.contains("chunk_bytes"),
+        "{list}"
+    );
+    // What was refused is swept, and its name may be used anew.
+    for _ in 0..200 {
+        let (status, _) = post(chunk("july", 0, 1, good())).await;
+        if status == 201 {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    panic!("the name of a refused submission stays taken");
+}
--- a/crates/cherryyard/tests/flood.rs
+++ b/crates/cherryyard/tests/flood.rs
@@ -1,55 +1,32 @@
 //! The program under floods on loopback: what does not fit is refused at once.
 
-mod common;
-
-use common::{Controller, free_port};
+use cherryyard_rehearsal::process::{self, Process};
 use std::io::{Read, Write};
 use std::net::TcpStream;
-use std::process::{Command, Stdio};
+use std::path::Path;
 use std::time::Duration;
 
 /// A controller alone, with nothing to talk to and little memory.
 fn controller() -> Controller {
-    let (public, nobody) = (format!("127.0.0.1:{}", free_port()), free_port());
-    let settings = serde_json::json!({
-        "label": "controller-0", "domain": "a", "public_addr": public,
-        "peer_listen": format!("127.0.0.1:{}", free_port()), "known": [],
-        "services": {
-            "cloud": format!("127.0.0.1:{nobody}"), "state": format!("127.0.0.1:{nobody}"),
-        },
-        "cluster": {
-            "nodes": 1, "zones": ["a"], "teams": [], "objectives": [],
-            "workers": { "report_s": 2.0, "lease_s": 10.0, "cancel_s": 40.0 },
-            "state": { "rps": 80.0, "write_rps": 20.0, "value_kb": 16.0, "txn_ops": 16 },
-            "cloud": { "rps": 4.0, "list_lag_s": 6.0 },
-            "limits": { "cpu_share": 0.1, "memory_mb": 16.0, "sockets": 400 },
-            "clock_off_ms": 500.0,
-        },
-    });
-    let file = std::env::temp_dir().join(format!("cherryyard-flood-{nobody}.json"));
-    std::fs::write(&file, settings.to_string()).expect("a settings file");
-    let child = Command::new(env!("CARGO_BIN_EXE_cherryyard"))
-        .arg("--config")
-        .arg(&file)
-        .env("LOG_LEVEL", "error")
-        .stderr(Stdio::null())
-        .spawn()
-        .expect("the program");
-    let controller = Controller(child, public);
+    let mut settings = process::settings(&format!("127.0.0.1:{}", process::free_port()));
+    settings["cluster"]["limits"]["memory_mb"] = 16.0.into();
+    settings["cluster"]["limits"]["sockets"] = 400.into();
+    let program = Path::new(env!("CARGO_BIN_EXE_cherryyard"));
+    let controller = Controller(Process::start(program, &settings, ""));
     for _ in 0..500 {
-        if TcpStream::connect(&controller.1).is_ok() {
+        if TcpStream::connect(&controller.0.addr).is_ok() {
             break;
         }
         std::thread::sleep(Duration::from_millis(20));
     }
-    // Read once; another controller's file may take its place.
-    let _ = std::fs::remove_file(file);
     controller
 }
 
+struct Controller(Process);
+
 impl Controller {
     fn send(&self, text: &[u8]) -> TcpStream {
-        let mut stream = TcpStream::connect(&self.1).expect("a connection");
+        let mut stream = TcpStream::connect(&self.0.addr).expect("a connection");
         stream
             .set_read_timeout(Some(Duration::from_secs(20)))
             .expect("a time-out");
--- a/examples/operator.hcl
+++ b/examples/operator.hcl
@@ -16,6 +16,15 @@
 # Keep an account of core-seconds in the log.
 account = false
 
+# Serve submissions of many jobs and jobs' own rules (docs/condor.md).
+condor = false
+
+# Attributes of machines for such rules, beside those that every machine has:
+# of all machines, of a type's, of a zone's.
+# machines { OpSys = "LINUX" }
+# machine_type "g8" { Software = ["ledger-4", "solver"] }
+# zone "zone-a" { Department = "posting" }
+
 # Move jobs that are over into the history (docs/history.md).
 history = false
 
