HTCondor submit files: cherryyard-condor, and cherryyard condor submit, q, rm, match

Change: a package that reads submit files by a pest grammar (macros, conditions, includes, queue in|from|matching with slices) and translates them: requirements and rank folded with what the job alone decides, a table of commands honoured, described, without effect, or refused by name and line. Procs that differ by $(Process) only are one array. The command line sends them in durable chunks, by a name under which nothing is queued twice, and shows errors with a caret (miette).

--- a/crates/cherryyard-classad/src/expr.rs
+++ b/crates/cherryyard-classad/src/expr.rs
@@ -157,6 +157,12 @@
         all
     }
 
+    /// Whether it names attributes of the other ad only.
+    pub fn is_of_target(&self) -> bool {
+        let of_target = |n: &Node| !matches!(n, Node::Attr(Side::My | Side::Any, _) | Node::Ad(_));
+        self.nodes.iter().all(of_target)
+    }
+
     /// Names of the other ad's attributes that it may ask for, each once.
     pub fn attributes(&self) -> Vec<u32> {
         let (mut todo, mut all) = (vec![self.root()], Vec::new());
--- a/crates/cherryyard-rehearsal/src/world.rs
+++ b/crates/cherryyard-rehearsal/src/world.rs
@@ -43,6 +43,10 @@
     pub value_kb: f64,
     /// Most changes in a transaction.
     pub txn_ops: usize,
+    /// Requests a second that the state service allows, as the controllers know it.
+    pub rps: f64,
+    /// Puts and deletes a second that it allows.
+    pub write_rps: f64,
     /// How many ends go into the history at once; none: no history.
     pub history: Option<usize>,
 }
@@ -73,6 +77,8 @@
             limit: 0.0,
             value_kb: 4.0,
             txn_ops: 8,
+            rps: 80.0,
+            write_rps: 20.0,
             history: None,
         }
     }
@@ -210,7 +216,7 @@
                 "zones": zones,
                 "teams": [{ "name": "team", "cpus": 0.0, "cpus_max": setup.limit }],
                 "workers": { "report_s": 2.0, "lease_s": 10.0, "cancel_s": 40.0 },
-                "state": { "rps": 80.0, "write_rps": 20.0, "value_kb": setup.value_kb,
+                "state": { "rps": setup.rps, "write_rps": setup.write_rps, "value_kb": setup.value_kb,
                            "txn_ops": setup.txn_ops },
                 "cloud": { "rps": 4.0, "list_lag_s": 6.0 },
                 "limits": { "sockets": 1000 }
--- /dev/null
+++ b/crates/cherryyard-rehearsal/tests/both_ways.rs
@@ -0,0 +1,185 @@
+//! The same workload as a submit file and as native jobs: the same machines run the
+//! same tasks, under the same limit, and the same account comes out.
+
+use cherryyard_condor::{Options, Source, read};
+use cherryyard_core::account::Went;
+use cherryyard_rehearsal::{Setup, World};
+use cherryyard_wire::condor::Phase;
+use cherryyard_wire::job::{JobSpec, Rank, job_id};
+use cherryyard_wire::record::job_hash;
+use cherryyard_wire::rules::{CellBlock, Rules};
+use std::collections::BTreeMap;
+
+struct Nothing;
+
+impl Source for Nothing {
+    fn file(&mut self, path: &str) -> Result<String, String> {
+        Err(format!("{path}: no such file"))
+    }
+
+    fn matching(&mut self, _: &str, _: bool) -> Result<Vec<String>, String> {
+        Ok(Vec::new())
+    }
+
+    fn variable(&mut self, _: &str) -> Option<String> {
+        None
+    }
+}
+
+const FILE: &str = r#"
+executable      = post
+container_image = img
+accounting_group = team
++ImageGB        = 1
++JobClass       = "class"
++ExpectedSeconds = 20
+request_cpus    = 2
+request_memory  = 1G
+arguments       = $(Process)
+
+# Wherever there is room.
+queue 150
+
+# A product of types and zones, which native fields can say.
+requirements = MachineType == "m4" && Zone == "a"
+queue 40
+
+# None that they could.
+requirements = (MachineType == "m8" && Zone == "b") || (MachineType == "m4" && Zone == "c")
+rank         = Cpus
+queue 60
+
+# Many of one task each.
+requirements =
+rank         =
+nice_user    = true
+arguments    = $(item)
+queue in (l1 l2 l3 l4 l5 l6 l7 l8 l9 l10 l11 l12 l13 l14 l15 l16 l17 l18 l19 l20)
+"#;
+
+/// The same, as a user writes it natively.
+fn native() -> Vec<(JobSpec, Option<Rules>)> {
+    let job = |tasks| {
+        let mut spec = World::spec("j-000000", "sweep", tasks);
+        spec.expected_s = 20.0;
+        spec
+    };
+    let mut all = vec![(job(150), None)];
+    let mut product = job(40);
+    product.kinds_of_host = Some(vec!["m4".into()]);
+    product.yard = Some("a".into());
+    all.push((product, None));
+    let block = |kind: &str, zone: &str, tier| CellBlock {
+        kinds: Some(vec![kind.into()]),
+        yards: Some(vec![zone.into()]),
+        borrowed: None,
+        tier,
+    };
+    let cells = Rules {
+        cells: vec![block("m8", "b", 0), block("m4", "c", 1)],
+        ..Rules::default()
+    };
+    all.push((job(60), Some(cells)));
+    let mut small = job(1);
+    small.rank = Rank::BestEffort;
+    all.extend(std::iter::repeat_n((small, None), 20));
+    all
+}
+
+/// Three parts, 200 machines of two types, and a team's limit.
+fn cluster() -> World {
+    let mut w = World::new(Setup {
+        machines: vec![("a", 60), ("b", 60), ("c", 60)],
+        large: vec![("b", 20)],
+        limit: 400.0,
+        ..Setup::default()
+    });
+    w.unreachable = w.workers.keys().cloned().collect();
+    w.workers.values_mut().for_each(|x| x.run_ms = 9000.0);
+    w.run(5.0);
+    w
+}
+
+/// Where each task runs.
+fn places(w: &World) -> BTreeMap<String, String> {
+    let mut all = BTreeMap::new();
+    for worker in w.workers.values() {
+        for (piece, state) in &worker.pieces {
+            if state.2.is_none() {
+                all.insert(piece.clone(), worker.host.clone());
+            }
+        }
+    }
+    all
+}
+
+fn open_jobs(w: &World) -> usize {
+    w.nodes
+        .iter()
+        .flatten()
+        .next()
+        .map_or(0, |n| n.mirror.open.len())
+}
+
+#[test]
+fn the_same_workload_both_ways() {
+    let cluster_of = read("ledger.sub", FILE, &Options::default(), &mut Nothing);
+    let cluster_of = cluster_of.unwrap_or_else(|e| panic!("{}: {}", e.line, e.what));
+    let chunks = cluster_of.chunks(4000);
+    assert_eq!((cluster_of.groups.len(), chunks.len()), (23, 1));
+
+    let mut file = cluster();
+    let at = file.now;
+    let (number, first) = file.queue("ledger", &chunks);
+    file.run_until(40.0, |w| {
+        w.submission(number).unwrap().phase == Phase::Created
+    });
+    // Natively, the same ids in the same order, at the same time.
+    let mut own = cluster();
+    assert_eq!(own.now, at);
+    let mut jobs: Vec<_> = (first..).zip(native()).collect();
+    jobs.sort_by_key(|j| job_hash(j.0));
+    for (id, (mut spec, rules)) in jobs {
+        spec.id = job_id(id);
+        own.submit_with(&spec, rules);
+    }
+    let mut placed = Vec::new();
+    for w in [&mut file, &mut own] {
+        let until = at + 45_000.0;
+        while w.now < until {
+            w.run(0.05);
+        }
+        assert_eq!(w.running(), 0);
+        w.unreachable.clear();
+        w.run(6.0);
+        assert!(w.running() >= 190, "{}", w.running());
+        placed.push(places(w));
+    }
+    // Placement and marks: the same task on the same machine.
+    assert_eq!(placed[0], placed[1]);
+    let cores = |w: &World| w.most_cores;
+    assert!(cores(&file) <= 400.0 && cores(&file) == cores(&own));
+
+    // Faults on the way: a controller ends and starts, machines are cut off.
+    let mut ends = Vec::new();
+    for w in [&mut file, &mut own] {
+        w.run(2.0);
+        w.kill(1);
+        let cut = ["host-000007", "host-000071", "host-000130"];
+        w.unreachable.extend(cut.map(String::from));
+        w.run(12.0);
+        w.start(1);
+        w.unreachable.clear();
+        w.run_until(120.0, |w| open_jobs(w) == 0);
+        assert!(w.broken.is_empty(), "{:?}", w.broken);
+        assert!(w.most_cores <= 400.0, "{}", w.most_cores);
+        let done = w.trace.iter().filter(|l| l.contains(" ends j-")).count();
+        let account = w.account();
+        ends.push((done, w.most_cores, account.get(Went::Arrays)));
+    }
+    // All tasks, and some that were done again; the account within the samples' step.
+    assert!(ends.iter().all(|e| e.0 >= 270), "{ends:?}");
+    assert_eq!((ends[0].0, ends[0].1), (ends[1].0, ends[1].1), "{ends:?}");
+    let (a, b) = (ends[0].2, ends[1].2);
+    assert!((a - b).abs() <= 0.02 * a.max(b), "{ends:?}");
+}
--- a/crates/cherryyard/src/cli.rs
+++ b/crates/cherryyard/src/cli.rs
@@ -1,5 +1,6 @@
 //! The command line.
 
+use crate::condor::{self, Condor};
 use crate::{account, operator, run};
 use cherryyard_core::{Config, Tuning};
 use cherryyard_io::http::Http;
@@ -70,6 +71,9 @@
         #[arg(long, value_name = "ADDR")]
         server: String,
     },
+    /// HTCondor submit files: queue, look, remove, match
+    #[command(subcommand)]
+    Condor(Condor),
     /// Sum up what cores did, from the logs of controllers that keep account
     Account {
         /// Logs of controllers
@@ -126,12 +130,13 @@
         .map_err(|e| format!("cannot start: {e}"))
 }
 
-async fn ask(
+/// A request's status and answer.
+pub async fn ask_status(
     method: &str,
     server: &str,
     path: &str,
     body: Option<Vec<u8>>,
-) -> Result<String, String> {
+) -> Result<(u16, String), String> {
     let http = Http::new(Duration::from_secs(2), 1);
     let method = method.parse().map_err(|_| "bad method".to_string())?;
     let url = format!("http://{server}{path}");
@@ -145,7 +150,16 @@
         )
         .await
         .map_err(|e| format!("{server}: {e}"))?;
-    let text = String::from_utf8_lossy(&body).trim().to_string();
+    Ok((status, String::from_utf8_lossy(&body).trim().to_string()))
+}
+
+async fn ask(
+    method: &str,
+    server: &str,
+    path: &str,
+    body: Option<Vec<u8>>,
+) -> Result<String, String> {
+    let (status, text) = ask_status(method, server, path, body).await?;
     if status < 300 {
         Ok(text)
     } else {
@@ -199,6 +213,7 @@
             );
             Ok(())
         }
+        Some(Command::Condor(command)) => runtime()?.block_on(condor::execute(command)),
         Some(Command::Account { logs }) => {
             println!("{}", account::of_logs(logs.iter().map(PathBuf::as_path))?);
             Ok(())
--- a/crates/cherryyard/src/main.rs
+++ b/crates/cherryyard/src/main.rs
@@ -3,6 +3,7 @@
 mod account;
 mod app;
 mod cli;
+mod condor;
 mod messages;
 mod operator;
 mod routes;
--- a/crates/cherryyard/tests/condor.rs
+++ b/crates/cherryyard/tests/condor.rs
@@ -126,3 +126,78 @@
     }
     panic!("the name of a refused submission stays taken");
 }
+
+/// The command line against a running controller: what would be queued, what is, which
+/// machines match, the same file twice under one name, removal, and an error's place.
+#[tokio::test]
+async fn the_command_line() {
+    let (_service, controller, _client) = start().await;
+    let dir = std::env::temp_dir().join(format!("cherryyard-sub-{}", process::free_port()));
+    std::fs::create_dir_all(&dir).expect("a folder");
+    let file = dir.join("june.sub");
+    let text = "executable = post\naccounting_group = team\nrequest_memory = 1G\n\
+                requirements = Department == \"posting\"\narguments = $(ledger) $(Process)\n\
+                queue ledger from ledgers.txt\n";
+    std::fs::write(&file, text).expect("a submit file");
+    let ledgers: String = (0..300).map(|i| format!("ledger-{i}\n")).collect();
+    std::fs::write(dir.join("ledgers.txt"), ledgers).expect("items");
+    let addr = controller.addr.clone();
+    let run = async |args: &[&str]| {
+        let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_cherryyard"));
+        command.arg("condor").args(args);
+        let out = tokio::task::spawn_blocking(move || command.output()).await;
+        let out = out.expect("a thread").expect("the program");
+        let text = |b: &[u8]| String::from_utf8_lossy(b).into_owned();
+        (out.status.code(), text(&out.stdout) + &text(&out.stderr))
+    };
+    let path = file.to_str().expect("a path");
+    let (code, out) = run(&["submit", path, "--dry-run"]).await;
+    assert!(
+        code == Some(0) && out.contains("300 proc(s) as 300 job(s)"),
+        "{out}"
+    );
+    let (code, out) = run(&["match", path, "--server", &addr]).await;
+    assert!(
+        code == Some(0) && out.contains("matches m4 in a (ordinary)"),
+        "{out}"
+    );
+    let described = dir.join("jobs.json");
+    let described = described.to_str().expect("a path");
+    for _ in 0..2 {
+        let args = [
+            "submit",
+            path,
+            "--server",
+            &addr,
+            "--name",
+            "june",
+            "--describe",
+            described,
+        ];
+        let (code, out) = run(&args).await;
+        assert!(
+            code == Some(0) && out.contains("300 job(s) submitted to cluster june"),
+            "{out}"
+        );
+    }
+    let lines = std::fs::read_to_string(described).expect("descriptions");
+    assert_eq!(lines.lines().count(), 300);
+    assert!(
+        lines.contains("\"arguments\":\"ledger-7 $(Process)\""),
+        "{lines}"
+    );
+    let (code, out) = run(&["q", "--server", &addr]).await;
+    assert!(
+        code == Some(0) && out.matches("june").count() == 1 && out.contains("300"),
+        "{out}"
+    );
+    let (code, out) = run(&["rm", "june", "--server", &addr]).await;
+    assert!(code == Some(0) && out.contains("june"), "{out}");
+    let (code, _) = run(&["q", "none", "--server", &addr]).await;
+    assert_eq!(code, Some(1));
+    std::fs::write(&file, text.replace("== \"posting\"", "== && 3")).expect("a submit file");
+    let (code, out) = run(&["submit", path, "--dry-run"]).await;
+    assert_eq!(code, Some(1));
+    assert!(out.contains("line 4, column") && out.contains('╰'), "{out}");
+    std::fs::remove_dir_all(dir).expect("a folder");
+}
