Cancellations are told between controllers: an owner may have missed one before an outage

Need: an owner goes on answering its workers while every controller says that it is cut off, as nobody can take a cancellation then.

Change: beats (version 6) tell the cancellations of the last 60 s, how far back that list reaches, and how long ago the state service answered the sender. An owner kills what it is told, and relies on an outage only if it knows of all cancellations up to everybody's last contact, by its reads or by beats without a gap; else its bound counts.

--- a/crates/cherryyard-core/src/beats.rs
+++ b/crates/cherryyard-core/src/beats.rs
@@ -60,10 +60,13 @@
         if self.leader.is_label(&self.mirror, &beat.label) && !beat.short.is_empty() {
             self.lower_grants(&beat.short, now);
         }
+        let (contact, covered_to) = self.told_of_cancellations(i, &beat, now);
         self.peers[i] = Some(PeerState {
             beat,
             heard_at: now,
             up_since,
+            contact,
+            covered_to,
         });
     }
 
@@ -93,7 +96,16 @@
                 _ => strays.push((*p as u32, 1)),
             }
         }
+        let (cancelled, reach_ms) = self.cancelled.tell(self.mirror.new_cancels(), now);
+        let silent = now - self.state_ok_at;
         Beat {
+            silent_ms: if silent.is_finite() {
+                silent as u32
+            } else {
+                u32::MAX
+            },
+            cancelled,
+            reach_ms,
             handing: (0..self.parts.len())
                 .flat_map(|p| {
                     self.parts[p]
@@ -105,7 +117,7 @@
                 .collect(),
             strays,
             label: self.config.labels[self.config.me].clone(),
-            cut_off: now - self.state_ok_at > 2500.0,
+            cut_off: silent > 2500.0,
             epoch: self.mirror.epoch,
             claims: (0..self.parts.len())
                 .filter_map(|p| {
--- a/crates/cherryyard-core/src/lib.rs
+++ b/crates/cherryyard-core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod account;
 pub mod admit;
 mod beats;
+mod cancelled;
 pub mod cells;
 mod claims;
 pub mod config;
--- a/crates/cherryyard-core/src/mirror/jobs.rs
+++ b/crates/cherryyard-core/src/mirror/jobs.rs
@@ -217,6 +217,9 @@
     pub(super) fn put_end(&mut self, job: u64, ended: EndedJob, uses: Option<(u32, Needs)>) {
         if self.open.remove(&job).is_some() {
             self.refresh_job(job);
+            if ended.end == End::Cancelled {
+                self.new_cancels.push(job);
+            }
         }
         self.ended.insert(job, ended);
         match uses {
@@ -225,6 +228,11 @@
         };
     }
 
+    /// Jobs that have been seen to be cancelled since the last call.
+    pub fn new_cancels(&mut self) -> Vec<u64> {
+        std::mem::take(&mut self.new_cancels)
+    }
+
     /// A job's record is gone: it is over and in the history, or it never was.
     pub(super) fn drop_job(&mut self, job: u64) {
         if self.open.remove(&job).is_some() {
--- a/crates/cherryyard-core/src/mirror/mod.rs
+++ b/crates/cherryyard-core/src/mirror/mod.rs
@@ -122,6 +122,7 @@
     present: HashSet<Key>,
     teams: Names,
     tasks_done: HashMap<u64, u32>,
+    new_cancels: Vec<u64>,
     complaints: Vec<String>,
 }
 
@@ -164,6 +165,7 @@
             present: HashSet::new(),
             teams: config.team_names.clone(),
             tasks_done: HashMap::new(),
+            new_cancels: Vec::new(),
             complaints: Vec::new(),
         }
     }
--- a/crates/cherryyard-core/src/node.rs
+++ b/crates/cherryyard-core/src/node.rs
@@ -1,5 +1,6 @@
 //! One controller: claims, reports, beats, and what ties the rest together.
 
+use crate::cancelled::Cancelled;
 use crate::effects::{Effect, Outcome, Ticket};
 use crate::lateness::Lateness;
 use crate::leader::state::Leader;
@@ -61,6 +62,8 @@
     pub(crate) user_pace: Pace,
     /// Machines whose marks rounds have looked at so far: what rounds cost.
     pub looked: u64,
+    /// Cancellations that are told and were told.
+    pub(crate) cancelled: Cancelled,
     /// Whether accounts of core-seconds are kept.
     pub accounting: bool,
     /// Time of day less steady clock, in milliseconds.
@@ -99,6 +102,7 @@
             strays: BTreeMap::new(),
             user_pace: Pace::new(config.user_writes_per_s / config.parts() as f64, now),
             looked: 0,
+            cancelled: Cancelled::new(now),
             accounting: config.tuning.account || tracing::enabled!(tracing::Level::DEBUG),
             wall_offset: 0.0,
             config,
--- a/crates/cherryyard-core/src/owner/orders.rs
+++ b/crates/cherryyard-core/src/owner/orders.rs
@@ -38,7 +38,9 @@
                 }
                 continue;
             }
-            let open = self.mirror.open.get(&job);
+            // Others may know that it is cancelled before the state service tells us.
+            let told = self.cancelled.is_told(job);
+            let open = self.mirror.open.get(&job).filter(|_| !told);
             match (mark, open) {
                 (Some(_), Some(open)) => {
                     let preempted = self.parts[p]
@@ -68,7 +70,7 @@
                 // The job is over, or no mark accounts for this attempt. While
                 // cut off, a missing mark may only mean an old mirror.
                 (_, None) | (None, _) => {
-                    if (fresh && owned) || self.mirror.end(job).is_some() {
+                    if (fresh && owned) || told || self.mirror.end(job).is_some() {
                         orders.push(Order::Kill {
                             piece: piece(),
                             attempt: seen.attempt,
--- a/crates/cherryyard-core/src/peers.rs
+++ b/crates/cherryyard-core/src/peers.rs
@@ -9,4 +9,9 @@
     pub beat: Beat,
     pub heard_at: Millis,
     pub up_since: Millis,
+    /// When the state service last answered it or, where that is not known, when its
+    /// process began: until then it may have taken cancellations.
+    pub contact: Millis,
+    /// Up to when we know of all cancellations that it has taken.
+    pub covered_to: Millis,
 }
--- a/crates/cherryyard-core/src/reports.rs
+++ b/crates/cherryyard-core/src/reports.rs
@@ -15,9 +15,11 @@
         };
         // Guards against a cancellation that this controller cannot see: the
         // workers' leases must end in time. If nobody can reach the state
-        // service, nobody can take a cancellation either.
+        // service, nobody can take a cancellation either; what was taken before the
+        // last of them lost it, those who took it have told.
         let bound = self.config.cut_off_bound_ms();
-        (now - self.seen_at <= bound || self.all_cut_off(now)).then_some(stamp)
+        let outage = || self.all_cut_off(now) && self.knows_cancellations();
+        (now - self.seen_at <= bound || outage()).then_some(stamp)
     }
 
     /// Who takes reports of part `p`, if it is someone else.
--- a/crates/cherryyard-rehearsal/src/world.rs
+++ b/crates/cherryyard-rehearsal/src/world.rs
@@ -23,6 +23,8 @@
 const STEP: f64 = 50.0;
 /// How long a worker waits for an answer.
 const ANSWER_MS: f64 = 4000.0;
+/// Time within which a cancelled job's tasks must be gone.
+const CANCEL_MS: f64 = 40_000.0;
 /// How long a controller's state lease lasts.
 const TTL: f64 = 5000.0;
 
@@ -128,6 +130,8 @@
     pub cut_creator: Option<(usize, bool)>,
     /// The creator's transactions so far.
     pub creator_commits: usize,
+    /// When each job was cancelled.
+    pub cancelled_at: BTreeMap<String, f64>,
     /// Machines that were to be rented; there are none.
     pub hires: Vec<HireRequest>,
     /// The time.
@@ -166,6 +170,7 @@
             packer_commits: 0,
             cut_creator: None,
             creator_commits: 0,
+            cancelled_at: BTreeMap::new(),
             hires: Vec::new(),
             now: 0.0,
             trace: Vec::new(),
@@ -408,6 +413,7 @@
             matches!(outcome, Outcome::Applied(e) if e > epoch),
             "{outcome:?}"
         );
+        self.cancelled_at.insert(id.to_string(), now);
         self.say(format!("{id} cancelled through node-{i}"));
     }
 
@@ -791,15 +797,26 @@
     fn check(&mut self) {
         let mut seen = BTreeSet::new();
         let mut twice = BTreeSet::new();
+        let mut late = BTreeSet::new();
         for worker in self.workers.values() {
             for (name, piece) in &worker.pieces {
                 if piece.2.is_none() && !seen.insert(name.clone()) {
                     twice.insert(name.clone());
                 }
+                let job = name.split('/').next().unwrap_or_default();
+                let at = self.cancelled_at.get(job);
+                if piece.2.is_none() && at.is_some_and(|at| self.now - at > CANCEL_MS) {
+                    late.insert(name.clone());
+                }
             }
         }
-        for name in twice {
-            let text = format!("{name} is on two machines");
+        let twice = twice
+            .iter()
+            .map(|name| format!("{name} is on two machines"));
+        let late = late
+            .iter()
+            .map(|name| format!("{name} runs though cancelled"));
+        for text in twice.chain(late) {
             if !self.broken.contains(&text) {
                 self.say(&text);
                 self.broken.push(text);
--- a/crates/cherryyard-rehearsal/tests/frozen.rs
+++ b/crates/cherryyard-rehearsal/tests/frozen.rs
@@ -197,3 +197,134 @@
     assert!(small > 0, "{small}");
     assert!(large <= small + 5, "{small} {large}");
 }
+
+/// A controller stands still, a cancellation is taken elsewhere, the state service goes
+/// down for everybody, and the controller goes on: every other says that it is cut off
+/// too, and yet there is a cancellation that it has never seen. It went on answering
+/// its workers for as long as the outage lasted, and the cancelled job's tasks ran on.
+#[test]
+fn a_cancellation_missed_by_a_freeze_before_an_outage() {
+    for (frozen_s, gone) in [(8.0, true), (0.0, false)] {
+        let mut w = running(Setup::default(), 6);
+        if gone {
+            w.frozen.insert(0);
+            w.run(0.5);
+            w.cancel(1, "j-000001");
+        }
+        w.run(0.5);
+        w.refused = [0, 1, 2].into();
+        w.run(frozen_s);
+        w.frozen.clear();
+        w.run(39.0 - frozen_s);
+        if gone {
+            assert_eq!(w.running(), 0, "{}", w.trace.join("\n"));
+        } else {
+            // Nothing was missed: what runs goes on, and a freeze in the outage, when
+            // nobody can have taken anything, changes nothing.
+            assert_eq!(w.running(), 6);
+            w.frozen.insert(0);
+            w.run(5.0);
+            w.frozen.clear();
+            w.run(40.0);
+            assert_eq!(w.running(), 6, "{}", w.trace.join("\n"));
+        }
+    }
+}
+
+/// The same where the state service refuses one controller alone, a cancellation is
+/// taken elsewhere, and then it refuses everybody.
+#[test]
+fn a_cancellation_missed_by_a_cut_before_an_outage() {
+    let mut w = running(Setup::default(), 6);
+    w.refused.insert(0);
+    w.run(3.0);
+    w.cancel(1, "j-000001");
+    w.run(2.0);
+    w.refused = [0, 1, 2].into();
+    w.run(60.0);
+    assert_eq!(w.running(), 0, "{}", w.trace.join("\n"));
+    assert!(w.broken.is_empty(), "{:?}", w.broken);
+}
+
+/// Freezes, cuts of one, outages, ends and cancellations in random overlaps: no task
+/// is on two machines, and none of a cancelled job 40 s after.
+#[test]
+fn random_overlaps_with_cancellations() {
+    for seed in 0..60u64 {
+        let mut draw = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1;
+        let mut next = |n: u64| {
+            draw ^= draw << 13;
+            draw ^= draw >> 7;
+            draw ^= draw << 17;
+            draw % n
+        };
+        let mut w = World::new(Setup::default());
+        w.run(5.0);
+        for id in ["j-000001", "j-000002", "j-000003"] {
+            w.submit(&World::spec(id, "service", 2));
+        }
+        w.run(6.0);
+        let mut open = vec!["j-000001", "j-000002", "j-000003"];
+        for _ in 0..14 {
+            let i = next(3) as usize;
+            match next(9) {
+                0 | 1 => {
+                    w.frozen.insert(i);
+                }
+                2 => w.frozen.clear(),
+                3 => {
+                    w.refused.insert(i);
+                }
+                4 => w.refused = [0, 1, 2].into(),
+                5 => w.refused.clear(),
+                6 if w.nodes[i].is_some() => w.kill(i),
+                6 => w.start(i),
+                _ => {
+                    let able = w.nodes[i].as_ref().is_some_and(|n| n.mirror.loaded);
+                    let able = able && !w.refused.contains(&i) && !w.frozen.contains(&i);
+                    if able
+                        && open.len() > 1
+                        && let Some(id) = open.pop()
+                    {
+                        w.cancel(i, id);
+                    }
+                }
+            }
+            // Mostly close together, at times long.
+            let s = if next(4) == 0 { next(300) } else { next(30) };
+            w.run(s as f64 / 10.0);
+        }
+        // Mostly an outage that lasts, soon after one was cut off or stood still.
+        if next(3) > 0 {
+            w.frozen.clear();
+            w.refused.clear();
+            for k in 0..3 {
+                if w.nodes[k].is_none() {
+                    w.start(k);
+                }
+            }
+            w.run(15.0);
+            let i = next(3) as usize;
+            if next(2) == 0 {
+                w.frozen.insert(i);
+            } else {
+                w.refused.insert(i);
+            }
+            w.run(next(30) as f64 / 10.0);
+            if let Some(id) = open.pop() {
+                w.cancel((i + 1) % 3, id);
+            }
+            w.run(next(20) as f64 / 10.0);
+            w.refused = [0, 1, 2].into();
+            w.run(next(60) as f64 / 10.0);
+            w.frozen.clear();
+        }
+        w.run(45.0);
+        assert!(
+            w.broken.is_empty(),
+            "seed {seed}: {:?}\n{}",
+            w.broken,
+            w.trace.join("\n")
+        );
+    }
+}
--- a/crates/cherryyard-wire/src/peer.rs
+++ b/crates/cherryyard-wire/src/peer.rs
@@ -6,7 +6,7 @@
 use bitcode::{Decode, Encode};
 
 /// The version of the frames.
-pub const VERSION: u8 = 5;
+pub const VERSION: u8 = 6;
 /// Largest frame in bytes.
 pub const MAX_FRAME: usize = 256 * 1024;
 
@@ -55,6 +55,14 @@
     pub label: String,
     /// Whether the sender is cut off from the state service.
     pub cut_off: bool,
+    /// Milliseconds since the state service last answered the sender; the largest
+    /// number if it never has since the sender's start.
+    pub silent_ms: u32,
+    /// Jobs of which the sender has lately learnt that they are cancelled, for those
+    /// whom the state service did not tell.
+    pub cancelled: Vec<u64>,
+    /// How far back that list reaches without a gap, in milliseconds.
+    pub reach_ms: u32,
     /// The state revision that the sender has seen.
     pub epoch: u64,
     /// Claims that the sender knows: part, stamp, and the owner's name.
@@ -149,6 +157,9 @@
         let beat = Message::Beat(Beat {
             label: "a".into(),
             cut_off: false,
+            silent_ms: 400,
+            cancelled: vec![412],
+            reach_ms: 60_000,
             epoch: 7,
             claims: vec![(0, 3, "a".into())],
             parts: vec![],
@@ -163,6 +174,6 @@
         }
         let mut foreign = whole.clone();
         foreign[0] = 9;
-        assert_eq!(decode(&foreign), Err("version 9 instead of 5".into()));
+        assert_eq!(decode(&foreign), Err("version 9 instead of 6".into()));
     }
 }
--- a/crates/cherryyard/src/app/loops.rs
+++ b/crates/cherryyard/src/app/loops.rs
@@ -1,5 +1,6 @@
 //! What goes on all the time: the lease, the clock, beats, the cloud.
 
+use super::repeats::Repeats;
 use super::{App, jittered, wall_ms};
 use bytes::Bytes;
 use cherryyard_core::lateness::QUEUE_CHECK_MS;
@@ -77,14 +78,20 @@
 
     pub(crate) async fn watch_cloud(self: Arc<Self>) {
         let mut kinds_at: Option<Instant> = None;
+        let mut failures = Repeats::default();
         loop {
             if kinds_at.is_none_or(|at| at.elapsed() > Duration::from_secs(120)) {
                 match self.cloud.kinds().await {
                     Ok(kinds) => {
                         kinds_at = Some(Instant::now());
+                        failures.worked();
                         self.with(|n, now| n.kinds(kinds, now));
                     }
-                    Err(e) => tracing::info!("cannot read the machine types: {e}"),
+                    Err(e) => {
+                        if let Some(times) = failures.failed(Instant::now()) {
+                            tracing::info!(times, "cannot read the machine types: {e}");
+                        }
+                    }
                 }
             }
             if let Ok(hosts) = self.cloud.list().await {
--- a/crates/cherryyard/src/app/mod.rs
+++ b/crates/cherryyard/src/app/mod.rs
@@ -4,6 +4,7 @@
 mod history;
 mod loops;
 mod reads;
+mod repeats;
 mod tell;
 
 use bytes::Bytes;
--- a/crates/cherryyard/src/app/reads.rs
+++ b/crates/cherryyard/src/app/reads.rs
@@ -1,9 +1,10 @@
 //! Reads of the state: the first one, the watch, and barriers.
 
+use super::repeats::Repeats;
 use super::{App, jittered};
 use cherryyard_io::state::StateError;
 use std::sync::{Arc, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
 
 /// Longest that a user's request waits for the state service.
@@ -82,17 +83,20 @@
     /// Keeps the mirror: one full read, then one watch.
     pub(crate) async fn mirror(self: Arc<Self>) {
         let mut reload = true;
+        let mut failures = Repeats::default();
         loop {
             let sent_at = self.now();
             if reload {
                 match self.load().await {
                     Ok((keys, epoch)) => {
                         self.with(|n, now| n.loaded(epoch, sent_at, now));
-                        tracing::info!(keys, epoch, "read the state");
+                        tracing::info!(keys, epoch, failed = failures.worked(), "read the state");
                         reload = false;
                     }
                     Err(e) => {
-                        tracing::info!("cannot read the state: {e}");
+                        if let Some(times) = failures.failed(Instant::now()) {
+                            tracing::info!(times, "cannot read the state: {e}");
+                        }
                         tokio::time::sleep(jittered(500)).await;
                     }
                 }
