A restarted controller keeps its workers' leases in an outage, by a peer's word

Change: before its first read it answers a report with the token that the worker shows, without orders, if a peer remembers that token as a claim of its own (its former process is dead, so nobody alive counts on that lease), every other controller is cut off, one of them lived through and knows of every cancellation, and none of the worker's tasks is told to be cancelled. Frames have version 7.

--- a/crates/cherryyard-core/src/beats.rs
+++ b/crates/cherryyard-core/src/beats.rs
@@ -106,6 +106,7 @@
             },
             cancelled,
             reach_ms,
+            complete: self.mirror.loaded && self.all_cut_off(now) && self.knows_cancellations(),
             handing: (0..self.parts.len())
                 .flat_map(|p| {
                     self.parts[p]
--- a/crates/cherryyard-core/src/cancelled.rs
+++ b/crates/cherryyard-core/src/cancelled.rs
@@ -9,7 +9,9 @@
 
 use crate::Millis;
 use crate::node::Node;
+use crate::peers::PeerState;
 use cherryyard_wire::peer::Beat;
+use cherryyard_wire::worker::{PieceReport, Report, piece_numbers};
 use std::collections::{BTreeSet, VecDeque};
 
 /// For how long a cancellation is told: longer than a controller stands still.
@@ -74,12 +76,16 @@
         now: Millis,
     ) -> (Millis, Millis) {
         for &job in &beat.cancelled {
-            if self.mirror.open.contains_key(&job) && self.cancelled.told.len() < MOST_TOLD {
+            // Before the first read nothing is known to be open, and all count.
+            let open = !self.mirror.loaded || self.mirror.open.contains_key(&job);
+            if open && self.cancelled.told.len() < MOST_TOLD {
                 self.cancelled.told.insert(job);
             }
         }
-        let (open, told) = (&self.mirror.open, &mut self.cancelled.told);
-        told.retain(|job| open.contains_key(job));
+        if self.mirror.loaded {
+            let (open, told) = (&self.mirror.open, &mut self.cancelled.told);
+            told.retain(|job| open.contains_key(job));
+        }
         let before = self.peers[peer].as_ref();
         let from = now - f64::from(beat.reach_ms);
         let contact = match (beat.silent_ms, before) {
@@ -94,10 +100,42 @@
         if from <= covered.max(self.seen_at) + slack {
             (contact, now)
         } else {
-            (contact, covered)
+            // What was told before the gap, and nothing of what was taken in it.
+            (contact.max(from), covered)
         }
     }
 
+    /// Whether a worker's lease may go on under the token that it shows, while its
+    /// owner's process has ended and the state service is out of everybody's reach.
+    ///
+    /// Only for tokens of our own claims, of a process before this one: that is dead,
+    /// as there is one at a time, and this one has not read the state, so nobody alive
+    /// is that token's owner and counts on the lease. Only by the word of a peer that
+    /// lived through and knows of every cancellation, and for nothing that it tells to
+    /// be cancelled. Cancellations before its list reaches back are older than a lease,
+    /// and their tasks have gone.
+    pub(crate) fn vouches(&self, p: usize, report: &Report, now: Millis) -> bool {
+        let me = &self.config.labels[self.config.me];
+        let reach = self.config.lease_ms + 10_000.0;
+        let knows = |peer: &PeerState| {
+            let claim = (p as u32, report.baton, me.clone());
+            peer.beat.complete
+                && now - peer.heard_at <= 3000.0
+                && f64::from(peer.beat.reach_ms) >= reach
+                && peer.beat.claims.contains(&claim)
+        };
+        let cancelled = |piece: &PieceReport| {
+            let job = piece_numbers(&piece.piece).map(|t| t.0);
+            job.is_none_or(|job| self.cancelled.is_told(job))
+        };
+        !self.mirror.loaded
+            && report.baton > 0
+            && self.cancelled.told.len() < MOST_TOLD
+            && self.all_cut_off(now)
+            && self.peers.iter().flatten().any(knows)
+            && !report.pieces.iter().any(cancelled)
+    }
+
     /// Whether there can be no cancellation that we have neither read nor been told of.
     pub(crate) fn knows_cancellations(&self) -> bool {
         let others = (0..self.peers.len()).filter(|&i| i != self.config.me);
--- a/crates/cherryyard-core/src/reports.rs
+++ b/crates/cherryyard-core/src/reports.rs
@@ -51,6 +51,13 @@
             if self.strays.len() < 1000 && report.host.len() <= 100 {
                 self.strays.insert((p, report.host.clone()), now);
             }
+            if self.vouches(p, report, now) {
+                tracing::debug!(host = %report.host, "vouch for a lease");
+                return Reply::Answer(ReportAnswer {
+                    baton: report.baton,
+                    orders: Vec::new(),
+                });
+            }
             return match self.owner_elsewhere(p, now) {
                 Some(label) => Reply::Elsewhere(Some(label)),
                 None => Reply::Unavailable,
--- a/crates/cherryyard-rehearsal/tests/frozen.rs
+++ b/crates/cherryyard-rehearsal/tests/frozen.rs
@@ -318,6 +318,14 @@
             w.refused = [0, 1, 2].into();
             w.run(next(60) as f64 / 10.0);
             w.frozen.clear();
+            // Ends in it, so that peers vouch.
+            for _ in 0..next(3) {
+                let k = next(3) as usize;
+                w.kill(k);
+                w.run(next(30) as f64 / 10.0);
+                w.start(k);
+                w.run(next(40) as f64 / 10.0);
+            }
         }
         w.run(45.0);
         assert!(
--- /dev/null
+++ b/crates/cherryyard-rehearsal/tests/vouch.rs
@@ -0,0 +1,140 @@
+//! Leases of workers whose owner ends in an outage of the state service.
+
+use cherryyard_rehearsal::{Setup, World};
+
+/// Six replicas on three machines, one in each part.
+fn running() -> World {
+    let mut w = World::new(Setup::default());
+    w.run(5.0);
+    w.submit(&World::spec("j-000001", "service", 4));
+    w.submit(&World::spec("j-000002", "service", 2));
+    w.run_until(10.0, |w| w.running() == 6);
+    // Long enough for the lists of cancellations to reach back beyond a lease.
+    w.run(30.0);
+    w
+}
+
+fn starts(w: &World) -> usize {
+    w.trace.iter().filter(|l| l.contains(" starts j-")).count()
+}
+
+fn outage(w: &mut World) {
+    w.say("the state service is down");
+    w.refused = [0, 1, 2].into();
+}
+
+fn over(w: &mut World) {
+    w.say("the state service is up");
+    w.refused.clear();
+}
+
+/// An owner ends in an outage and starts again: its workers' leases go on by the word
+/// of a peer that lived through, and nothing is started anew after it. Two may end one
+/// after the other; kept as a story.
+#[test]
+fn trace_of_ends_in_an_outage() {
+    let mut w = running();
+    let before = starts(&w);
+    outage(&mut w);
+    w.run(4.0);
+    for i in [0, 1] {
+        w.kill(i);
+        w.run(3.0);
+        w.start(i);
+        w.run(4.0);
+    }
+    w.run(40.0);
+    assert_eq!(w.running(), 6, "{}", w.trace.join("\n"));
+    over(&mut w);
+    w.run(30.0);
+    assert_eq!(
+        (w.running(), starts(&w)),
+        (6, before),
+        "{}",
+        w.trace.join("\n")
+    );
+    assert!(w.broken.is_empty(), "{:?}", w.broken);
+    insta::assert_snapshot!(w.trace.join("\n"));
+}
+
+/// All end at once: nobody knows a token, nor what was cancelled, and the leases end.
+#[test]
+fn nobody_vouches_where_nobody_remembers() {
+    let mut w = running();
+    outage(&mut w);
+    w.run(4.0);
+    w.restart_all();
+    w.run(20.0);
+    assert_eq!(w.running(), 0);
+    over(&mut w);
+    w.run(40.0);
+    assert_eq!(w.running(), 6, "{}", w.trace.join("\n"));
+    assert!(w.broken.is_empty(), "{:?}", w.broken);
+}
+
+/// The state service refuses one controller only, which ends: the others can take
+/// cancellations, and its part has another owner; it answers no worker.
+#[test]
+fn nobody_vouches_where_it_is_no_outage() {
+    let mut w = running();
+    w.refused.insert(0);
+    w.run(1.0);
+    w.kill(0);
+    w.run(1.0);
+    w.start(0);
+    w.run(5.0);
+    w.cancel(1, "j-000001");
+    w.run(39.0);
+    assert_eq!(w.running(), 2, "{}", w.trace.join("\n"));
+    assert!(w.broken.is_empty(), "{:?}", w.broken);
+}
+
+/// A cancellation taken just before the outage by one that then ends, of a job whose
+/// owner ends too: the third has been told, and no lease of its tasks goes on.
+#[test]
+fn nobody_vouches_for_what_was_cancelled() {
+    for owner_reads in [true, false] {
+        let mut w = running();
+        if !owner_reads {
+            w.refused.insert(0);
+            w.run(1.0);
+        }
+        w.cancel(1, "j-000001");
+        w.run(if owner_reads { 0.05 } else { 0.7 });
+        outage(&mut w);
+        w.run(0.5);
+        w.kill(0);
+        w.kill(1);
+        w.run(2.0);
+        w.start(0);
+        w.start(1);
+        w.run(60.0);
+        assert!(
+            w.broken.is_empty(),
+            "{:?}\n{}",
+            w.broken,
+            w.trace.join("\n")
+        );
+        assert!(w.running() <= 2, "{}", w.trace.join("\n"));
+    }
+}
+
+/// The one that remembers stands still: its word is 3 s old at the most.
+#[test]
+fn nobody_vouches_by_the_word_of_one_that_stands_still() {
+    let mut w = running();
+    outage(&mut w);
+    w.run(4.0);
+    w.kill(0);
+    w.run(2.0);
+    w.start(0);
+    w.run(4.0);
+    w.frozen = [1, 2].into();
+    w.run(25.0);
+    assert_eq!(w.running(), 0, "{}", w.trace.join("\n"));
+    w.frozen.clear();
+    over(&mut w);
+    w.run(40.0);
+    assert_eq!(w.running(), 6);
+    assert!(w.broken.is_empty(), "{:?}", w.broken);
+}
--- a/crates/cherryyard-wire/src/peer.rs
+++ b/crates/cherryyard-wire/src/peer.rs
@@ -6,7 +6,7 @@
 use bitcode::{Decode, Encode};
 
 /// The version of the frames.
-pub const VERSION: u8 = 6;
+pub const VERSION: u8 = 7;
 /// Largest frame in bytes.
 pub const MAX_FRAME: usize = 256 * 1024;
 
@@ -63,6 +63,9 @@
     pub cancelled: Vec<u64>,
     /// How far back that list reaches without a gap, in milliseconds.
     pub reach_ms: u32,
+    /// Whether the sender has read the state and knows of every cancellation that any
+    /// controller can have taken, while all are cut off.
+    pub complete: bool,
     /// The state revision that the sender has seen.
     pub epoch: u64,
     /// Claims that the sender knows: part, stamp, and the owner's name.
@@ -160,6 +163,7 @@
             silent_ms: 400,
             cancelled: vec![412],
             reach_ms: 60_000,
+            complete: false,
             epoch: 7,
             claims: vec![(0, 3, "a".into())],
             parts: vec![],
@@ -174,6 +178,6 @@
         }
         let mut foreign = whole.clone();
         foreign[0] = 9;
-        assert_eq!(decode(&foreign), Err("version 9 instead of 6".into()));
+        assert_eq!(decode(&foreign), Err("version 9 instead of 7".into()));
     }
 }
