One piece each for eligibility, new jobs, a proc's numbers, and the tests' draws

Whether a job may use a machine was written in placement and in division, and the change added its rules to both; a job from a record and a new one worked out their cells apart; an explanation read its expressions twice; two tests had the same generator, another the same wait twice; admission's check of cells was a loop in a loop.

Change: OpenJob::allows serves placement, division and renting; Mirror::put_job calls new_job; Matcher::explain works on what it has read; draws() of the rehearsal serves both tests with the same seeds.

--- a/crates/cherryyard-condor/src/translate.rs
+++ b/crates/cherryyard-condor/src/translate.rs
@@ -207,18 +207,11 @@
         place: &Place,
         expander: &mut Expander<'_>,
     ) -> Result<(), Box<SubmitError>> {
-        let mut number = |process: &str, step: &str| {
-            for (names, value) in [(["process", "procid"], process), (["step", "step"], step)] {
-                for name in names {
-                    vars.insert(name.to_string(), value.to_string());
-                }
-            }
-            self.expand_all(vars, expander)
-        };
         if count == 0 {
             return Ok(());
         }
-        let as_one = number(PROCESS, STEP)?;
+        number(vars, PROCESS, STEP);
+        let as_one = self.expand_all(vars, expander)?;
         let own = |c: &Commands| {
             let mut deciding = c.iter().filter(|(name, _)| decides(name));
             deciding.any(|(_, (_, text))| text.contains(PROCESS) || text.contains(STEP))
@@ -229,11 +222,7 @@
             return Ok(());
         }
         for step in 0..count {
-            let process = self.procs.to_string();
-            let step = step.to_string();
-            for (name, value) in [("process", &process), ("procid", &process), ("step", &step)] {
-                vars.insert(name.into(), value.clone());
-            }
+            number(vars, &self.procs.to_string(), &step.to_string());
             let one = self.expand_all(vars, expander)?;
             self.add(&one, 1, place)?;
             self.procs += 1;
@@ -305,6 +294,13 @@
     }
 }
 
+/// Sets a proc's numbers among its variables.
+fn number(vars: &mut HashMap<String, String>, process: &str, step: &str) {
+    for (name, value) in [("process", process), ("procid", process), ("step", step)] {
+        vars.insert(name.into(), value.into());
+    }
+}
+
 /// Whether a command decides where a job runs, beside what it runs.
 pub(crate) fn decides(name: &str) -> bool {
     name.starts_with('+') || command(name).is_some_and(|c| c.1 == Handling::Honoured)
--- a/crates/cherryyard-core/src/admit.rs
+++ b/crates/cherryyard-core/src/admit.rs
@@ -71,18 +71,12 @@
     if let Some(rules) = rules {
         let cells = mirror.matcher.evaluate(rules, at);
         let cells = cells.map_err(Reject::Malformed)?;
-        let open = |zone: &str| {
-            let fits = mirror.kinds.iter().filter(|k| fits_kind(spec, k));
-            fits.filter(|k| k.yards.iter().any(|y| y == zone)).any(|k| {
-                let spots = [false, true]
-                    .into_iter()
-                    .take(1 + usize::from(spec.borrowed));
-                spots
-                    .into_iter()
-                    .any(|s| cells.tier(&k.sku, zone, s).is_some())
-            })
+        let runs = |kind: &HostKind, zone: &str| {
+            let tier = |spot| cells.tier(&kind.sku, zone, spot);
+            fits_kind(spec, kind)
+                && (tier(false).is_some() || spec.borrowed && tier(true).is_some())
         };
-        zones.retain(|zone| open(zone));
+        zones.retain(|zone| mirror.kinds.iter().any(|kind| runs(kind, zone)));
         if zones.is_empty() {
             let why = mirror.matcher.explain(spec, rules, &mirror.kinds, at);
             return never(why.map_or_else(|e| e, |w| w.told()));
--- a/crates/cherryyard-core/src/cancelled.rs
+++ b/crates/cherryyard-core/src/cancelled.rs
@@ -139,9 +139,8 @@
     /// Whether there can be no cancellation that we have neither read nor been told of.
     pub(crate) fn knows_cancellations(&self) -> bool {
         let others = (0..self.peers.len()).filter(|&i| i != self.config.me);
-        others.into_iter().all(|i| {
-            let peer = self.peers[i].as_ref();
-            peer.is_some_and(|p| p.contact <= p.covered_to.max(self.seen_at))
-        })
+        others
+            .map(|i| self.peers[i].as_ref())
+            .all(|peer| peer.is_some_and(|p| p.contact <= p.covered_to.max(self.seen_at)))
     }
 }
--- a/crates/cherryyard-core/src/cells.rs
+++ b/crates/cherryyard-core/src/cells.rs
@@ -209,7 +209,10 @@
     /// What a job's rules come to, for a job submitted at `at` (milliseconds of the
     /// day's clock, which is what `time()` says in them); the error names the field.
     pub fn evaluate(&self, rules: &Rules, at: u64) -> Result<CellSet, String> {
-        let read = self.read(rules)?;
+        Ok(self.cells_of(rules, &self.read(rules)?, at))
+    }
+
+    fn cells_of(&self, rules: &Rules, read: &Read, at: u64) -> CellSet {
         let my = Ad::default();
         let mut liked: Vec<(&Cell, u32, f64)> = Vec::new();
         for cell in &self.cells {
@@ -239,7 +242,7 @@
             }
             set.add(one.0, tier);
         }
-        Ok(set)
+        set
     }
 
     /// The same, kept for other jobs with the same rules. Rules that cannot be read
@@ -274,7 +277,7 @@
         at: u64,
     ) -> Result<Explanation, String> {
         let read = self.read(rules)?;
-        let set = self.evaluate(rules, at)?;
+        let set = self.cells_of(rules, &read, at);
         let clauses: Vec<Expr> = read
             .requirements
             .as_ref()
--- a/crates/cherryyard-core/src/leader/creating.rs
+++ b/crates/cherryyard-core/src/leader/creating.rs
@@ -261,7 +261,8 @@
             let new = template.and_then(|t| {
                 let mut spec = t.spec.clone();
                 (spec.id, spec.pieces) = (job_id(job), pieces);
-                self.mirror.new_job(spec, t.rules.clone(), record.at)
+                self.mirror
+                    .new_job(spec, t.rules.clone().map(Box::new), record.at)
             });
             // Blocks of ids are handed out once, and only where none is in use.
             let mut new = new.filter(|_| self.mirror.view(job).is_none());
--- a/crates/cherryyard-core/src/leader/division.rs
+++ b/crates/cherryyard-core/src/leader/division.rs
@@ -6,17 +6,6 @@
 pub(crate) const ANY: u16 = u16::MAX;
 
 impl Node {
-    /// How much a job prefers this sort of machine, 0 the most; none if its rules
-    /// exclude it.
-    pub(crate) fn sort_tier(open: &OpenJob, m: &MachineSort) -> Option<u16> {
-        let allowed = (open.spec.borrowed || !m.spot)
-            && admit::allows_kind(&open.spec, &m.kind)
-            && open.spec.yard.as_ref().is_none_or(|y| *y == m.zone)
-            && open.zone.as_ref().is_none_or(|z| *z == m.zone);
-        let tier = allowed.then(|| open.tier(&m.kind, &m.zone, m.spot));
-        tier.flatten()
-    }
-
     /// A report's machines that the job may use, up to a tier of its preference.
     pub(crate) fn rooms_for<'a>(
         open: &OpenJob,
@@ -26,7 +15,8 @@
         let allowed: Vec<bool> = report
             .sorts
             .iter()
-            .map(|s| Self::sort_tier(open, s).is_some_and(|t| t <= most))
+            .map(|s| open.allows(&s.kind, &s.zone, s.spot))
+            .map(|tier| tier.is_some_and(|t| t <= most))
             .collect();
         report
             .machines
--- a/crates/cherryyard-core/src/leader/rent.rs
+++ b/crates/cherryyard-core/src/leader/rent.rs
@@ -120,14 +120,9 @@
             return;
         }
         let takes = |open: &OpenJob, o: &Choice<'_>| {
-            let sort = MachineSort {
-                kind: o.3.to_string(),
-                zone: o.4.to_string(),
-                spot: o.0,
-            };
             let kind = self.mirror.kinds.iter().find(|k| k.sku == o.3);
             kind.is_some_and(|k| admit::fits_kind(&open.spec, k))
-                && Self::sort_tier(open, &sort).is_some()
+                && open.allows(o.3, o.4, o.0).is_some()
         };
         if !others && !ahead {
             options.retain(|o| ruled.iter().any(|open| takes(open, o)));
--- a/crates/cherryyard-core/src/mirror/jobs.rs
+++ b/crates/cherryyard-core/src/mirror/jobs.rs
@@ -1,6 +1,7 @@
 //! Jobs in the mirror, open and over.
 
 use super::Mirror;
+use crate::admit::allows_kind;
 use crate::cells::CellSet;
 use crate::needs::Needs;
 use cherryyard_wire::RangeSet;
@@ -37,6 +38,16 @@
         !self.div.is_empty()
     }
 
+    /// Whether all that the job asks for allows a machine of this type, zone and sort;
+    /// how much it prefers it then, 0 the most.
+    pub fn allows(&self, kind: &str, zone: &str, spot: bool) -> Option<u16> {
+        let allowed = (self.spec.borrowed || !spot)
+            && allows_kind(&self.spec, kind)
+            && self.spec.yard.as_deref().is_none_or(|y| y == zone)
+            && self.zone.as_deref().is_none_or(|z| z == zone);
+        allowed.then(|| self.tier(kind, zone, spot)).flatten()
+    }
+
     /// How much its rules prefer a cell, 0 the most; none if they exclude it.
     pub fn tier(&self, kind: &str, zone: &str, spot: bool) -> Option<u16> {
         match &self.rules {
@@ -158,20 +169,13 @@
                 {
                     return Err("bad division".into());
                 }
-                let team = self.teams.get(&spec.owner).ok_or("unknown team")?;
-                let rules = rules.map(|rules| {
-                    let cells = self.matcher.cells(&rules, at);
-                    (rules, cells)
-                });
+                let new = self.new_job(*spec, rules, at).ok_or("unknown team")?;
                 let open = OpenJob {
                     stamp,
-                    spec: *spec,
-                    team,
-                    at,
                     div,
                     zone,
                     caps,
-                    rules,
+                    ..new
                 };
                 // A bucket tells of jobs that have not changed, too.
                 let before = self.open.insert(job, open);
@@ -197,13 +201,18 @@
     }
 
     /// A new job, with what its rules come to; none if its team is unknown.
-    pub fn new_job(&mut self, spec: JobSpec, rules: Option<Rules>, at: u64) -> Option<OpenJob> {
+    pub fn new_job(
+        &mut self,
+        spec: JobSpec,
+        rules: Option<Box<Rules>>,
+        at: u64,
+    ) -> Option<OpenJob> {
         Some(OpenJob {
             stamp: 0,
             team: self.teams.get(&spec.owner)?,
             rules: rules.map(|rules| {
                 let cells = self.matcher.cells(&rules, at);
-                (Box::new(rules), cells)
+                (rules, cells)
             }),
             spec,
             at,
@@ -246,11 +255,10 @@
 
     /// Whether a job with one of these numbers is open, or over and not only in the
     /// history.
-    pub fn knows_any(&self, mut jobs: std::ops::Range<u64>) -> bool {
+    pub fn knows_any(&self, jobs: std::ops::Range<u64>) -> bool {
         self.open.range(jobs.clone()).next().is_some()
             || self.ended.keys().any(|job| jobs.contains(job))
             || self.recent.iter().any(|(job, _)| jobs.contains(job))
-            || jobs.next().is_none()
     }
 
     /// Whether any part's pages name the job.
--- a/crates/cherryyard-core/src/owner/mod.rs
+++ b/crates/cherryyard-core/src/owner/mod.rs
@@ -14,6 +14,7 @@
 mod round;
 pub(crate) mod state;
 
+use crate::Millis;
 use crate::effects::{Effect, Outcome, Ticket};
 use crate::machine::{HostEvent, HostState, Machine, PushedStart, Task};
 use crate::mirror::OpenJob;
@@ -22,7 +23,6 @@
 use crate::node::Node;
 use crate::pages::{Mark, Page};
 use crate::tenancy::Tenancy;
-use crate::{Millis, admit};
 use cherryyard_wire::cloud::{HostEntry, HostStatus};
 use cherryyard_wire::job::{Rank, Shape};
 use cherryyard_wire::peer::{MachineRoom, MachineSort, PartReport};
--- a/crates/cherryyard-core/src/owner/place.rs
+++ b/crates/cherryyard-core/src/owner/place.rs
@@ -52,12 +52,8 @@
 
     /// Whether the job's rules allow this machine.
     pub(crate) fn allowed(&self, open: &OpenJob, m: &Machine) -> bool {
-        (open.spec.borrowed || !m.spot)
-            && admit::allows_kind(&open.spec, &m.kind)
-            && open.spec.yard.as_ref().is_none_or(|y| *y == m.zone)
-            && open.zone.as_ref().is_none_or(|z| *z == m.zone)
-            && (!open.spec.together || open.zone.is_some())
-            && open.tier(&m.kind, &m.zone, m.spot).is_some()
+        (!open.spec.together || open.zone.is_some())
+            && open.allows(&m.kind, &m.zone, m.spot).is_some()
     }
 
     pub(crate) fn place(
--- a/crates/cherryyard-rehearsal/src/lib.rs
+++ b/crates/cherryyard-rehearsal/src/lib.rs
@@ -14,3 +14,15 @@
 pub use state::StateStandIn;
 pub use worker::WorkerStandIn;
 pub use world::{Setup, World, small_kind};
+
+/// Draws below a number, the same for the same seed in every version of every
+/// library: a seed that breaks a rule is kept.
+pub fn draws(seed: u64) -> impl FnMut(u64) -> u64 {
+    let mut draw = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1;
+    move |n| {
+        draw ^= draw << 13;
+        draw ^= draw >> 7;
+        draw ^= draw << 17;
+        draw % n
+    }
+}
--- a/crates/cherryyard-rehearsal/tests/frozen.rs
+++ b/crates/cherryyard-rehearsal/tests/frozen.rs
@@ -2,7 +2,7 @@
 //! and lists that disagree.
 
 use cherryyard_core::{Effect, Reply};
-use cherryyard_rehearsal::{Setup, World};
+use cherryyard_rehearsal::{Setup, World, draws};
 use cherryyard_wire::cloud::{HostEntry, HostStatus};
 
 fn running(setup: Setup, pieces: u32) -> World {
@@ -251,13 +251,7 @@
 #[test]
 fn random_overlaps_with_cancellations() {
     for seed in 0..60u64 {
-        let mut draw = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1;
-        let mut next = |n: u64| {
-            draw ^= draw << 13;
-            draw ^= draw >> 7;
-            draw ^= draw << 17;
-            draw % n
-        };
+        let mut next = draws(seed);
         let mut w = World::new(Setup::default());
         w.run(5.0);
         for id in ["j-000001", "j-000002", "j-000003"] {
--- a/crates/cherryyard-rehearsal/tests/submissions.rs
+++ b/crates/cherryyard-rehearsal/tests/submissions.rs
@@ -1,6 +1,6 @@
 //! Submissions of many jobs: each of their jobs is created once, whatever fails.
 
-use cherryyard_rehearsal::{Setup, World};
+use cherryyard_rehearsal::{Setup, World, draws};
 use cherryyard_wire::condor::{Chunk, NO_ID, Phase, Template};
 use cherryyard_wire::job::job_id;
 use cherryyard_wire::record::End;
@@ -201,13 +201,7 @@
 #[test]
 fn random_overlaps() {
     for seed in 0..60u64 {
-        let mut draw = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1;
-        let mut next = |n: u64| {
-            draw ^= draw << 13;
-            draw ^= draw >> 7;
-            draw ^= draw << 17;
-            draw % n
-        };
+        let mut next = draws(seed);
         let mut w = cluster((next(2) == 0).then_some(400), 0.0);
         let mut all = Vec::new();
         for name in ["june", "july"] {
--- a/crates/cherryyard/src/routes/jobs.rs
+++ b/crates/cherryyard/src/routes/jobs.rs
@@ -133,7 +133,7 @@
         return Answer::later_in("too many submissions at once", seconds);
     }
     let id = spec.id.clone();
-    let new = app.with(|n, _| n.mirror.new_job(spec, rules, at));
+    let new = app.with(|n, _| n.mirror.new_job(spec, rules.map(Box::new), at));
     let Some(mut open) = new else {
         return Answer::error(StatusCode::UNPROCESSABLE_ENTITY, "owner: unknown team");
     };
--- a/crates/cherryyard/tests/condor.rs
+++ b/crates/cherryyard/tests/condor.rs
@@ -45,6 +45,18 @@
     serde_json::from_str(&body).expect("a view")
 }
 
+/// The submission once it has come to this phase, or as it is after some time.
+async fn reaches(client: &Client, name: &str, phase: Phase) -> SubmissionView {
+    for _ in 0..200 {
+        let seen = view(client, name).await;
+        if seen.phase == phase {
+            return seen;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    view(client, name).await
+}
+
 /// A submission comes in chunks and is accepted with the last; what comes again is
 /// known; one with a job that can never run is refused as one; a removal ends it.
 #[tokio::test]
@@ -78,13 +90,7 @@
     let mut last = World::spec(&id, "sweep", 1);
     last.id = "j-899999999999999999".into();
     let unknown = serde_json::to_string(&last).ok();
-    for _ in 0..200 {
-        if view(&client, "june").await.phase == Phase::Created {
-            break;
-        }
-        tokio::time::sleep(Duration::from_millis(50)).await;
-    }
-    let created = view(&client, "june").await;
+    let created = reaches(&client, "june", Phase::Created).await;
     assert_eq!((created.created, created.queued), (120, 120));
     assert_eq!(client.insist("POST", "/v2/runs", known).await.0, 200);
     assert_eq!(client.insist("POST", "/v2/runs", unknown).await.0, 400);
@@ -102,13 +108,7 @@
     let path = "/v2/condor/submissions/june/cancel";
     let (status, body) = client.insist("POST", path, Some("{}".into())).await;
     assert_eq!(status, 202, "{body}");
-    for _ in 0..200 {
-        if view(&client, "june").await.phase == Phase::Cancelled {
-            break;
-        }
-        tokio::time::sleep(Duration::from_millis(50)).await;
-    }
-    let gone = view(&client, "june").await;
+    let gone = reaches(&client, "june", Phase::Cancelled).await;
     assert_eq!((gone.phase, gone.over), (Phase::Cancelled, 120));
     assert_eq!(client.insist("POST", path, Some("{}".into())).await.0, 200);
     let (_, list) = client.insist("GET", "/v2/condor", None).await;
