Submissions come by pages: many with one put, each flow in its turn

Change: an intake in the core. Submissions wait in a queue for each class and team and go in together, one transaction at a time, weighted fair queueing among flows; a flood lengthens its own queue. New jobs stand in pages of arrivals (c/new/<page>), up to 64 with one put. Every new job comes by the last page or by one after it, and depends on both: so whoever adds a job has seen all that were added before, and none comes twice. A job's own record or bucket, once there is one, counts instead of its page. Pages begin once every controller has claimed its part with a build that reads them; until then a transaction carries several jobs' own records. The leader divides undivided pages, deletes those that nothing depends on, joins what little is left. A leader's part of users' writes is its own for a time after it last saw its claim, and its successor's not before. What a leader's failed transaction had given out is taken back.

--- a/crates/cherryyard-core/src/effects.rs
+++ b/crates/cherryyard-core/src/effects.rs
@@ -1,5 +1,6 @@
 //! What the core wants done, and how it came out.
 
+use crate::admission::intake::Verdict;
 use cherryyard_wire::cloud::HireRequest;
 use cherryyard_wire::history::Level;
 use cherryyard_wire::state::Commit;
@@ -23,6 +24,8 @@
     Packer,
     /// The creator of submissions' jobs.
     Creator,
+    /// Users' submissions.
+    Intake,
 }
 
 /// How a transaction came out.
@@ -69,6 +72,8 @@
     },
     /// Tell the other controllers at once.
     Beat,
+    /// What has become of the submission with this number.
+    Answer(u64, Verdict),
     /// Return machines.
     Release(Vec<String>),
     /// Rent machines.
--- /dev/null
+++ b/crates/cherryyard-core/src/leader/arrivals.rs
@@ -0,0 +1,98 @@
+//! Pages of new jobs: the leader begins them, divides what came undivided, tidies.
+
+use super::*;
+use cherryyard_wire::record::{ARRIVALS, FORMAT, FormatRecord};
+use std::collections::BTreeMap;
+
+/// Least time between two looks for pages to tidy.
+const TIDY_MS: f64 = 1000.0;
+/// Pages that are left alone.
+const FEW: usize = 3;
+
+impl Node {
+    /// Whether every controller has claimed its own part with a build that can work
+    /// with a format. An earlier one would not see the jobs in it.
+    pub(crate) fn all_able(&self, format: u32) -> bool {
+        let claims = self.mirror.parts.iter().zip(&self.config.labels);
+        let able = |(claim, label): (&Option<crate::mirror::ClaimState>, &String)| {
+            claim
+                .as_ref()
+                .is_some_and(|c| c.label == *label && c.format >= format)
+        };
+        claims.into_iter().all(able)
+    }
+
+    /// New jobs come by pages from now on, once every controller can read them.
+    pub(crate) fn begin_pages(&mut self) -> Option<Commit> {
+        if self.mirror.by_pages || !self.all_able(ARRIVALS) {
+            return None;
+        }
+        tracing::info!("new jobs come by pages");
+        let mut commit = Commit::default();
+        self.mirror.require(&mut commit, Key::Format);
+        let record = FormatRecord {
+            jobs: self.mirror.format.max(1),
+            new: true,
+        };
+        commit.apply.push(Apply::set(FORMAT, &record));
+        Some(commit)
+    }
+
+    /// Divides jobs that came undivided, page by page: as long as they are, no mark
+    /// depends on them.
+    pub(crate) fn divide_pages(&mut self, now: Millis) -> Option<Commit> {
+        let mut pages: BTreeMap<u64, Vec<u64>> = BTreeMap::new();
+        let last = self.mirror.arrivals.last_key_value().map(|l| *l.0);
+        for &job in &self.mirror.undivided {
+            if self.mirror.in_page(job)
+                && let Some(page) = self.mirror.page_of(job)
+                // Where our own transaction is under way, this would only conflict.
+                && !(self.intake.is_writing() && Some(page) == last)
+            {
+                pages.entry(page).or_default().push(job);
+            }
+        }
+        let mut commit = Commit::default();
+        for (page, jobs) in pages {
+            if commit.apply.len() >= self.config.txn_ops || commit.bytes() > 32 * 1024 {
+                break;
+            }
+            let mut changed = Vec::new();
+            for job in jobs {
+                let mut open = self.mirror.open[&job].clone();
+                if self.fill_division(&mut open, now) {
+                    changed.push((job, open));
+                }
+            }
+            if !changed.is_empty()
+                && !self
+                    .mirror
+                    .rewrite_page(&mut commit, page, &changed, &self.config)
+                && commit.apply.is_empty()
+            {
+                // Divisions take room that the page may not have: records of their own.
+                let records = changed.iter().map(|(job, open)| (*job, open.record()));
+                let records: Vec<_> = records.take(self.config.txn_ops).collect();
+                for n in (1..=records.len()).rev() {
+                    let some = records[..n].to_vec();
+                    if self.mirror.write_jobs(&mut commit, some, &self.config) {
+                        break;
+                    }
+                }
+            }
+        }
+        (!commit.apply.is_empty()).then_some(commit)
+    }
+
+    /// Tidies pages now and then, where users leave room for it.
+    pub(crate) fn tidy_pages(&mut self, now: Millis) -> Option<Commit> {
+        let idle = self.intake.waiting() == 0 && self.user_pace.left(now) >= 2.0;
+        if self.mirror.arrivals.len() <= FEW || !idle || now - self.leader.tidied_at < TIDY_MS {
+            return None;
+        }
+        self.leader.tidied_at = now;
+        let commit = self.mirror.tidy_pages(&self.config)?;
+        self.user_pace.spend(commit.apply.len() as f64);
+        Some(commit)
+    }
+}
--- a/crates/cherryyard-core/src/leader/creating.rs
+++ b/crates/cherryyard-core/src/leader/creating.rs
@@ -190,7 +190,7 @@
 
     /// Whether creation may write now, beside users' other writes.
     fn may_create(&mut self, now: Millis) -> bool {
-        self.user_pace.set_rate(self.config.user_writes_per_s, now);
+        self.set_user_rate(now);
         let spare = self.user_pace.left(now) >= self.config.user_writes_per_s.max(1.5);
         spare || self.leader.creating.pace.left(now) >= 1.0
     }
--- a/crates/cherryyard-core/src/leader/division.rs
+++ b/crates/cherryyard-core/src/leader/division.rs
@@ -262,10 +262,14 @@
     }
 
     pub(crate) fn divide_new(&mut self, now: Millis) -> Option<Commit> {
+        if let Some(commit) = self.divide_pages(now) {
+            return Some(commit);
+        }
         let mut order: Vec<_> = self
             .mirror
             .undivided
             .iter()
+            .filter(|job| !self.mirror.in_page(**job))
             .map(|j| {
                 (
                     std::cmp::Reverse(self.mirror.open[j].spec.rank),
@@ -339,12 +343,4 @@
         open.div = sets;
         true
     }
-
-    /// The division of a job at its submission, if this controller leads; it
-    /// saves the second write.
-    pub fn divide_at_once(&mut self, open: &mut OpenJob, now: Millis) {
-        if self.leader.leads(&self.mirror) && self.state_fresh(now) {
-            self.fill_division(open, now);
-        }
-    }
 }
--- a/crates/cherryyard-core/src/leader/mod.rs
+++ b/crates/cherryyard-core/src/leader/mod.rs
@@ -1,6 +1,7 @@
 //! The leader: divides jobs among the parts, moves what waits, hands out team
 //! limits, rents machines.
 
+mod arrivals;
 mod assumed;
 mod creating;
 mod division;
@@ -133,6 +134,13 @@
     pub(crate) fn leader_committed(&mut self, outcome: Outcome, now: Millis) {
         self.leader.pending = false;
         self.leader.dirty = true;
+        if matches!(outcome, Outcome::Conflict(_) | Outcome::Refused) {
+            // What it gave out was not given: the next try would find less room.
+            let sent_at = self.leader.sent_at;
+            for room in self.leader.rooms.iter_mut().flatten() {
+                room.debits.retain(|d| d.0 != sent_at);
+            }
+        }
         match outcome {
             Outcome::Applied(_) => {
                 for part in &mut self.parts {
@@ -170,12 +178,15 @@
         let commit = self
             .store_kinds()
             .or_else(|| self.store_attributes())
+            .or_else(|| self.begin_pages())
             .or_else(|| self.divide_new(now))
             .or_else(|| self.hand_out_grants(now))
-            .or_else(|| self.move_waiting(now));
+            .or_else(|| self.move_waiting(now))
+            .or_else(|| self.tidy_pages(now));
         if let Some(mut commit) = commit {
             self.mirror.require(&mut commit, Key::Lead);
             self.leader.pending = true;
+            self.leader.sent_at = now;
             self.effects.push(Effect::Commit(Ticket::Leader, commit));
         }
         self.rent(now);
--- a/crates/cherryyard-core/src/leader/packing.rs
+++ b/crates/cherryyard-core/src/leader/packing.rs
@@ -102,7 +102,7 @@
             return;
         }
         if self.mirror.format < BUCKETS {
-            if self.all_able() {
+            if self.all_able(BUCKETS) {
                 tracing::info!("jobs go into buckets, and when they are over into the history");
                 let commit = self.mirror.begin_buckets(self.config.txn_ops);
                 self.commit_other(commit);
@@ -143,20 +143,6 @@
         overdue || !waits && self.mirror.open.values().all(|o| o.divided())
     }
 
-    /// Whether every controller has claimed its own part with a build that can
-    /// work with buckets. An earlier one would not see the jobs in them.
-    fn all_able(&self) -> bool {
-        self.mirror
-            .parts
-            .iter()
-            .zip(&self.config.labels)
-            .all(|(claim, label)| {
-                claim
-                    .as_ref()
-                    .is_some_and(|c| c.label == *label && c.format >= BUCKETS)
-            })
-    }
-
     /// Closes a generation that has enough ends, or folds one that is closed.
     fn next_batch(&mut self, now: Millis) {
         let record = self.mirror.packed;
--- a/crates/cherryyard-core/src/leader/state.rs
+++ b/crates/cherryyard-core/src/leader/state.rs
@@ -84,7 +84,11 @@
     /// found nothing that could be moved, and when that was.
     pub(crate) rooms_heard: u64,
     pub(crate) overflowed: (u64, Millis),
+    /// When pages of new jobs were last tidied.
+    pub(crate) tidied_at: Millis,
     pub(crate) pending: bool,
+    /// When the transaction under way was made.
+    pub(crate) sent_at: Millis,
     pub(crate) retry_after: Millis,
     pub(crate) wait_epoch: u64,
     pub(crate) dirty: bool,
@@ -116,7 +120,9 @@
             rooms: vec![None; config.parts()],
             rooms_heard: 0,
             overflowed: (0, f64::NEG_INFINITY),
+            tidied_at: now,
             pending: false,
+            sent_at: f64::NEG_INFINITY,
             retry_after: now,
             wait_epoch: 0,
             dirty: true,
--- /dev/null
+++ b/crates/cherryyard-core/src/mirror/arrivals.rs
@@ -0,0 +1,291 @@
+//! Pages of new jobs in the mirror, and the transactions that change them.
+//!
+//! Every new job comes by the last page, or by a new one after it. Such a transaction
+//! depends on the last page's stamp and on there being none after it. So whoever adds
+//! a job has seen all that were added before, whoever added them, and no job comes
+//! twice: that is why no condition on the job itself is needed, and why one put can
+//! carry many. The last page is never deleted.
+//!
+//! What is stored of a job elsewhere, in a record of its own or in a bucket, counts
+//! instead of its page: its end, or a division that has changed. A job without such a
+//! record is as its page says, and whoever depends on that depends on the record's
+//! absence (or on the bucket, where there are buckets).
+
+use super::{Mirror, OpenJob};
+use crate::Config;
+use cherryyard_wire::arrivals::{Arrival, ArrivalsRecord, Rest};
+use cherryyard_wire::record::{Key, arrivals_key};
+use cherryyard_wire::state::{Apply, Commit, Json};
+use std::collections::BTreeSet;
+
+/// Largest page, whatever the value limit: each is told to all controllers whenever a
+/// job is added to it.
+const MOST_BYTES: usize = 4096;
+/// Most jobs of a page.
+pub const MOST_ROWS: usize = 64;
+
+/// A page of new jobs as the mirror knows it.
+#[derive(Clone, Debug, Default)]
+pub struct Arrivals {
+    /// Stamp of its key.
+    pub stamp: u64,
+    /// Its jobs.
+    pub jobs: BTreeSet<u64>,
+    /// Whether it names a team that is not in our settings: it is left as it is.
+    foreign: bool,
+}
+
+/// A page in the making.
+#[derive(Debug, Default)]
+pub struct Draft {
+    record: ArrivalsRecord,
+    bytes: usize,
+}
+
+impl Draft {
+    /// Adds a job if there is room for it.
+    fn push(&mut self, job: u64, open: &OpenJob, most: usize) -> bool {
+        let mut one = ArrivalsRecord::default();
+        let add = |record: &mut ArrivalsRecord| {
+            let rest = Rest {
+                zone: open.zone.clone(),
+                caps: open.caps.clone(),
+                rules: open.rules.as_ref().map(|r| r.0.clone()),
+            };
+            record.push(job, &open.spec, open.at, &open.div, rest);
+        };
+        add(&mut one);
+        let known = self.record.c.contains(&one.c[0]);
+        let size = |x: Option<Vec<u8>>| x.map_or(most, |text| text.len() + 1);
+        // Later rows' times have more digits.
+        let mut bytes = size(serde_json::to_vec(&one.j).ok()) + 12;
+        if !known {
+            bytes += size(serde_json::to_vec(&one.c).ok());
+        }
+        if self.record.j.len() >= MOST_ROWS || self.bytes + bytes + 50 > most {
+            return false;
+        }
+        self.bytes += bytes;
+        add(&mut self.record);
+        true
+    }
+
+    fn apply(&self, page: u64) -> Apply {
+        Apply::put(arrivals_key(page), Json::of(&self.record))
+    }
+}
+
+fn page_bytes(config: &Config) -> usize {
+    config.value_bytes.min(MOST_BYTES)
+}
+
+impl Mirror {
+    /// Whether new jobs come by pages, and all that came before is known: a job that
+    /// was added otherwise just before the pages began must not be missed.
+    pub fn takes_pages(&self) -> bool {
+        self.by_pages && self.epoch >= self.format_stamp
+    }
+
+    /// Whether an open job is as its page says.
+    pub fn in_page(&self, job: u64) -> bool {
+        let open = self.open.get(&job);
+        open.is_some_and(|o| o.stamp == 0) && !self.bucket_of.contains_key(&job)
+    }
+
+    /// The page that names a job, if any does.
+    pub fn page_of(&self, job: u64) -> Option<u64> {
+        self.arrived.get(&job).copied()
+    }
+
+    pub(super) fn put_arrivals(
+        &mut self,
+        page: u64,
+        record: ArrivalsRecord,
+        stamp: u64,
+    ) -> Result<(), String> {
+        let all = record.read(self.parts.len()).ok_or("bad rows")?;
+        let mut new = Arrivals {
+            stamp,
+            ..Arrivals::default()
+        };
+        for arrival in all {
+            let job = arrival.job;
+            new.jobs.insert(job);
+            new.foreign |= self.teams.get(&arrival.spec.owner).is_none();
+            self.arrived.insert(job, page);
+            // What has been stored of it since counts.
+            if !self.ended.contains_key(&job)
+                && (!self.open.contains_key(&job) || self.in_page(job))
+            {
+                self.put_arrival(arrival);
+            }
+        }
+        let old = self.arrivals.insert(page, new).unwrap_or_default();
+        self.drop_arrivals(page, old.jobs);
+        Ok(())
+    }
+
+    fn put_arrival(&mut self, arrival: Arrival) {
+        let job = arrival.job;
+        if self.open.get(&job).is_some_and(|o| o.div == arrival.div) {
+            return;
+        }
+        let rules = arrival.rest.rules;
+        if let Some(new) = self.new_job(arrival.spec, rules, arrival.at) {
+            let open = OpenJob {
+                div: arrival.div,
+                zone: arrival.rest.zone,
+                caps: arrival.rest.caps,
+                ..new
+            };
+            self.open.insert(job, open);
+            self.refresh_job(job);
+        }
+    }
+
+    pub(super) fn drop_page(&mut self, page: u64) {
+        let old = self.arrivals.remove(&page).unwrap_or_default();
+        self.drop_arrivals(page, old.jobs);
+    }
+
+    /// Of a page's jobs before, those that it does not name any more and that have not
+    /// gone to another.
+    fn drop_arrivals(&mut self, page: u64, before: BTreeSet<u64>) {
+        for job in before {
+            let named = |a: &Arrivals| a.jobs.contains(&job);
+            if self.arrived.get(&job) == Some(&page) && !self.arrivals.get(&page).is_some_and(named)
+            {
+                self.arrived.remove(&job);
+                if self.in_page(job) {
+                    self.drop_job(job);
+                }
+            }
+        }
+    }
+
+    /// A page with what still depends on it; none if it is not ours to write anew.
+    fn draft(&self, page: u64, most: usize) -> Option<Draft> {
+        let known = self.arrivals.get(&page).filter(|a| !a.foreign)?;
+        let mut draft = Draft::default();
+        // What has a record of its own need not be named any longer.
+        let mut here = known.jobs.iter().filter(|job| self.in_page(**job));
+        let fits = here.all(|&job| draft.push(job, &self.open[&job], most));
+        fits.then_some(draft)
+    }
+
+    /// Adds to a transaction what adds new jobs, as many of these as fit into one
+    /// page; says how many. They must not be known to this mirror, nor twice among
+    /// them.
+    pub fn add_jobs<'a>(
+        &self,
+        commit: &mut Commit,
+        jobs: impl Iterator<Item = (u64, &'a OpenJob)>,
+        config: &Config,
+    ) -> usize {
+        let most = page_bytes(config);
+        let last = self.arrivals.last_key_value().map(|(&page, _)| page);
+        let after = last.map_or(0, |page| page + 1);
+        let drafted = last.and_then(|page| Some((page, self.draft(page, most)?)));
+        let (mut page, mut draft) = drafted.unwrap_or((after, Draft::default()));
+        let mut added = 0;
+        for (job, open) in jobs {
+            if !draft.push(job, open, most) {
+                if added > 0 || draft.record.j.is_empty() {
+                    break;
+                }
+                // The last page is full: a new one.
+                (page, draft) = (after, Draft::default());
+                if !draft.push(job, open, most) {
+                    break;
+                }
+            }
+            added += 1;
+        }
+        if let Some(last) = last {
+            self.require(commit, Key::Arrivals(last));
+        }
+        self.require(commit, Key::Arrivals(after));
+        if added > 0 {
+            commit.apply.push(draft.apply(page));
+        }
+        added
+    }
+
+    /// Adds to a transaction what writes a page anew with these jobs changed; false if
+    /// it has no room for that.
+    pub(crate) fn rewrite_page(
+        &self,
+        commit: &mut Commit,
+        page: u64,
+        changed: &[(u64, OpenJob)],
+        config: &Config,
+    ) -> bool {
+        let most = page_bytes(config);
+        let Some(known) = self.arrivals.get(&page).filter(|a| !a.foreign) else {
+            return false;
+        };
+        let mut draft = Draft::default();
+        for &job in &known.jobs {
+            let new = changed.iter().find(|c| c.0 == job).map(|c| &c.1);
+            let old = self.open.get(&job).filter(|_| self.in_page(job));
+            if let Some(open) = new.or(old)
+                && !draft.push(job, open, most)
+            {
+                return false;
+            }
+        }
+        self.require(commit, Key::Arrivals(page));
+        commit.apply.push(draft.apply(page));
+        true
+    }
+
+    /// The transaction that tidies the pages, if there is something to tidy: pages of
+    /// which no job depends any more are deleted, and what little is left of two goes
+    /// into one. Never the last: it shows what has been added.
+    pub(crate) fn tidy_pages(&self, config: &Config) -> Option<Commit> {
+        let mut commit = Commit::default();
+        let last = *self.arrivals.last_key_value()?.0;
+        let mut left: Option<(u64, usize)> = None;
+        for (&page, known) in self.arrivals.range(..last).filter(|(_, a)| !a.foreign) {
+            if commit.apply.len() + 2 > config.txn_ops.max(2) {
+                break;
+            }
+            let here = known.jobs.iter().filter(|job| self.in_page(**job)).count();
+            if here == 0 {
+                self.require(&mut commit, Key::Arrivals(page));
+                commit.apply.push(Apply::delete(arrivals_key(page)));
+            } else if here <= MOST_ROWS / 4 && config.txn_ops >= 2 {
+                // Into the later of the two: one who reads page by page meanwhile
+                // finds its jobs in one or the other.
+                match left.take() {
+                    Some((earlier, n)) if n + here <= MOST_ROWS / 2 => {
+                        if self.join_pages(&mut commit, earlier, page, config) {
+                            break;
+                        }
+                    }
+                    _ => left = Some((page, here)),
+                }
+            }
+        }
+        (!commit.apply.is_empty()).then_some(commit)
+    }
+
+    fn join_pages(&self, commit: &mut Commit, from: u64, into: u64, config: &Config) -> bool {
+        let most = page_bytes(config);
+        let Some(mut draft) = self.draft(into, most) else {
+            return false;
+        };
+        let moving = &self.arrivals[&from].jobs;
+        let fits = moving.iter().filter(|job| self.in_page(**job)).all(|&job| {
+            let open = self.open.get(&job);
+            open.is_some_and(|open| draft.push(job, open, most))
+        });
+        if fits {
+            self.require(commit, Key::Arrivals(from));
+            self.require(commit, Key::Arrivals(into));
+            commit.apply.push(draft.apply(into));
+            commit.apply.push(Apply::delete(arrivals_key(from)));
+        }
+        fits
+    }
+}
--- a/crates/cherryyard-core/src/mirror/buckets.rs
+++ b/crates/cherryyard-core/src/mirror/buckets.rs
@@ -65,7 +65,7 @@
 
     fn has_own_record(&self, job: u64) -> bool {
         !self.bucket_of.contains_key(&job)
-            && (self.open.contains_key(&job) || self.ended.contains_key(&job))
+            && (self.open.get(&job).is_some_and(|o| o.stamp != 0) || self.ended.contains_key(&job))
     }
 
     fn covering(&self, job: u64) -> Option<u64> {
@@ -160,7 +160,8 @@
     /// Adds to a transaction what adds a new job, with the condition that it is
     /// absent. False, and nothing added, if this mirror knows it already: to write it
     /// anew, as one that is known, would divide again what may run (so it once did),
-    /// or if it cannot be written.
+    /// or if it cannot be written. So jobs came before there were pages of arrivals:
+    /// it depends on their not having begun.
     pub fn add_job(
         &self,
         commit: &mut Commit,
@@ -168,7 +169,13 @@
         record: JobRecord,
         config: &Config,
     ) -> bool {
-        self.view(job).is_none() && self.write_jobs(commit, vec![(job, record)], config)
+        let added = !self.by_pages
+            && self.view(job).is_none()
+            && self.write_jobs(commit, vec![(job, record)], config);
+        if added {
+            self.require(commit, Key::Format);
+        }
+        added
     }
 
     /// Adds to a transaction what writes these jobs' records, with the conditions
@@ -256,7 +263,10 @@
     pub(crate) fn begin_buckets(&self, txn_ops: usize) -> Commit {
         let mut commit = Commit::default();
         self.require(&mut commit, Key::Format);
-        let format = record::FormatRecord { jobs: BUCKETS };
+        let format = record::FormatRecord {
+            jobs: BUCKETS,
+            new: self.by_pages,
+        };
         commit.apply.push(Apply::set(record::FORMAT, &format));
         let count = txn_ops.saturating_sub(1).clamp(1, 16) as u64;
         let width = (u64::MAX / count).saturating_add(1);
--- a/crates/cherryyard-core/src/mirror/jobs.rs
+++ b/crates/cherryyard-core/src/mirror/jobs.rs
@@ -16,7 +16,7 @@
 /// A job that is not over.
 #[derive(Clone, Debug)]
 pub struct OpenJob {
-    /// Stamp of its record.
+    /// Stamp of its record; 0 while it is as its page of arrivals says.
     pub stamp: u64,
     /// What was submitted.
     pub spec: JobSpec,
@@ -282,9 +282,12 @@
             || self.recent.iter().any(|(job, _)| jobs.contains(job))
     }
 
-    /// Whether any part's pages name the job.
+    /// Whether any page names the job, of marks or of arrivals: while one of marks
+    /// does, its tasks may be on machines, and while one of arrivals does, it would be
+    /// open again if nothing said that it is over.
     pub fn named_in_pages(&self, job: u64) -> bool {
-        (0..self.parts.len()).any(|p| self.marks.contains_key(&(p, job)))
+        self.page_of(job).is_some()
+            || (0..self.parts.len()).any(|p| self.marks.contains_key(&(p, job)))
     }
 
     /// Jobs that are over and stand in watched records.
--- a/crates/cherryyard-core/src/mirror/mod.rs
+++ b/crates/cherryyard-core/src/mirror/mod.rs
@@ -4,6 +4,7 @@
 //! transactions, in any order between these; each key keeps the change with
 //! the highest stamp.
 
+mod arrivals;
 mod buckets;
 mod jobs;
 mod marks;
@@ -14,6 +15,8 @@
 use crate::names::Names;
 use crate::needs::Needs;
 use crate::pages::{JobMarks, Mark, Page};
+use arrivals::Arrivals;
+pub use arrivals::MOST_ROWS;
 use buckets::Bucket;
 use cherryyard_wire::cloud::HostKind;
 use cherryyard_wire::condor::{IdsRecord, SubmissionRecord, submission_key};
@@ -108,6 +111,12 @@
     /// The format of jobs' records in use.
     pub format: u32,
     format_stamp: u64,
+    /// Whether new jobs come by pages of arrivals.
+    pub by_pages: bool,
+    /// Those pages.
+    pub arrivals: BTreeMap<u64, Arrivals>,
+    /// The page that names each job.
+    arrived: HashMap<u64, u64>,
     /// How far the history of jobs that are over goes.
     pub packed: PackedRecord,
     /// Stamp of that record.
@@ -162,6 +171,9 @@
             grants: vec![vec![(Grant::default(), 0); parts]; config.teams.len()],
             format: 0,
             format_stamp: 0,
+            by_pages: false,
+            arrivals: BTreeMap::new(),
+            arrived: HashMap::new(),
             packed: PackedRecord::default(),
             packed_stamp: 0,
             ended: HashMap::new(),
@@ -256,7 +268,9 @@
                 .map(Key::Part),
         );
         let own = |j: &&u64| !self.bucket_of.contains_key(j);
-        keys.extend(self.open.keys().filter(own).map(|&j| Key::Job(j)));
+        let with_own = self.open.keys().filter(own).filter(|j| !self.in_page(**j));
+        keys.extend(with_own.map(|&j| Key::Job(j)));
+        keys.extend(self.arrivals.keys().map(|&page| Key::Arrivals(page)));
         keys.extend(self.ended.keys().filter(own).map(|&j| Key::Job(j)));
         keys.extend(self.buckets.keys().map(|&from| Key::Bucket(from)));
         for (part, pages) in self.pages.iter().enumerate() {
@@ -288,6 +302,7 @@
                 self.open.get(&j).map_or_else(ended, |o| o.stamp)
             }
             Key::Bucket(from) => self.buckets.get(&from).map_or(0, |b| b.stamp),
+            Key::Arrivals(page) => self.arrivals.get(&page).map_or(0, |a| a.stamp),
             Key::Format => self.format_stamp,
             Key::Packed => self.packed_stamp,
             Key::Mark { part, page } => self
@@ -347,7 +362,10 @@
             }
             Key::Job(j) => self.drop_job(j),
             Key::Bucket(from) => self.drop_bucket(from),
-            Key::Format => (self.format, self.format_stamp) = (0, 0),
+            Key::Arrivals(page) => self.drop_page(page),
+            Key::Format => {
+                (self.format, self.format_stamp, self.by_pages) = (0, 0, false);
+            }
             Key::Packed => (self.packed, self.packed_stamp) = (PackedRecord::default(), 0),
             Key::Mark { part, page } => self.set_page(part, page, None),
             Key::Grant { team, part } => {
@@ -418,8 +436,10 @@
             }
             Key::Job(j) => self.put_job(j, value.read()?, stamp)?,
             Key::Bucket(from) => self.put_bucket(from, value.read()?, stamp),
+            Key::Arrivals(page) => self.put_arrivals(page, value.read()?, stamp)?,
             Key::Format => {
-                self.format = value.read::<FormatRecord>()?.jobs;
+                let record: FormatRecord = value.read()?;
+                (self.format, self.by_pages) = (record.jobs, record.new);
                 self.format_stamp = stamp;
             }
             Key::Packed => {
@@ -462,6 +482,7 @@
             Key::Images(p) => record::images_key(p),
             Key::Job(j) => record::job_key(j),
             Key::Bucket(from) => record::bucket_key(from),
+            Key::Arrivals(page) => record::arrivals_key(page),
             Key::Mark { part, page } => record::mark_key(part, page),
             Key::Grant { team, part } => record::grant_key(team, part),
         };
--- a/crates/cherryyard-core/src/node.rs
+++ b/crates/cherryyard-core/src/node.rs
@@ -1,5 +1,6 @@
 //! One controller: claims, reports, beats, and what ties the rest together.
 
+use crate::admission::intake::Intake;
 use crate::cancelled::Cancelled;
 use crate::effects::{Effect, Outcome, Ticket};
 use crate::lateness::Lateness;
@@ -64,6 +65,8 @@
     pub looked: u64,
     /// Cancellations that are told and were told.
     pub(crate) cancelled: Cancelled,
+    /// Submissions on their way into the state service.
+    pub(crate) intake: Intake,
     /// Whether accounts of core-seconds are kept.
     pub accounting: bool,
     /// Time of day less steady clock, in milliseconds.
@@ -103,6 +106,7 @@
             user_pace: Pace::new(config.user_writes_per_s / config.parts() as f64, now),
             looked: 0,
             cancelled: Cancelled::new(now),
+            intake: Intake::new(&config, now),
             accounting: config.tuning.account || tracing::enabled!(tracing::Level::DEBUG),
             wall_offset: 0.0,
             config,
@@ -295,6 +299,7 @@
             Ticket::Leader => self.leader_committed(outcome, now),
             Ticket::Packer => self.packer_committed(outcome, now),
             Ticket::Creator => self.creator_committed(outcome, now),
+            Ticket::Intake => self.intake_committed(outcome, now),
         }
         if outcome == Outcome::NoLease {
             self.hold = None;
@@ -353,6 +358,7 @@
         if self.leader.dirty || now - self.leader.planned_at >= 500.0 {
             self.plan_lead(now);
         }
+        self.take_in(now);
         self.pack(now);
         self.create(now);
     }
--- a/crates/cherryyard-core/src/users.rs
+++ b/crates/cherryyard-core/src/users.rs
@@ -4,6 +4,11 @@
 use crate::node::Node;
 use cherryyard_wire::state::Commit;
 
+/// Part of users' writes that is the leader's.
+const LEADERS_PART: f64 = 0.6;
+/// How long a leader goes by what it last saw of its claim.
+const LEADS_MS: f64 = 3000.0;
+
 /// Lateness above which polls are refused at once: with the wait for a barrier
 /// they would be answered when nobody waits any more.
 const POLLS_MS: f64 = 600.0;
@@ -11,17 +16,26 @@
 const SUBMISSIONS_MS: f64 = 1500.0;
 
 impl Node {
-    /// Whether a user's write may go to the state service now; if not, after
-    /// how many seconds to come back. Users' writes leave room for claims and
-    /// marks. Most submissions come to the leader, which has the larger share.
-    pub fn take_user_write(&mut self, now: Millis) -> Result<(), u32> {
+    /// Sets the rate at which this controller may make users' writes, which leave room
+    /// for claims and marks. The leader, to whom submissions are passed on, has most of
+    /// the budget; each controller has a small part of the rest, whoever leads.
+    ///
+    /// Two never have the leader's part at once: a leader uses it only for a time after
+    /// it last saw itself lead, and its successor not before that time has passed.
+    pub(crate) fn set_user_rate(&mut self, now: Millis) {
         let all = self.config.user_writes_per_s;
-        let rate = if self.leader.leads(&self.mirror) {
-            all
-        } else {
-            all / self.parts.len() as f64
-        };
+        let mut rate = all * (1.0 - LEADERS_PART) / self.parts.len() as f64;
+        let seen = now - self.seen_at <= LEADS_MS && self.caught_up();
+        if self.leader.leads(&self.mirror) && seen && now - self.leader.since >= LEADS_MS * 1.01 {
+            rate += all * LEADERS_PART;
+        }
         self.user_pace.set_rate(rate, now);
+    }
+
+    /// Whether a chunk of a submission may go to the state service now; if not, after
+    /// how many seconds to come back.
+    pub fn take_user_write(&mut self, now: Millis) -> Result<(), u32> {
+        self.set_user_rate(now);
         self.user_pace.take(now)
     }
 
@@ -57,7 +71,7 @@
         whom.map(|i| self.config.labels[i].as_str())
     }
 
-    /// Takes a user's transaction (a submission or a cancellation).
+    /// Takes a user's transaction (a cancellation, or a chunk of a submission).
     pub fn user_committed(&mut self, commit: &Commit, epoch: u64, now: Millis) {
         self.notice(now);
         self.newest_epoch = self.newest_epoch.max(epoch);
--- a/crates/cherryyard-rehearsal/src/world.rs
+++ b/crates/cherryyard-rehearsal/src/world.rs
@@ -2,9 +2,11 @@
 
 use crate::{StateStandIn, WorkerStandIn};
 use cherryyard_core::account::CoreSeconds;
+use cherryyard_core::admission::intake::{Offer, Verdict};
 use cherryyard_core::mirror::over;
 use cherryyard_core::{Config, Effect, Node, Outcome, PushOutcome, Reply, Ticket, Tuning};
 use cherryyard_history::Leaf;
+use cherryyard_wire::RangeSet;
 use cherryyard_wire::cloud::{HireRequest, HostEntry, HostKind, HostStatus};
 use cherryyard_wire::condor::{
     Chunk, FIRST_ID, IdsRecord, Phase, PhaseEvent, SubmissionRecord, chunk_key, submission_key,
@@ -132,6 +134,9 @@
     pub creator_commits: usize,
     /// When each job was cancelled.
     pub cancelled_at: BTreeMap<String, f64>,
+    /// What has become of submissions, by ticket.
+    pub verdicts: BTreeMap<u64, Verdict>,
+    tickets: u64,
     /// Machines that were to be rented; there are none.
     pub hires: Vec<HireRequest>,
     /// The time.
@@ -171,6 +176,8 @@
             cut_creator: None,
             creator_commits: 0,
             cancelled_at: BTreeMap::new(),
+            verdicts: BTreeMap::new(),
+            tickets: 0,
             hires: Vec::new(),
             now: 0.0,
             trace: Vec::new(),
@@ -309,6 +316,8 @@
 
     /// A user's submission with rules of its own takes effect.
     pub fn submit_with(&mut self, spec: &JobSpec, rules: Option<Rules>) {
+        let able =
+            (0..self.nodes.len()).find(|i| self.nodes[*i].is_some() && !self.refused.contains(i));
         let job = job_number(&spec.id).expect("a good id");
         let now = self.now;
         let mut commit = Commit::default();
@@ -318,17 +327,21 @@
             div: Vec::new(),
             zone: None,
             caps: Vec::new(),
-            rules: rules.map(Box::new),
+            rules: rules.clone().map(Box::new),
         };
-        let able =
-            (0..self.nodes.len()).find(|i| self.nodes[*i].is_some() && !self.refused.contains(i));
         let node = able.and_then(|i| self.nodes[i].as_mut());
         if let Some(node) = node.filter(|n| n.mirror.loaded) {
             node.news(&self.state.news(node.mirror.epoch), now, now);
             let config = node.config.clone();
-            let fits = node
-                .mirror
-                .write_jobs(&mut commit, vec![(job, record)], &config);
+            let fits = if node.mirror.takes_pages() {
+                let rules = rules.map(Box::new);
+                let open = node.mirror.new_job(spec.clone(), rules, now as u64);
+                let jobs = open.iter().map(|open| (job, open));
+                node.mirror.add_jobs(&mut commit, jobs, &config) == 1
+            } else {
+                node.mirror
+                    .write_jobs(&mut commit, vec![(job, record)], &config)
+            };
             assert!(fits, "{} cannot be written", spec.id);
         } else {
             commit.require(job_key(job), 0);
@@ -338,6 +351,35 @@
         self.say(format!("{} submitted: {outcome:?}", spec.id));
     }
 
+    /// A submission comes to controller `i`, which may answer later; gives its ticket.
+    pub fn offer(&mut self, i: usize, spec: &JobSpec, rules: Option<Rules>) -> u64 {
+        let now = self.now;
+        let job = job_number(&spec.id).expect("a good id");
+        self.tickets += 1;
+        let ticket = self.tickets;
+        if let Some(node) = &mut self.nodes[i] {
+            if !self.refused.contains(&i) {
+                if !node.mirror.loaded {
+                    node.mirror.begin_load();
+                    node.mirror.load_some(&self.state.pairs());
+                    node.loaded(self.state.epoch(), now, now);
+                }
+                node.news(&self.state.news(node.mirror.epoch), now, now);
+            }
+            let rules = rules.map(Box::new);
+            let new = node.mirror.new_job(spec.clone(), rules, now as u64);
+            let offer = Offer {
+                ticket,
+                job,
+                open: new.expect("a known team"),
+                moved: node.mirror.packed_stamp,
+            };
+            node.offer(offer, now);
+        }
+        self.effects(i);
+        ticket
+    }
+
     /// A submission of many jobs has come, in these chunks; gives its number and that
     /// of its first job. Its ids follow those of the submissions before it.
     pub fn queue(&mut self, name: &str, chunks: &[Chunk]) -> (u64, u64) {
@@ -417,6 +459,13 @@
         self.say(format!("{id} cancelled through node-{i}"));
     }
 
+    /// A job's division, as the controllers know it.
+    pub fn division(&self, job: u64) -> Vec<RangeSet> {
+        let node = self.nodes.iter().flatten().find(|n| n.mirror.loaded);
+        let open = node.and_then(|n| n.mirror.open.get(&job));
+        open.expect("an open job").div.clone()
+    }
+
     /// What controller `i` would tell a user, after a barrier if it can.
     pub fn view(&mut self, i: usize, id: &str) -> Option<JobView> {
         let now = self.now;
@@ -650,6 +699,9 @@
                             n.chunk_read(number, chunk, read, now);
                         }
                     }
+                    Effect::Answer(ticket, verdict) => {
+                        self.verdicts.insert(ticket, verdict);
+                    }
                     Effect::Refresh | Effect::Beat => {}
                 }
             }
--- a/crates/cherryyard-wire/src/record.rs
+++ b/crates/cherryyard-wire/src/record.rs
@@ -25,6 +25,14 @@
 /// The format in which jobs stand in buckets, and their ends go into the history.
 pub const BUCKETS: u32 = 2;
 
+/// The format in which new jobs stand in pages of arrivals.
+pub const ARRIVALS: u32 = 3;
+
+/// Key of a page of new jobs. Their order is that of the keys.
+pub fn arrivals_key(page: u64) -> String {
+    format!("c/new/{page:016x}")
+}
+
 /// Key of the bucket of jobs whose hashes begin at `from`. It holds those up to
 /// the next bucket's.
 pub fn bucket_key(from: u64) -> String {
@@ -74,6 +82,7 @@
     Images(usize),
     Job(u64),
     Bucket(u64),
+    Arrivals(u64),
     Format,
     Packed,
     Mark { part: usize, page: u32 },
@@ -112,6 +121,7 @@
             "images" => Self::Images(words.next()?.parse().ok()?),
             "job" => Self::Job(crate::job::job_number(words.next()?)?),
             "jobs" => Self::Bucket(hex(words.next()?)?),
+            "new" => Self::Arrivals(hex(words.next()?)?),
             "sub" => Self::Submission(hex(words.next()?)?),
             "mark" => Self::Mark {
                 part: words.next()?.parse().ok()?,
@@ -143,7 +153,7 @@
     pub fn of(label: &str) -> Self {
         Self {
             label: label.into(),
-            f: Some(BUCKETS),
+            f: Some(ARRIVALS),
         }
     }
 }
@@ -153,6 +163,9 @@
 pub struct FormatRecord {
     /// How jobs are kept.
     pub jobs: u32,
+    /// Whether new jobs come by pages of arrivals, and by these alone.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub new: bool,
 }
 
 /// A bucket: the records of some jobs, so that no key need be deleted for each job
@@ -208,6 +221,10 @@
     },
 }
 
+fn is_false(x: &bool) -> bool {
+    !x
+}
+
 fn is_zero(n: &u64) -> bool {
     *n == 0
 }
--- a/crates/cherryyard/src/app/asks.rs
+++ b/crates/cherryyard/src/app/asks.rs
@@ -1,7 +1,9 @@
-//! Submissions passed on to another controller.
+//! Submissions: passed on to another controller, or handed to the core.
 
 use super::App;
 use bytes::Bytes;
+use cherryyard_core::admission::intake::{Offer, Verdict};
+use cherryyard_core::mirror::OpenJob;
 use cherryyard_wire::peer::{Ask, Message, Told, encode};
 use std::collections::HashMap;
 use std::sync::atomic::Ordering;
@@ -11,6 +13,8 @@
 
 /// Longest that a submission passed on waits before it is written here.
 const ASK_PATIENCE: Duration = Duration::from_millis(250);
+/// Longest that a verdict of our own core is waited for.
+const OFFER_PATIENCE: Duration = Duration::from_millis(4000);
 /// Longest that it waits where it cannot be written here.
 const ASK_ONLY_PATIENCE: Duration = Duration::from_millis(1500);
 
@@ -48,6 +52,34 @@
         told
     }
 
+    /// Hands a new job to the core, and waits for what becomes of it.
+    pub async fn offer(self: &Arc<Self>, job: u64, open: OpenJob, moved: u64) -> Verdict {
+        let ticket = self.tickets.fetch_add(1, Ordering::Relaxed);
+        let (tell, told) = oneshot::channel();
+        self.offers().insert(ticket, tell);
+        let offer = Offer {
+            ticket,
+            job,
+            open,
+            moved,
+        };
+        self.with(|n, now| n.offer(offer, now));
+        let told = tokio::time::timeout(OFFER_PATIENCE, told).await;
+        self.offers().remove(&ticket);
+        told.ok().and_then(Result::ok).unwrap_or(Verdict::Failed)
+    }
+
+    pub(crate) fn tell_verdict(&self, ticket: u64, verdict: Verdict) {
+        if let Some(tell) = self.offers().remove(&ticket) {
+            // The one who waits may have given up.
+            let _ = tell.send(verdict);
+        }
+    }
+
+    fn offers(&self) -> MutexGuard<'_, HashMap<u64, oneshot::Sender<Verdict>>> {
+        self.offers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn waiting_for_answers(
         &self,
     ) -> MutexGuard<'_, HashMap<u64, oneshot::Sender<Told>>> {
--- a/crates/cherryyard/src/app/mod.rs
+++ b/crates/cherryyard/src/app/mod.rs
@@ -8,6 +8,7 @@
 mod tell;
 
 use bytes::Bytes;
+use cherryyard_core::admission::intake::Verdict;
 use cherryyard_core::{Effect, Node, Outcome, PushOutcome, Ticket};
 use cherryyard_io::cloud::{Cloud, CloudError};
 use cherryyard_io::http::{Failure, Http};
@@ -41,6 +42,8 @@
     /// Submissions passed on that wait for an answer.
     pub(crate) asked: Mutex<HashMap<u64, oneshot::Sender<Told>>>,
     pub(crate) tickets: AtomicU64,
+    /// Submissions that wait for their verdicts.
+    pub(crate) offers: Mutex<HashMap<u64, oneshot::Sender<Verdict>>>,
     /// Look-ups in the history of jobs that are over.
     pub(crate) history: LookUps,
     /// Bytes that all requests' bodies may take at once.
@@ -89,6 +92,7 @@
         match effect {
             Effect::Refresh => self.barrier_wanted.notify_one(),
             Effect::Beat => self.beat_wanted.notify_one(),
+            Effect::Answer(ticket, verdict) => self.tell_verdict(ticket, verdict),
             Effect::Commit(ticket, commit) => {
                 tokio::spawn(async move {
                     let outcome = app.commit(&commit).await;
--- a/crates/cherryyard/src/routes/jobs.rs
+++ b/crates/cherryyard/src/routes/jobs.rs
@@ -3,13 +3,14 @@
 use super::answer::Answer;
 use crate::app::{App, Look, wall_ms};
 use cherryyard_core::Outcome;
+use cherryyard_core::admission::intake::Verdict;
 use cherryyard_core::admit::{Reject, admit};
 use cherryyard_core::mirror::over;
 use cherryyard_wire::condor::{FIRST_ID, is_reserved};
 use cherryyard_wire::job::{JobSpec, JobStatus, JobView, job_id, job_number};
 use cherryyard_wire::parse_object;
 use cherryyard_wire::peer::{Ask, Told};
-use cherryyard_wire::record::{End, LEAD, PACKED};
+use cherryyard_wire::record::End;
 use cherryyard_wire::rules::{Additions, Rules};
 use cherryyard_wire::state::Commit;
 use salvo::http::StatusCode;
@@ -129,15 +130,12 @@
             };
         }
     }
-    if let Err(seconds) = app.with(|n, now| n.take_user_write(now)) {
-        return Answer::later_in("too many submissions at once", seconds);
-    }
     let id = spec.id.clone();
     let new = app.with(|n, _| n.mirror.new_job(spec, rules.map(Box::new), at));
-    let Some(mut open) = new else {
+    let Some(open) = new else {
         return Answer::error(StatusCode::UNPROCESSABLE_ENTITY, "owner: unknown team");
     };
-    for attempt in 0..TRIES {
+    for _ in 0..TRIES {
         // It may be over, and only the history may know it.
         let Some(found) = app.look_in_history(job, Look::Submission).await else {
             break;
@@ -149,48 +147,26 @@
             let why = format!("id: from {} on they are for submissions", job_id(FIRST_ID));
             return Answer::error(StatusCode::BAD_REQUEST, why);
         }
-        let mut commit = Commit::default();
-        let written = app.with(|n, now| {
-            open.div = Vec::new();
-            if let Some(stamp) = n.lead_stamp()
-                && attempt == 0
-            {
-                n.divide_at_once(&mut open, now);
-                if open.divided() {
-                    commit.require(LEAD, stamp);
-                }
-            }
-            if found.moved > 0 {
-                // What was not found may have come into the history since.
-                commit.require(PACKED, found.moved);
-            }
-            n.mirror.add_job(&mut commit, job, open.record(), &n.config)
-        });
-        if !written {
-            // Another controller may have taken it meanwhile.
-            match look_up(app, job).await {
-                Ok(Some(view)) => return Answer::view(StatusCode::OK, &view),
-                Ok(None) => break,
-                Err(answer) => return answer,
-            }
-        }
-        match app.commit(&commit).await {
-            Outcome::Applied(epoch) => {
-                app.with(|n, now| n.user_committed(&commit, epoch, now));
+        match app.offer(job, open.clone(), found.moved).await {
+            Verdict::Taken => {
                 return Answer::of(
                     StatusCode::CREATED,
                     &serde_json::json!({ "id": id, "status": "queued" }),
                 );
             }
-            Outcome::Conflict(_) => match look_up(app, job).await {
-                Ok(Some(view)) => return Answer::view(StatusCode::OK, &view),
-                Ok(None) => {}
-                Err(answer) => return answer,
-            },
-            Outcome::Refused => {
-                tokio::time::sleep(Duration::from_millis(60 + 60 * attempt)).await;
+            // Another controller may have taken it meanwhile.
+            Verdict::Known => {
+                return match look_up(app, job).await {
+                    Ok(Some(view)) => Answer::view(StatusCode::OK, &view),
+                    Ok(None) => break,
+                    Err(answer) => answer,
+                };
             }
-            Outcome::NoLease | Outcome::Unknown => break,
+            Verdict::LookAgain => {}
+            Verdict::Busy(seconds) => {
+                return Answer::later_in("too many submissions at once", seconds);
+            }
+            Verdict::Failed => break,
         }
     }
     Answer::later("the state service did not take the job")
--- a/crates/cherryyard/src/run.rs
+++ b/crates/cherryyard/src/run.rs
@@ -61,6 +61,7 @@
         asked: Mutex::new(HashMap::new()),
         // A late answer to a process before this one must find nobody waiting.
         tickets: AtomicU64::new(rand::random()),
+        offers: Mutex::new(HashMap::new()),
         history: LookUps::new(c.state.rps, c.limits.memory_bytes()),
         bodies: Arc::new(Semaphore::new(body_room(&c.limits))),
         pace,
