--- a/crates/cherryyard-core/src/admission/intake.rs
+++ b/crates/cherryyard-core/src/admission/intake.rs
@@ -12,9 +12,12 @@
 use crate::mirror::{MOST_ROWS, OpenJob};
 use crate::node::Node;
 use crate::{Config, Millis};
+use cherryyard_wire::peer::DemandTold;
 use cherryyard_wire::record::Key;
 use cherryyard_wire::state::Commit;
-use std::collections::{BTreeMap, HashSet, VecDeque};
+use lru::LruCache;
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::num::NonZeroUsize;
 
 /// Longest that a submission waits here: its user gives up after five seconds, and one
 /// who is told to come back may find another controller less busy.
@@ -113,6 +116,7 @@
     owed_at: Millis,
     /// The most that may wait.
     most: usize,
+    demand: Demand,
 }
 
 impl Intake {
@@ -129,9 +133,16 @@
             owed: BTreeMap::new(),
             owed_at: now,
             most: ((a_second * QUEUE_S) as usize).clamp(16, room.max(16)),
+            demand: Demand::new(),
         }
     }
 
+    /// How long those who wait have waited, at most.
+    pub(crate) fn wait_ms(&self, now: Millis) -> f64 {
+        let first = self.queues.values().filter_map(|q| q.front());
+        first.map(|w| now - w.since).fold(0.0, f64::max)
+    }
+
     /// Whether a transaction is under way.
     pub(crate) fn is_writing(&self) -> bool {
         self.phase == Phase::Writing
@@ -155,6 +166,7 @@
         for owed in self.owed.values_mut() {
             *owed = (*owed - passed * share).max(0.0);
         }
+        self.demand.counts.entry(flow).or_default()[2] += 1;
         let owed = self.owed.entry(flow).or_default();
         *owed += 1.0;
         let wait = (*owed / share.max(1e-3)).ceil();
@@ -209,6 +221,7 @@
         self.notice(now);
         let ticket = offer.ticket;
         let flow = offer.open.flow;
+        self.intake.demand.offered(flow, offer.job);
         let waiting = Waiting {
             offer,
             since: now,
@@ -422,6 +435,8 @@
         match outcome {
             Outcome::Applied(_) => {
                 for waiting in sent {
+                    let flow = waiting.offer.open.flow;
+                    self.intake.demand.counts.entry(flow).or_default()[1] += 1;
                     self.answer(waiting.offer.ticket, Verdict::Taken);
                 }
                 for part in &mut self.parts {
@@ -450,10 +465,91 @@
     }
 }
 
+/// Jobs that were lately submitted, so that one is counted once, not once a try.
+const LATELY: NonZeroUsize = NonZeroUsize::new(4096).unwrap();
+
+/// What has become of submissions, by flow, since this process began.
+#[derive(Debug)]
+pub(crate) struct Demand {
+    lately: LruCache<u64, ()>,
+    /// Offered, taken, refused.
+    counts: BTreeMap<Flow, [u64; 3]>,
+    /// What each controller had told when it was last reported.
+    reported: HashMap<(usize, u32, String), [u64; 3]>,
+}
+
+impl Demand {
+    fn new() -> Self {
+        Self {
+            lately: LruCache::new(LATELY),
+            counts: BTreeMap::new(),
+            reported: HashMap::new(),
+        }
+    }
+
+    fn offered(&mut self, flow: Flow, job: u64) {
+        let known = self.lately.put(job, ()).is_some();
+        self.counts.entry(flow).or_default()[0] += u64::from(!known);
+    }
+}
+
 impl Node {
     /// The flows' weights, by index.
     pub(crate) fn flow_weights(&self) -> Vec<f64> {
         let flows = &self.mirror.flows;
-        (0..flows.len()).map(|_| 1.0).collect()
+        let weight = |f: usize| {
+            self.config
+                .tuning
+                .admission
+                .of(flows.class(f as Flow))
+                .weight
+        };
+        (0..flows.len()).map(weight).collect()
+    }
+
+    /// What has become of submissions at all controllers since the last call, by class
+    /// and team: offered, taken, refused. What is counted is totals, so a beat that is
+    /// lost or comes twice changes nothing, and a controller that starts anew begins at
+    /// nought.
+    pub fn demand_report(&mut self) -> Vec<(String, String, [u64; 3])> {
+        let ours = self.demand_out();
+        let peers = self.peers.iter().enumerate();
+        let theirs = peers.filter_map(|(i, p)| Some((i, p.as_ref()?.beat.demand.as_slice())));
+        let mut sums: BTreeMap<(u32, &str), [u64; 3]> = BTreeMap::new();
+        let mut reported = HashMap::new();
+        for (i, told) in theirs.chain([(self.config.me, ours.as_slice())]) {
+            for one in told {
+                let now = [one.offered, one.taken, one.refused];
+                let key = (i, one.team, one.class.clone());
+                let before = self.intake.demand.reported.get(&key).copied();
+                let before = before.unwrap_or_default();
+                let sum = sums.entry((one.team, one.class.as_str())).or_default();
+                for k in 0..3 {
+                    sum[k] += now[k].checked_sub(before[k]).unwrap_or(now[k]);
+                }
+                reported.insert(key, now);
+            }
+        }
+        let teams = &self.config.team_names;
+        let known = sums.iter().filter(|s| (s.0.0 as usize) < teams.len());
+        let report = known
+            .map(|(&(team, class), &sum)| (class.to_string(), teams.name(team).to_string(), sum));
+        let report = report.filter(|r| r.2 != [0; 3]).collect();
+        self.intake.demand.reported = reported;
+        report
+    }
+
+    /// What has become of submissions here.
+    pub(crate) fn demand_out(&self) -> Vec<DemandTold> {
+        let flows = &self.mirror.flows;
+        let all = self.intake.demand.counts.iter();
+        all.map(|(&flow, &[offered, taken, refused])| DemandTold {
+            class: flows.class(flow).into(),
+            team: flows.team(flow),
+            offered,
+            taken,
+            refused,
+        })
+        .collect()
     }
 }
--- a/crates/cherryyard-core/src/admission/queue.rs
+++ b/crates/cherryyard-core/src/admission/queue.rs
@@ -192,6 +192,7 @@
 #[derive(Debug)]
 enum Run<'a> {
     Whole(btree_set::Iter<'a, Place>),
+    Rest(btree_set::Range<'a, Place>),
     Others(std::iter::Take<btree_set::Range<'a, Place>>),
     Closed,
 }
@@ -200,6 +201,7 @@
     fn next(&mut self) -> Option<&'a Place> {
         match self {
             Self::Whole(i) => i.next(),
+            Self::Rest(i) => i.next(),
             Self::Others(i) => i.next(),
             Self::Closed => None,
         }
@@ -234,6 +236,20 @@
         Some((f as Flow, place))
     }
 
+    /// Puts back a flow's job that was taken last: its turn comes later.
+    pub fn back(&mut self, flow: Flow, place: Place) {
+        let f = flow as usize;
+        if let Some(set) = self.queues.flows.get(f)
+            && let Some(known) = set.get(&place)
+            && matches!(self.runs[f], Run::Whole(_) | Run::Rest(_))
+        {
+            self.heads[f] = Some(known);
+            let mut rest = set.range(known..);
+            rest.next();
+            self.runs[f] = Run::Rest(rest);
+        }
+    }
+
     /// Enough of a flow has found no room: of its rest only a few others are looked
     /// at, and the second time none. Says whether this was the second.
     pub fn close(&mut self, flow: Flow) -> bool {
@@ -241,7 +257,7 @@
         let Some(head) = self.heads.get(f).copied() else {
             return true;
         };
-        if !matches!(self.runs[f], Run::Whole(_)) {
+        if !matches!(self.runs[f], Run::Whole(_) | Run::Rest(_)) {
             (self.heads[f], self.runs[f]) = (None, Run::Closed);
             return true;
         }
--- /dev/null
+++ b/crates/cherryyard-core/src/admission/rights.rs
@@ -0,0 +1,438 @@
+//! The floors in force: found and divided by the leader, acted on by owners.
+//!
+//! Twice a second the leader looks at what each flow runs and what waits, and works out
+//! the floors; where a flow has long had less, it divides the floor into levels for the
+//! owners. One without a level in force starts nothing ahead, and for a while goes on
+//! stopping nothing of such a flow: it errs on the careful side.
+
+use super::flows::Flow;
+use super::ledger::{Account, Amount, Level, Under, is_over, left, may_give};
+use super::shares::{Asks, floors};
+use super::standing::{Has, Standing};
+use crate::Millis;
+use crate::machine::Task;
+use crate::node::Node;
+use cherryyard_wire::peer::{Beat, FlowShare, LevelTold};
+use cherryyard_wire::record::Key;
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+
+/// Time between two looks of the leader's, and while a flow is ahead.
+const LOOK_MS: f64 = 1000.0;
+const CLOSE_LOOK_MS: f64 = 500.0;
+/// Own messages of which it is remembered when they were sent.
+const SENT: usize = 64;
+
+type Holding = (Flow, usize);
+
+/// What a flow runs and has waiting, by part, in cores.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct FlowUse {
+    pub running: Vec<f64>,
+    pub waiting: Vec<f64>,
+}
+
+/// Floors, and levels by them.
+#[derive(Debug, Default)]
+pub(crate) struct Rights {
+    standings: Vec<Standing>,
+    floors: Vec<f64>,
+    /// When they were last found or told.
+    told_at: Option<Millis>,
+    looked_at: Option<Millis>,
+    accounts: BTreeMap<Holding, Account>,
+    levels: BTreeMap<Holding, Level<Millis>>,
+    /// Own messages: the last one's number, and when the last few were sent.
+    number: u64,
+    sent: VecDeque<(u64, Millis)>,
+    /// The last message heard of each other controller, and when.
+    heard: BTreeMap<usize, (u64, Millis)>,
+}
+
+fn amount(cores: f64) -> Amount {
+    (cores.max(0.0) * 1000.0).round() as Amount
+}
+
+impl Rights {
+    pub(crate) fn new(number: u64) -> Self {
+        Self {
+            // Not where an earlier process of ours began.
+            number: number >> 1,
+            ..Self::default()
+        }
+    }
+
+    fn standing(&self, flow: Flow) -> Standing {
+        let known = self.standings.get(flow as usize).copied();
+        known.unwrap_or(Standing::Served)
+    }
+
+    fn set(&mut self, flow: Flow, standing: Standing, floor: f64) {
+        let at = flow as usize;
+        if self.standings.len() <= at {
+            self.standings.resize(at + 1, Standing::Served);
+            self.floors.resize(at + 1, 0.0);
+        }
+        (self.standings[at], self.floors[at]) = (standing, floor);
+    }
+}
+
+impl Node {
+    /// What each flow runs and has waiting, as the marks and divisions say.
+    pub(crate) fn flow_use(&self) -> Vec<FlowUse> {
+        let parts = self.parts.len();
+        let mut all = vec![
+            FlowUse {
+                running: vec![0.0; parts],
+                waiting: vec![0.0; parts],
+            };
+            self.mirror.flows.len()
+        ];
+        for (&(p, job), marks) in &self.mirror.marks {
+            if let Some(open) = self.mirror.open.get(&job)
+                && let Some(used) = all.get_mut(open.flow as usize)
+            {
+                used.running[p] += open.spec.cores * marks.marks.len() as f64;
+            }
+        }
+        for p in 0..parts {
+            for (job, set) in &self.mirror.waiting[p] {
+                if let Some(open) = self.mirror.open.get(job)
+                    && let Some(used) = all.get_mut(open.flow as usize)
+                {
+                    used.waiting[p] += open.spec.cores * f64::from(set.len());
+                }
+            }
+        }
+        for job in &self.mirror.undivided {
+            if let Some(open) = self.mirror.open.get(job)
+                && let Some(used) = all.get_mut(open.flow as usize)
+            {
+                let each = open.spec.cores * f64::from(open.spec.pieces) / parts as f64;
+                used.waiting.iter_mut().for_each(|w| *w += each);
+            }
+        }
+        all
+    }
+
+    /// Cores of all machines that their owners can use.
+    fn all_cores(&self) -> f64 {
+        let rooms = self.leader.rooms.iter().flatten();
+        let sizes = rooms.flat_map(|room| {
+            let sorts = room.report.sorts.iter();
+            let cores = sorts.map(|s| self.mirror.kinds.iter().find(|k| k.sku == s.kind));
+            let cores: Vec<f64> = cores.map(|k| k.map_or(0.0, |k| k.cores)).collect();
+            let machines = room.report.machines.iter();
+            machines.map(move |m| cores.get(usize::from(m.sort)).copied().unwrap_or(0.0))
+        });
+        sizes.sum()
+    }
+
+    /// What each flow asks for: of what waits no more than its team's limit allows.
+    fn asks(&self, uses: &[FlowUse]) -> Vec<Asks> {
+        let admission = &self.config.tuning.admission;
+        let sum = |x: &[f64]| x.iter().sum::<f64>();
+        let teams = self.config.teams.len();
+        let (mut runs, mut waits) = (vec![0.0; teams], vec![0.0; teams]);
+        let team = |f: usize| self.mirror.flows.team(f as Flow) as usize;
+        for (f, used) in uses.iter().enumerate() {
+            runs[team(f)] += sum(&used.running);
+            waits[team(f)] += sum(&used.waiting);
+        }
+        let asks = uses.iter().enumerate().map(|(f, used)| {
+            let t = team(f);
+            let may = (self.config.teams[t].cores_max - runs[t]).max(0.0);
+            let part = if waits[t] > may { may / waits[t] } else { 1.0 };
+            let own = admission.of(self.mirror.flows.class(f as Flow));
+            Asks {
+                demand: sum(&used.running) + sum(&used.waiting) * part,
+                team: t as u32,
+                weight: own.weight,
+                least: own.least,
+                share: own.share,
+            }
+        });
+        asks.collect()
+    }
+
+    /// The leader's look at what everyone has.
+    pub(crate) fn review(&mut self, now: Millis) {
+        let ahead = self.rights.standings.iter().any(|s| s.ahead());
+        let every = if ahead { CLOSE_LOOK_MS } else { LOOK_MS };
+        let due = self.rights.looked_at.is_none_or(|at| now - at >= every);
+        if !due || !self.leader.leads(&self.mirror) || !self.state_fresh(now) {
+            return;
+        }
+        self.rights.looked_at = Some(now);
+        let uses = self.flow_use();
+        let asks = self.asks(&uses);
+        let guarantees: Vec<f64> = self.config.teams.iter().map(|t| t.cores).collect();
+        let floors = floors(&asks, &guarantees, self.all_cores());
+        let window = self.config.tuning.admission.window_s * 1000.0;
+        for (f, (used, &floor)) in uses.iter().zip(&floors).enumerate() {
+            let flow = f as Flow;
+            let had: f64 = used.running.iter().sum();
+            let waits: f64 = used.waiting.iter().sum();
+            let before = self.rights.standing(flow);
+            let after = before.after(Has::of(had, waits, floor), window, now);
+            if after.ahead() != before.ahead() {
+                tracing::info!(
+                    class = self.mirror.flows.class(flow),
+                    team = self.config.team_names.name(self.mirror.flows.team(flow)),
+                    running = had.round(),
+                    floor = floor.round(),
+                    waiting = waits.round(),
+                    from = before.name(),
+                    to = after.name(),
+                    "a share has changed"
+                );
+            }
+            self.rights.set(flow, after, floor);
+        }
+        self.rights.told_at = Some(now);
+        self.divide_floors(&uses, now);
+    }
+
+    /// Divides the floors of flows that are ahead into levels: where they run, and what
+    /// is left of the floor where they wait.
+    fn divide_floors(&mut self, uses: &[FlowUse], now: Millis) {
+        let lead = self.mirror.stamp(Key::Lead);
+        let may = may_give(self.leader.since, self.seen_at, now);
+        let next = self.rights.number + 1;
+        for (f, used) in uses.iter().enumerate() {
+            let flow = f as Flow;
+            if !self.rights.standing(flow).ahead() {
+                self.rights.accounts.retain(|holding, _| holding.0 != flow);
+                self.rights.levels.retain(|holding, _| holding.0 != flow);
+                continue;
+            }
+            let (runs, waits): (f64, f64) = (used.running.iter().sum(), used.waiting.iter().sum());
+            let floor = self.rights.floors[f];
+            for p in 0..self.parts.len() {
+                let part = self.mirror.stamp(Key::Part(p));
+                let over = self.owner_is_over(p, now);
+                let account = self.rights.accounts.entry((flow, p)).or_default();
+                account.meet(Under { lead, part });
+                if over {
+                    account.lapse();
+                }
+            }
+            if !may {
+                continue;
+            }
+            // Lower levels first: what they leave can be given only once it is named.
+            let mut wanted: Vec<(usize, Amount)> = (0..self.parts.len())
+                .filter(|&p| self.mirror.parts[p].is_some() && !self.owner_is_over(p, now))
+                .map(|p| {
+                    let here = used.running[p] * (floor / runs.max(1e-9)).min(1.0);
+                    let more = (floor - runs).max(0.0) * used.waiting[p] / waits.max(1e-9);
+                    (p, amount(here + more))
+                })
+                .collect();
+            let level = |rights: &Rights, p: usize| rights.accounts[&(flow, p)].level();
+            wanted.sort_by_key(|&(p, want)| want > level(&self.rights, p));
+            for (p, want) in wanted {
+                let of_flow = self.rights.accounts.range((flow, 0)..=(flow, usize::MAX));
+                let more = left(amount(floor), of_flow.map(|a| a.1));
+                let Some(account) = self.rights.accounts.get_mut(&(flow, p)) else {
+                    continue;
+                };
+                // Not for every core: each change has to be named before the next.
+                let now = account.level();
+                if want.abs_diff(now) > amount(floor) / 50 {
+                    account.set(next, want.min(now.max(account.high()) + more));
+                }
+            }
+        }
+        self.level_ours(next, now);
+    }
+
+    /// Our own parts need no message.
+    fn level_ours(&mut self, number: u64, now: Millis) {
+        let ours: Vec<(Holding, Level<Millis>)> = self
+            .rights
+            .accounts
+            .iter()
+            .filter(|((_, p), _)| self.owned(*p).is_some())
+            .map(|(&holding, account)| {
+                let level = Level {
+                    under: account.under,
+                    number,
+                    level: account.level(),
+                    from: now,
+                };
+                (holding, level)
+            })
+            .collect();
+        for (holding, level) in ours {
+            self.rights.levels.insert(holding, level);
+            if let Some(account) = self.rights.accounts.get_mut(&holding) {
+                account.named(number);
+            }
+        }
+    }
+
+    /// Whether a part's owner has not been heard of for so long that its levels are
+    /// over.
+    fn owner_is_over(&self, p: usize, now: Millis) -> bool {
+        let owner = self.mirror.parts[p].as_ref();
+        let i = owner.and_then(|c| self.config.labels.iter().position(|l| *l == c.label));
+        match i {
+            Some(i) if i == self.config.me => false,
+            Some(i) => {
+                let heard = self.rights.heard.get(&i);
+                heard.is_none_or(|&(_, at)| is_over(at, now))
+            }
+            None => true,
+        }
+    }
+
+    /// Whether a flow goes ahead, as far as is known here.
+    pub(crate) fn is_ahead(&self, flow: Flow, now: Millis) -> bool {
+        let window = self.config.tuning.admission.window_s * 1000.0;
+        let told = self.rights.told_at.is_some_and(|at| now - at <= window);
+        told && self.rights.standing(flow).ahead()
+    }
+
+    /// What a part of ours may start ahead of rank, by flow, and what it may stop of
+    /// those flows for others; `gone` are tasks that a round has proven gone.
+    pub(crate) fn allowances(&self, p: usize, gone: &HashSet<Task>, now: Millis) -> Allowances {
+        let mut all = Allowances::default();
+        let flows = (0..self.mirror.flows.len()).map(|f| f as Flow);
+        let ahead: Vec<Flow> = flows.filter(|&f| self.is_ahead(f, now)).collect();
+        if ahead.is_empty() {
+            return all;
+        }
+        let mut runs: HashMap<Flow, f64> = HashMap::new();
+        for (&(_, job), marks) in self.mirror.marks.range((p, 0)..=(p, u64::MAX)) {
+            if let Some(open) = self.mirror.open.get(&job) {
+                *runs.entry(open.flow).or_default() += open.spec.cores * marks.marks.len() as f64;
+            }
+        }
+        for (job, _) in gone {
+            if let Some(open) = self.mirror.open.get(job)
+                && let Some(runs) = runs.get_mut(&open.flow)
+            {
+                *runs -= open.spec.cores;
+            }
+        }
+        let part = self.mirror.stamp(Key::Part(p));
+        for flow in ahead {
+            let level = self.rights.levels.get(&(flow, p));
+            let level = level.and_then(|level| level.now(part, now));
+            let level = level.map(|level| level as f64 / 1000.0);
+            let runs = runs.get(&flow).copied().unwrap_or(0.0);
+            let start = level.map_or(0.0, |level| level - runs);
+            all.start.insert(flow, start.max(0.0));
+            all.stop
+                .insert(flow, level.map_or(0.0, |level| runs - level).max(0.0));
+        }
+        all
+    }
+
+    /// Puts into a beat what this controller has to say of shares.
+    pub(crate) fn rights_out(&mut self, beat: &mut Beat, now: Millis) {
+        self.rights.number += 1;
+        let number = self.rights.number;
+        self.rights.sent.push_back((number, now));
+        if self.rights.sent.len() > SENT {
+            self.rights.sent.pop_front();
+        }
+        beat.number = number;
+        let heard = self.rights.heard.iter();
+        beat.heard = heard.map(|(&i, &(n, _))| (i as u32, n)).collect();
+        if !self.leader.leads(&self.mirror) {
+            return;
+        }
+        let flows = &self.mirror.flows;
+        for (f, &standing) in self.rights.standings.iter().enumerate() {
+            if !standing.ahead() {
+                continue;
+            }
+            let flow = f as Flow;
+            let accounts = self.rights.accounts.range((flow, 0)..=(flow, usize::MAX));
+            let levels = accounts.map(|(&(_, p), account)| LevelTold {
+                part: p as u32,
+                under: (account.under.lead, account.under.part),
+                level: account.level(),
+            });
+            beat.shares.push(FlowShare {
+                class: flows.class(flow).into(),
+                team: flows.team(flow),
+                floor: self.rights.floors[f] as f32,
+                levels: levels.collect(),
+            });
+        }
+    }
+
+    /// Takes what another controller says of shares.
+    pub(crate) fn rights_in(&mut self, i: usize, beat: &Beat, now: Millis) {
+        self.rights.heard.insert(i, (beat.number, now));
+        let me = self.config.me as u32;
+        let named = beat.heard.iter().find(|h| h.0 == me).map(|h| h.1);
+        if self.leader.leads(&self.mirror) {
+            let label = &self.config.labels[i];
+            let owns = |p: usize| self.mirror.parts[p].as_ref().map(|c| &c.label) == Some(label);
+            for ((_, p), account) in &mut self.rights.accounts {
+                if let Some(number) = named.filter(|_| owns(*p)) {
+                    account.named(number);
+                }
+            }
+            return;
+        }
+        if !self.leader.is_label(&self.mirror, &beat.label) {
+            return;
+        }
+        // When our message went that the leader had last heard of.
+        let sent = self.rights.sent.iter().find(|s| Some(s.0) == named);
+        let from = sent.map(|s| s.1);
+        self.rights.told_at = Some(now);
+        let mut ahead = Vec::new();
+        for share in &beat.shares {
+            if share.team as usize >= self.config.teams.len() {
+                continue;
+            }
+            let flow = self.mirror.flows.intern(share.team, &share.class);
+            ahead.push(flow);
+            self.rights
+                .set(flow, Standing::Ahead, f64::from(share.floor));
+            for told in &share.levels {
+                let p = told.part as usize;
+                let under = Under {
+                    lead: told.under.0,
+                    part: told.under.1,
+                };
+                if let Some(from) = from
+                    && p < self.parts.len()
+                    && self.owned(p) == Some(under.part)
+                {
+                    let new = Level {
+                        under,
+                        number: beat.number,
+                        level: told.level,
+                        from,
+                    };
+                    let known = self.rights.levels.get(&(flow, p)).copied();
+                    let level = Level::told(known, new);
+                    self.rights.levels.insert((flow, p), level);
+                }
+            }
+        }
+        for f in 0..self.rights.standings.len() {
+            if !ahead.contains(&(f as Flow)) {
+                self.rights.standings[f] = Standing::Served;
+            }
+        }
+        self.rights
+            .levels
+            .retain(|(flow, _), _| ahead.contains(flow));
+    }
+}
+
+/// What an owner may do for and to flows that are ahead, in cores.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Allowances {
+    /// Start ahead of rank.
+    pub start: HashMap<Flow, f64>,
+    /// Stop for others; flows that are not here are stopped as ever.
+    pub stop: HashMap<Flow, f64>,
+}
--- /dev/null
+++ b/crates/cherryyard-core/src/admission/standing.rs
@@ -0,0 +1,122 @@
+//! Where a flow stands: whether it has what is its due.
+
+use crate::Millis;
+
+/// Part of its floor that a flow may lack without being short of it: what runs changes
+/// all the time.
+const SLACK: f64 = 0.05;
+
+/// Where a flow stands.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Standing {
+    /// It has its floor, or asks for nothing.
+    Served,
+    /// It has had less since this time.
+    Short(Millis),
+    /// It has had less for as long as counts: up to its floor it goes ahead of rank,
+    /// and nothing of that is stopped for others.
+    Ahead,
+    /// It has its floor, and since this time plenty: it keeps its place until that has
+    /// lasted as long. While it has no more than its floor it would lose that again at
+    /// once, and wait anew.
+    Easing(Millis),
+}
+
+/// What a flow has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Has {
+    /// Less than its floor.
+    Less,
+    /// Its floor.
+    Enough,
+    /// More than that by a fifth, or all that it asks for.
+    Plenty,
+}
+
+impl Has {
+    /// What a flow has that runs so much, has so much waiting, and this floor.
+    pub fn of(running: f64, waiting: f64, floor: f64) -> Self {
+        if waiting <= 0.0 || floor <= 0.0 || running >= floor * 1.2 {
+            Self::Plenty
+        } else if running >= floor * (1.0 - SLACK) {
+            Self::Enough
+        } else {
+            Self::Less
+        }
+    }
+}
+
+impl Standing {
+    /// The one place where a flow's standing changes: by what it has now.
+    pub fn after(self, has: Has, window_ms: f64, now: Millis) -> Self {
+        let over = |since: Millis| now - since >= window_ms;
+        match (self, has) {
+            (Self::Served, Has::Less) => Self::Short(now),
+            (Self::Short(since), Has::Less) if over(since) => Self::Ahead,
+            (Self::Short(_), Has::Enough | Has::Plenty) => Self::Served,
+            (Self::Ahead, Has::Enough | Has::Plenty) => Self::Easing(now),
+            (Self::Easing(_), Has::Less) => Self::Ahead,
+            (Self::Easing(_), Has::Enough) => Self::Easing(now),
+            (Self::Easing(since), Has::Plenty) if over(since) => Self::Served,
+            (same, _) => same,
+        }
+    }
+
+    /// Whether the flow goes ahead up to its floor.
+    pub fn ahead(self) -> bool {
+        matches!(self, Self::Ahead | Self::Easing(_))
+    }
+
+    /// Its name, for the log.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Served => "served",
+            Self::Short(_) => "short",
+            Self::Ahead => "ahead",
+            Self::Easing(_) => "easing",
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A short dip changes nothing; half a minute of it does, until there has been plenty
+    /// for as long.
+    #[test]
+    fn who_has_long_had_too_little_goes_ahead() {
+        let mut standing = Standing::Served;
+        let mut story = Vec::new();
+        for s in 0..300 {
+            let running = match s {
+                60..80 => 10.0,
+                90..150 | 170..175 => 40.0,
+                ..220 => 97.0,
+                _ => 130.0,
+            };
+            let before = standing.name();
+            let now = f64::from(s) * 1000.0;
+            standing = standing.after(Has::of(running, 500.0, 100.0), 30_000.0, now);
+            if standing.name() != before {
+                story.push(format!("{s} {}", standing.name()));
+            }
+        }
+        let expected = [
+            "60 short",
+            "80 served",
+            "90 short",
+            "120 ahead",
+            "150 easing",
+            "170 ahead",
+            "175 easing",
+            "249 served",
+        ];
+        assert_eq!(story, expected);
+        assert_eq!(
+            Has::of(10.0, 0.0, 100.0),
+            Has::Plenty,
+            "it asks for no more"
+        );
+    }
+}
--- a/crates/cherryyard-core/src/beats.rs
+++ b/crates/cherryyard-core/src/beats.rs
@@ -60,6 +60,7 @@
         if self.leader.is_label(&self.mirror, &beat.label) && !beat.short.is_empty() {
             self.lower_grants(&beat.short, now);
         }
+        self.rights_in(i, &beat, now);
         let (contact, covered_to) = self.told_of_cancellations(i, &beat, now);
         self.peers[i] = Some(PeerState {
             beat,
@@ -96,9 +97,10 @@
                 _ => strays.push((*p as u32, 1)),
             }
         }
+        let demand = self.demand_out();
         let (cancelled, reach_ms) = self.cancelled.tell(self.mirror.new_cancels(), now);
         let silent = now - self.state_ok_at;
-        Beat {
+        let mut beat = Beat {
             silent_ms: if silent.is_finite() {
                 silent as u32
             } else {
@@ -132,6 +134,13 @@
             } else {
                 Vec::new()
             },
-        }
+            number: 0,
+            heard: Vec::new(),
+            shares: Vec::new(),
+            intake_ms: self.intake.wait_ms(now) as u32,
+            demand,
+        };
+        self.rights_out(&mut beat, now);
+        beat
     }
 }
--- a/crates/cherryyard-core/src/config.rs
+++ b/crates/cherryyard-core/src/config.rs
@@ -36,6 +36,8 @@
     pub condor: bool,
     /// Operators' own attributes of machines, for rules.
     pub attributes: Attributes,
+    /// Who is served when not all can be.
+    pub admission: Admission,
 }
 
 impl Default for Tuning {
@@ -51,10 +53,54 @@
             account: false,
             condor: false,
             attributes: Attributes::default(),
+            admission: Admission::default(),
         }
     }
 }
 
+/// A class's own part in it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ClassShare {
+    /// Its weight where not all floors can be met.
+    pub weight: f64,
+    /// The part of its demand that is to be served whatever its rank.
+    pub least: f64,
+    /// The most that this may be, as a part of all cores.
+    pub share: f64,
+}
+
+/// Who is served when not all can be.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Admission {
+    /// What counts for classes that have nothing of their own.
+    pub all: ClassShare,
+    /// For how long a flow may have less than its floor before it goes ahead.
+    pub window_s: f64,
+    /// What counts for the others, by class.
+    pub classes: HashMap<String, ClassShare>,
+}
+
+impl Default for Admission {
+    fn default() -> Self {
+        Self {
+            all: ClassShare {
+                weight: 1.0,
+                least: 0.6,
+                share: 0.25,
+            },
+            window_s: 30.0,
+            classes: HashMap::new(),
+        }
+    }
+}
+
+impl Admission {
+    /// What counts for a class.
+    pub fn of(&self, class: &str) -> ClassShare {
+        self.classes.get(class).copied().unwrap_or(self.all)
+    }
+}
+
 /// A team's guarantee and limit.
 #[derive(Clone, Debug)]
 pub struct Team {
--- a/crates/cherryyard-core/src/leader/mod.rs
+++ b/crates/cherryyard-core/src/leader/mod.rs
@@ -175,6 +175,7 @@
             }
         }
         self.assume_rooms(now);
+        self.review(now);
         let commit = self
             .store_kinds()
             .or_else(|| self.store_attributes())
--- a/crates/cherryyard-core/src/node.rs
+++ b/crates/cherryyard-core/src/node.rs
@@ -1,6 +1,7 @@
 //! One controller: claims, reports, beats, and what ties the rest together.
 
 use crate::admission::intake::Intake;
+use crate::admission::rights::Rights;
 use crate::cancelled::Cancelled;
 use crate::effects::{Effect, Outcome, Ticket};
 use crate::lateness::Lateness;
@@ -14,8 +15,8 @@
 use cherryyard_wire::cloud::{HostEntry, HostKind};
 use cherryyard_wire::record::Key;
 use cherryyard_wire::state::{Commit, News};
-use rand::SeedableRng;
 use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 use std::collections::{BTreeMap, HashMap};
 
 /// Silence after which a machine that is not there any more is forgotten: by then
@@ -65,6 +66,8 @@
     pub looked: u64,
     /// Cancellations that are told and were told.
     pub(crate) cancelled: Cancelled,
+    /// Floors, and rights by them.
+    pub(crate) rights: Rights,
     /// Submissions on their way into the state service.
     pub(crate) intake: Intake,
     /// Whether accounts of core-seconds are kept.
@@ -81,6 +84,8 @@
             .map(|_| Part::new(config.round_writes_per_s, now))
             .collect();
         let peers = vec![None; config.parts()];
+        let number = StdRng::seed_from_u64(seed).random();
+        let rng = StdRng::seed_from_u64(seed);
         Self {
             leader: Leader::new(&config, now),
             mirror,
@@ -89,7 +94,7 @@
             peers,
             hold: None,
             effects: Vec::new(),
-            rng: StdRng::seed_from_u64(seed),
+            rng,
             state_ok_at: f64::NEG_INFINITY,
             seen_at: f64::NEG_INFINITY,
             started_at: now,
@@ -106,6 +111,7 @@
             user_pace: Pace::new(config.user_writes_per_s / config.parts() as f64, now),
             looked: 0,
             cancelled: Cancelled::new(now),
+            rights: Rights::new(number),
             intake: Intake::new(&config, now),
             accounting: config.tuning.account || tracing::enabled!(tracing::Level::DEBUG),
             wall_offset: 0.0,
@@ -308,7 +314,6 @@
     }
 
     pub(crate) fn jitter(&mut self, from: f64, to: f64) -> f64 {
-        use rand::RngExt;
         self.rng.random_range(from..to)
     }
 
--- a/crates/cherryyard-core/src/owner/place.rs
+++ b/crates/cherryyard-core/src/owner/place.rs
@@ -3,6 +3,7 @@
 use super::*;
 use crate::admission::flows::Flow;
 use crate::admission::queue::{Place, Queues, WINDOW};
+use cherryyard_wire::RangeSet;
 use std::cmp::Reverse;
 
 /// What a round has searched for in vain: what is alike is not searched for again.
@@ -201,7 +202,14 @@
         let mut handing = BTreeSet::new();
         let mut placed = 0;
         let mut line = queues.line();
+        let allowed = self.allowances(p, &round.gone, now);
+        let mut ahead = allowed.start;
+        ahead.retain(|_, cores| *cores > 0.0);
+        ahead.keys().for_each(|&flow| line.ahead(flow, true));
+        let mut may_stop = allowed.stop;
         let mut looks = Looks::default();
+        // Of jobs that were put back, up to which number this round has gone.
+        let mut gone_to: HashMap<u64, u32> = HashMap::new();
         'jobs: while let Some((flow, at)) = line.step() {
             let job = &at.job;
             // Counted as stuck until one of its tasks is placed.
@@ -214,6 +222,13 @@
                 continue;
             };
             let needs = open.needs();
+            if ahead.get(&flow).is_some_and(|left| *left < needs.cores) {
+                // Not all of it has its turn now; what is next in its own place may.
+                ahead.remove(&flow);
+                line.ahead(flow, false);
+                line.back(flow, at);
+                continue;
+            }
             let team = open.team as usize;
             let trouble = self.parts[p].trouble.get(job).copied().unwrap_or_default();
             if trouble.until > now {
@@ -223,7 +238,10 @@
             if self.beyond_grant(p, team as u32, &used, &needs) {
                 continue;
             }
-            let waiting = waiting.clone();
+            let mut waiting = waiting.clone();
+            if let Some(&last) = gone_to.get(job) {
+                waiting = waiting.minus(&RangeSet::span(0, last));
+            }
             let mut zones = self.zone_counts(p, *job, round);
             let mut unplaced = Vec::new();
             for number in waiting.iter() {
@@ -300,7 +318,17 @@
                     // Where the image is, the replica runs at once; the arrays
                     // there can make way more easily than it can wait.
                     let job = *job;
-                    if self.preempt(p, job, &[number], round, now, true, &totals, &mut search) {
+                    if self.preempt(
+                        p,
+                        job,
+                        &[number],
+                        round,
+                        now,
+                        true,
+                        &totals,
+                        &mut search,
+                        &mut may_stop,
+                    ) {
                         continue;
                     }
                 }
@@ -340,10 +368,30 @@
                 pending.hosts.insert(host);
                 placed += 1;
                 looks.found(flow);
+                if let Some(left) = ahead.get_mut(&flow) {
+                    *left -= needs.cores;
+                    if *left < needs.cores {
+                        ahead.remove(&flow);
+                        line.ahead(flow, false);
+                        line.back(flow, at);
+                        gone_to.insert(*job, number);
+                        continue 'jobs;
+                    }
+                }
             }
             if !unplaced.is_empty() && self.may_preempt(&self.mirror.open[job], &preemptible) {
                 let job = *job;
-                self.preempt(p, job, &unplaced, round, now, false, &totals, &mut search);
+                self.preempt(
+                    p,
+                    job,
+                    &unplaced,
+                    round,
+                    now,
+                    false,
+                    &totals,
+                    &mut search,
+                    &mut may_stop,
+                );
             }
         }
         for (flow, others, last) in looks.others() {
--- a/crates/cherryyard-core/src/owner/preempt.rs
+++ b/crates/cherryyard-core/src/owner/preempt.rs
@@ -2,6 +2,7 @@
 
 use super::place::Search;
 use super::*;
+use crate::admission::flows::Flow;
 
 /// Whose work in a part could make way at all.
 pub(crate) struct Preemptible {
@@ -52,6 +53,7 @@
         holding: bool,
         totals: &[Needs],
         search: &mut Search,
+        may_stop: &mut HashMap<Flow, f64>,
     ) -> bool {
         let open = &self.mirror.open[&job];
         if search.is_firm(open, holding) {
@@ -99,7 +101,7 @@
                 let Some(mut free) = self.free_on(m, Some(round)) else {
                     continue;
                 };
-                let mut victims: Vec<(Rank, f64, Task, u64, Needs)> = self
+                let mut victims: Vec<(Rank, f64, Task, u64, Needs, Flow)> = self
                     .mirror
                     .on_host(m.host)
                     .filter_map(|(task, mark)| {
@@ -116,16 +118,25 @@
                             task,
                             mark.attempt,
                             v.needs(),
+                            v.flow,
                         ))
                     })
                     .collect();
                 victims.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
                 let mut list = Vec::new();
                 let mut cost = 0.0;
-                for (_, age, task, attempt, size) in victims {
+                // Of flows that have long had too little, no more than is allowed.
+                let mut left = may_stop.clone();
+                for (_, age, task, attempt, size, flow) in victims {
                     if needs.fits(&free) {
                         break;
                     }
+                    if let Some(left) = left.get_mut(&flow) {
+                        if *left < size.cores {
+                            continue;
+                        }
+                        *left -= size.cores;
+                    }
                     free.give(&size);
                     list.push((task, attempt));
                     cost += 1e6 + age;
@@ -147,6 +158,11 @@
                 break;
             };
             for (task, attempt) in list {
+                if let Some(v) = self.mirror.open.get(&task.0)
+                    && let Some(left) = may_stop.get_mut(&v.flow)
+                {
+                    *left -= v.spec.cores;
+                }
                 let x = Preempted {
                     attempt,
                     for_task: (job, number),
--- a/crates/cherryyard-core/src/users.rs
+++ b/crates/cherryyard-core/src/users.rs
@@ -71,6 +71,14 @@
         whom.map(|i| self.config.labels[i].as_str())
     }
 
+    /// How long submissions passed on to a controller may take there, beyond what is
+    /// usual, by what it last told.
+    pub fn intake_ms(&self, label: &str) -> u64 {
+        let i = self.config.labels.iter().position(|l| l == label);
+        let peer = i.and_then(|i| self.peers[i].as_ref());
+        peer.map_or(0, |p| u64::from(p.beat.intake_ms))
+    }
+
     /// Takes a user's transaction (a cancellation, or a chunk of a submission).
     pub fn user_committed(&mut self, commit: &Commit, epoch: u64, now: Millis) {
         self.notice(now);
--- a/crates/cherryyard-rehearsal/src/world.rs
+++ b/crates/cherryyard-rehearsal/src/world.rs
@@ -43,6 +43,8 @@
     pub tuning: Tuning,
     /// The team's limit in cores; 0: none.
     pub limit: f64,
+    /// Further teams, their guarantees and limits in cores.
+    pub teams: Vec<(&'static str, f64, f64)>,
     /// Largest value of the state service.
     pub value_kb: f64,
     /// Most changes in a transaction.
@@ -79,6 +81,7 @@
             large: Vec::new(),
             tuning: Tuning::default(),
             limit: 0.0,
+            teams: Vec::new(),
             value_kb: 4.0,
             txn_ops: 8,
             rps: 80.0,
@@ -213,6 +216,9 @@
             .copied()
             .chain(setup.machines.iter().map(|m| m.0))
             .collect();
+        let mut teams = vec![json!({ "name": "team", "cpus": 0.0, "cpus_max": setup.limit })];
+        let more = setup.teams.iter();
+        teams.extend(more.map(|t| json!({ "name": t.0, "cpus": t.1, "cpus_max": t.2 })));
         let known: Vec<_> = (0..setup.zones.len())
             .filter(|&i| i != me)
             .map(|i| {
@@ -226,7 +232,7 @@
             "services": { "cloud": "127.0.0.1:3", "state": "127.0.0.1:4" },
             "cluster": {
                 "zones": zones,
-                "teams": [{ "name": "team", "cpus": 0.0, "cpus_max": setup.limit }],
+                "teams": teams,
                 "workers": { "report_s": 2.0, "lease_s": 10.0, "cancel_s": 40.0 },
                 "state": { "rps": setup.rps, "write_rps": setup.write_rps, "value_kb": setup.value_kb,
                            "txn_ops": setup.txn_ops },
--- /dev/null
+++ b/crates/cherryyard-rehearsal/tests/admission.rs
@@ -0,0 +1,354 @@
+//! Admission under overload: nobody starves, whatever fails meanwhile.
+
+use cherryyard_core::admission::intake::Verdict;
+use cherryyard_rehearsal::{Setup, World};
+use cherryyard_wire::job::{JobSpec, JobStatus, Rank};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+/// The class of higher rank has ids from here on.
+const URGENT: u64 = 1_000_000;
+const CORES: f64 = 2.0;
+
+fn spec(job: u64, pieces: u32) -> JobSpec {
+    let mut spec = World::spec(&format!("j-{job:06}"), "sweep", pieces);
+    (spec.jobclass, spec.rank) = if job >= URGENT {
+        ("urgent".into(), Rank::High)
+    } else {
+        ("steady".into(), Rank::Standard)
+    };
+    spec
+}
+
+fn cluster(setup: Setup) -> World {
+    let mut w = World::new(setup);
+    w.run(5.0);
+    w.workers.values_mut().for_each(|x| x.run_ms = 12_000.0);
+    w
+}
+
+fn fleet(controllers: usize, machines: usize) -> Setup {
+    Setup {
+        zones: vec!["a"; controllers],
+        machines: vec![("a", machines)],
+        write_rps: 60.0,
+        rps: 300.0,
+        txn_ops: 8,
+        ..Setup::default()
+    }
+}
+
+/// Cores that each class's tasks take now.
+fn running(w: &World) -> (f64, f64) {
+    let (mut steady, mut urgent) = (0.0, 0.0);
+    for (name, piece) in w.workers.values().flat_map(|x| &x.pieces) {
+        let job = name[2..].split('/').next().unwrap().parse::<u64>().unwrap();
+        if piece.2.is_none() {
+            *(if job >= URGENT {
+                &mut urgent
+            } else {
+                &mut steady
+            }) += CORES;
+        }
+    }
+    (steady, urgent)
+}
+
+/// Arrivals of both classes: one job every so often, as long as someone can take it.
+struct Arrivals {
+    next: [u64; 2],
+    due: [f64; 2],
+    every_s: [f64; 2],
+    pieces: [u32; 2],
+}
+
+impl Arrivals {
+    fn new(every_s: [f64; 2], pieces: [u32; 2]) -> Self {
+        Self {
+            next: [1, URGENT],
+            due: [0.0; 2],
+            every_s,
+            pieces,
+        }
+    }
+
+    /// Lets a second pass.
+    fn second(&mut self, w: &mut World) {
+        for class in 0..2 {
+            self.due[class] += 1.0 / self.every_s[class];
+            while self.due[class] >= 1.0 {
+                self.due[class] -= 1.0;
+                let able = (0..w.nodes.len()).find(|i| {
+                    let fresh = |n: &cherryyard_core::Node| n.state_fresh(w.now);
+                    w.nodes[*i].as_ref().is_some_and(fresh)
+                        && !w.refused.contains(i)
+                        && !w.frozen.contains(i)
+                });
+                if able.is_some() {
+                    w.submit(&spec(self.next[class], self.pieces[class]));
+                    self.next[class] += 1;
+                }
+            }
+        }
+        w.run(1.0);
+    }
+}
+
+/// The mean of what the steady class runs, each second of these.
+fn steady_over(w: &mut World, arrivals: &mut Arrivals, seconds: usize) -> f64 {
+    let mut sum = 0.0;
+    for _ in 0..seconds {
+        arrivals.second(w);
+        sum += running(w).0;
+    }
+    sum / seconds as f64
+}
+
+fn leader(w: &World) -> Option<usize> {
+    let leads = |i: &usize| {
+        let node = w.nodes[*i].as_ref();
+        node.is_some_and(|n| n.lead_stamp().is_some()) && !w.frozen.contains(i)
+    };
+    (0..w.nodes.len()).find(leads)
+}
+
+/// The higher rank asks for several times all there is, for minutes. The other class
+/// asks for a third: it gets its floor, whatever its rank, and keeps it while the
+/// leader ends, another controller is frozen and one is cut off from its peers.
+#[test]
+fn a_flood_of_the_higher_rank_starves_nobody() {
+    let mut w = cluster(fleet(3, 40));
+    // 160 cores; the steady class could use about 50 of them, the urgent one 800.
+    let mut arrivals = Arrivals::new([1.0, 0.1], [6, 10]);
+    let before = steady_over(&mut w, &mut arrivals, 30);
+    assert!(
+        before < 16.0,
+        "without floors there would be none: {before}"
+    );
+    steady_over(&mut w, &mut arrivals, 25);
+    let with = steady_over(&mut w, &mut arrivals, 20);
+    assert!(with > 30.0, "{with}");
+    let lead = leader(&w).unwrap();
+    w.kill(lead);
+    let leaderless = steady_over(&mut w, &mut arrivals, 12);
+    assert!(leaderless > 15.0, "{leaderless}");
+    w.start(lead);
+    let other = (lead + 1) % 3;
+    w.frozen.insert(other);
+    steady_over(&mut w, &mut arrivals, 20);
+    w.frozen.remove(&other);
+    w.alone.insert((lead + 2) % 3);
+    steady_over(&mut w, &mut arrivals, 15);
+    let cut = steady_over(&mut w, &mut arrivals, 20);
+    assert!(cut > 20.0, "{cut}");
+    w.alone.clear();
+    assert!(w.broken.is_empty(), "{:?}", w.broken);
+}
+
+/// What one class floods is its own loss: the other's submissions all go in at once,
+/// those who are sent away are told different times, and all that is taken runs.
+#[test]
+fn a_flood_of_submissions_lengthens_its_own_queue() {
+    let mut w = cluster(Setup {
+        machines: vec![("a", 21)],
+        write_rps: 20.0,
+        ..fleet(7, 0)
+    });
+    w.workers.values_mut().for_each(|x| x.run_ms = 100.0);
+    w.run(5.0);
+    let lead = leader(&w).unwrap();
+    let (mut flood, mut few) = (Vec::new(), Vec::new());
+    for i in 0..3000 {
+        flood.push(w.offer(lead, &spec(URGENT + i, 1), None));
+        if i % 300 == 299 {
+            few.push(w.offer(lead, &spec(1 + i, 1), None));
+        }
+    }
+    // Thousands come again, as if nobody had answered.
+    for i in 0..3000 {
+        flood.push(w.offer(lead, &spec(URGENT + i, 1), None));
+    }
+    w.run(1.0);
+    let verdict = |w: &World, ticket: &u64| w.verdicts.get(ticket).copied();
+    for ticket in &few {
+        assert_eq!(verdict(&w, ticket), Some(Verdict::Taken));
+    }
+    w.run(3.0);
+    let all: Vec<Verdict> = flood.iter().filter_map(|t| verdict(&w, t)).collect();
+    assert_eq!(all.len(), flood.len(), "each gets an answer");
+    let taken = all.iter().filter(|v| **v == Verdict::Taken).count();
+    // Four writes a second, with some forty jobs each.
+    assert!(taken >= 60, "{taken}");
+    let waits: Vec<u32> = all
+        .iter()
+        .filter_map(|v| match v {
+            Verdict::Busy(s) => Some(*s),
+            _ => None,
+        })
+        .collect();
+    assert!(waits.iter().all(|s| (1..=20).contains(s)));
+    assert!(
+        waits.iter().any(|s| *s > 10),
+        "they must not all come back at once"
+    );
+    w.run(60.0);
+    let mut done = 0;
+    for (i, ticket) in flood.iter().enumerate() {
+        if verdict(&w, ticket) == Some(Verdict::Taken) {
+            let id = format!("j-{:06}", URGENT + i as u64 % 3000);
+            let view = w.view(0, &id).unwrap();
+            assert_eq!(view.status, JobStatus::Done, "{id}");
+            done += 1;
+        }
+    }
+    assert_eq!(done, taken);
+    assert!(w.broken.is_empty(), "{:?}", w.broken);
+    assert!(w.state.largest("c/new/") <= 4096);
+}
+
+/// Submissions share values: a second's worth costs a few writes. And one that nobody
+/// can write does not hold up its neighbours.
+#[test]
+fn many_submissions_with_one_put() {
+    let mut w = cluster(fleet(3, 9));
+    w.run(10.0);
+    let lead = leader(&w).unwrap();
+    let writes = w.state.writes;
+    let mut tickets = Vec::new();
+    for i in 0..400 {
+        tickets.push(w.offer(lead, &spec(URGENT + i, 1), None));
+    }
+    w.run(1.0);
+    let taken = |t: &&u64| w.verdicts.get(*t) == Some(&Verdict::Taken);
+    assert_eq!(tickets.iter().filter(taken).count(), 400);
+    let writes = w.state.writes - writes;
+    assert!(writes < 60, "{writes} writes, marks and all");
+    let long = "x".repeat(3000);
+    let mut odd = spec(URGENT + 500, 1);
+    odd.bundle = long.clone() + &long;
+    let odd = w.offer(lead, &odd, None);
+    let next = w.offer(lead, &spec(URGENT + 501, 1), None);
+    w.run(2.0);
+    assert_eq!(w.verdicts.get(&next), Some(&Verdict::Taken));
+    assert!(!matches!(w.verdicts.get(&odd), None | Some(Verdict::Taken)));
+    // The same job through two controllers at once: one takes it, the other knows it.
+    let other = (lead + 1) % 3;
+    let node = w.nodes[other].as_ref().unwrap().mirror.epoch;
+    let one = w.offer(lead, &spec(URGENT + 502, 1), None);
+    assert!(w.nodes[other].as_ref().unwrap().mirror.epoch >= node);
+    let two = w.offer(other, &spec(URGENT + 502, 1), None);
+    w.run(2.0);
+    assert_eq!(w.verdicts.get(&one), Some(&Verdict::Taken));
+    assert_eq!(w.verdicts.get(&two), Some(&Verdict::Known));
+}
+
+/// Twelve controllers with the smallest transactions and values.
+#[test]
+fn the_smallest_limits_and_twelve_controllers() {
+    let mut w = cluster(Setup {
+        value_kb: 1.0,
+        txn_ops: 2,
+        ..fleet(12, 48)
+    });
+    let mut arrivals = Arrivals::new([1.0, 0.2], [6, 16]);
+    steady_over(&mut w, &mut arrivals, 60);
+    let with = steady_over(&mut w, &mut arrivals, 20);
+    assert!(with > 25.0, "{with}");
+    assert!(w.state.most_ops <= 2 && w.state.most_conditions <= 8);
+    let largest = w.state.largest("c/new/");
+    assert!((100..=1024).contains(&largest), "{largest}");
+    assert!(w.broken.is_empty(), "{:?}", w.broken);
+}
+
+/// Pages that nothing depends on any more go, and little that is left goes together.
+#[test]
+fn pages_are_tidied() {
+    let mut w = cluster(fleet(3, 30));
+    w.run(10.0);
+    for i in 0..300 {
+        w.submit(&spec(URGENT + i, 1));
+        if i % 20 == 0 {
+            w.run(0.5);
+        }
+    }
+    let pages = |w: &World| {
+        let keys = w.state.pairs();
+        keys.iter().filter(|p| p.key.starts_with("c/new/")).count()
+    };
+    assert!(pages(&w) > 4, "{}", pages(&w));
+    w.run(90.0);
+    assert!(pages(&w) <= 4, "{}", pages(&w));
+    for i in 0..300 {
+        let view = w.view(1, &format!("j-{:06}", URGENT + i)).unwrap();
+        assert_eq!(view.status, JobStatus::Done, "{i}");
+    }
+    assert!(w.broken.is_empty(), "{:?}", w.broken);
+}
+
+/// Short days by seed: floods of either class or both, controllers that end, stand
+/// still, lose their peers or the state service. Once nothing has failed for a while,
+/// each class has its floor or all that it asks for.
+#[test]
+fn random_overlaps() {
+    for seed in 0..12 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let n = [3, 4, 5][rng.random_range(0..3)];
+        let mut w = cluster(fleet(n, 36));
+        let every = [[1.0, 0.15], [0.15, 1.0], [0.3, 0.3]][rng.random_range(0..3)];
+        let mut arrivals = Arrivals::new(every, [5, 8]);
+        for _ in 0..70 {
+            let i = rng.random_range(0..n);
+            match rng.random_range(0..30) {
+                0 if w.nodes[i].is_some() => w.kill(i),
+                1 => drop(w.frozen.insert(i)),
+                2 => drop(w.alone.insert(i)),
+                3 => drop(w.refused.insert(i)),
+                4 => w.refused.extend(0..n),
+                5..12 => {
+                    w.frozen.clear();
+                    w.alone.clear();
+                    w.refused.clear();
+                    for i in 0..n {
+                        if w.nodes[i].is_none() {
+                            w.start(i);
+                        }
+                    }
+                }
+                _ => {}
+            }
+            arrivals.second(&mut w);
+            if w.nodes.iter().all(Option::is_none) {
+                w.start(i);
+            }
+        }
+        w.frozen.clear();
+        w.alone.clear();
+        w.refused.clear();
+        for i in 0..n {
+            if w.nodes[i].is_none() {
+                w.start(i);
+            }
+        }
+        steady_over(&mut w, &mut arrivals, 60);
+        let (mut steady, mut urgent) = (0.0, 0.0);
+        for _ in 0..20 {
+            arrivals.second(&mut w);
+            let now = running(&w);
+            (steady, urgent) = (steady + now.0 / 20.0, urgent + now.1 / 20.0);
+        }
+        // 144 cores in all; a floor of a quarter, which each part rounds to whole tasks.
+        let asks = |class: usize| f64::from([5, 8][class]) * 2.0 * 12.0 / every[class];
+        let floor = |class: usize| (asks(class) * 0.6).min(144.0 * 0.25);
+        assert!(
+            steady >= floor(0) * 0.6,
+            "seed {seed}: {steady} of {}",
+            asks(0)
+        );
+        assert!(
+            urgent >= floor(1) * 0.6,
+            "seed {seed}: {urgent} of {}",
+            asks(1)
+        );
+        assert!(w.broken.is_empty(), "seed {seed}: {:?}", w.broken);
+    }
+}
--- a/crates/cherryyard-wire/src/peer.rs
+++ b/crates/cherryyard-wire/src/peer.rs
@@ -6,7 +6,7 @@
 use bitcode::{Decode, Encode};
 
 /// The version of the frames.
-pub const VERSION: u8 = 7;
+pub const VERSION: u8 = 8;
 /// Largest frame in bytes.
 pub const MAX_FRAME: usize = 256 * 1024;
 
@@ -14,7 +14,7 @@
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub enum Message {
     /// What every controller tells every other.
-    Beat(Beat),
+    Beat(Box<Beat>),
     /// A submission for the receiver to write.
     Ask(Ask),
     /// The answer to one.
@@ -79,6 +79,56 @@
     pub handing: Vec<(u32, u64)>,
     /// Parts of others whose workers have lately reported here: part, how many.
     pub strays: Vec<(u32, u32)>,
+    /// The sender's number for this beat; they grow, from anywhere.
+    pub number: u64,
+    /// The last number heard of each other controller, by its place among all.
+    pub heard: Vec<(u32, u64)>,
+    /// From the leader: flows that go ahead up to their floors.
+    pub shares: Vec<FlowShare>,
+    /// How long submissions wait at the sender, in milliseconds.
+    pub intake_ms: u32,
+    /// What has become of submissions at the sender since its start.
+    pub demand: Vec<DemandTold>,
+}
+
+/// A flow that has long had less than its floor.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct FlowShare {
+    /// Its class.
+    pub class: String,
+    /// Its team, by its place in the settings.
+    pub team: u32,
+    /// Its floor in cores.
+    pub floor: f32,
+    /// How it is divided among parts.
+    pub levels: Vec<LevelTold>,
+}
+
+/// A part's level of a flow: up to it its owner may start tasks ahead of rank, and down
+/// to it stop them for others.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct LevelTold {
+    /// The part.
+    pub part: u32,
+    /// Stamps of the leader's claim and the part's.
+    pub under: (u64, u64),
+    /// The level, in thousandths of a core.
+    pub level: u64,
+}
+
+/// What has become of a flow's submissions at one controller since its start.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct DemandTold {
+    /// The flow's class.
+    pub class: String,
+    /// Its team, by its place in the settings.
+    pub team: u32,
+    /// Jobs that were submitted, each counted once.
+    pub offered: u64,
+    /// Of them, taken.
+    pub taken: u64,
+    /// Answers that sent a user away.
+    pub refused: u64,
 }
 
 /// Free room and waiting tasks of a part.
@@ -157,7 +207,7 @@
     /// A truncated, foreign or random frame is an error, never a panic.
     #[test]
     fn bad_frames_are_refused() {
-        let beat = Message::Beat(Beat {
+        let beat = Message::Beat(Box::new(Beat {
             label: "a".into(),
             cut_off: false,
             silent_ms: 400,
@@ -170,7 +220,12 @@
             short: vec![],
             handing: vec![],
             strays: vec![],
-        });
+            number: 3,
+            heard: vec![(1, 7)],
+            shares: vec![],
+            intake_ms: 0,
+            demand: vec![],
+        }));
         let whole = encode(&beat);
         assert_eq!(decode(&whole).as_ref(), Ok(&beat));
         for n in 0..whole.len() {
@@ -178,6 +233,6 @@
         }
         let mut foreign = whole.clone();
         foreign[0] = 9;
-        assert_eq!(decode(&foreign), Err("version 9 instead of 7".into()));
+        assert_eq!(decode(&foreign), Err("version 9 instead of 8".into()));
     }
 }
--- a/crates/cherryyard/src/app/asks.rs
+++ b/crates/cherryyard/src/app/asks.rs
@@ -23,9 +23,11 @@
     /// to be written here after all.
     pub async fn ask(self: &Arc<Self>, body: &[u8], at: u64) -> Option<Told> {
         let (to, patience, label) = self.with(|n, now| {
-            let to = self.peers.get(n.whom_to_ask(now)?)?;
+            let whom = n.whom_to_ask(now)?;
+            let to = self.peers.get(whom)?;
             let patience = if n.state_fresh(now) {
-                ASK_PATIENCE
+                // Where many wait there, to write it here too would only be in the way.
+                ASK_PATIENCE + Duration::from_millis(2 * n.intake_ms(whom).min(1000))
             } else {
                 ASK_ONLY_PATIENCE
             };
--- a/crates/cherryyard/src/app/loops.rs
+++ b/crates/cherryyard/src/app/loops.rs
@@ -71,7 +71,7 @@
                 () = self.beat_wanted.notified() => {}
             }
             let beat = self.with(|n, now| n.beat_out(now));
-            let _ = out.send(Bytes::from(encode(&Message::Beat(beat))));
+            let _ = out.send(Bytes::from(encode(&Message::Beat(Box::new(beat)))));
             tokio::time::sleep(Duration::from_millis(50)).await;
         }
     }
--- a/crates/cherryyard/src/app/tell.rs
+++ b/crates/cherryyard/src/app/tell.rs
@@ -22,11 +22,22 @@
         }
     }
 
+    /// Tells what has become of submissions; one who hears all controllers is enough.
+    fn tell_submissions(self: &Arc<Self>) {
+        let (leads, report) = self.with(|n, _| (n.lead_stamp().is_some(), n.demand_report()));
+        for (class, team, [offered, taken, refused]) in report {
+            if leads {
+                tracing::info!(class, team, offered, taken, refused, "submissions");
+            }
+        }
+    }
+
     /// Tells now and then how long users' requests take.
     pub(crate) async fn tell_latency(self: Arc<Self>) {
         loop {
             tokio::time::sleep(Duration::from_secs(60)).await;
             self.tell_look_ups();
+            self.tell_submissions();
             let mut latency = self.latency.lock().unwrap_or_else(PoisonError::into_inner);
             if !latency.is_empty() {
                 tracing::info!(
--- a/crates/cherryyard/src/messages.rs
+++ b/crates/cherryyard/src/messages.rs
@@ -13,7 +13,7 @@
     /// Takes another controller's message.
     pub fn take_message(self: &Arc<Self>, message: Message) {
         match message {
-            Message::Beat(beat) => self.with(|n, now| n.beat_in(beat, now)),
+            Message::Beat(beat) => self.with(|n, now| n.beat_in(*beat, now)),
             Message::Told(told) => {
                 if let Some(tell) = self.waiting_for_answers().remove(&told.ticket) {
                     // The one who asked may have given up.
--- a/examples/operator.hcl
+++ b/examples/operator.hcl
@@ -30,3 +30,13 @@
 
 # Days for which their ends are kept there; 0: for ever.
 history_keep_days = 0
+
+# Who is served when not all can be (docs/admission.md): the part of a class's demand
+# that goes ahead of rank, at most this share of all cores, once it has had less for so
+# long. Classes may have their own, and a weight.
+admission {
+  least_served = 0.6
+  share        = 0.25
+  window_s     = 30
+  # class "calendar-api" { weight = 2 }
+}
