Controllers lend their part of users' writes to the leader, and write records without one

While controllers cannot hear each other each writes what comes to it, and with a fixed 0.6 of the budget for the leader the others had 0.3 writes a second, less than came, cancellations among them.

Change: each controller has an even part and lends 0.6 of it to the leader while the two hear each other, by the numbers that beats name; taken back later than the leader stops using it. Who does not lead and has few submissions writes records of their own, which do not get into each other's way; both ways depend on the last page and on the absence of a record. A submission that fits into no page no longer holds up its neighbours. Demand and searches in files of their own.

--- a/crates/cherryyard-core/src/admission/intake.rs
+++ b/crates/cherryyard-core/src/admission/intake.rs
@@ -12,18 +12,19 @@
 use crate::mirror::{MOST_ROWS, OpenJob};
 use crate::node::Node;
 use crate::{Config, Millis};
-use cherryyard_wire::peer::DemandTold;
-use cherryyard_wire::record::Key;
+use cherryyard_wire::record::{BUCKETS, Key};
 use cherryyard_wire::state::Commit;
-use lru::LruCache;
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
-use std::num::NonZeroUsize;
+use std::collections::{BTreeMap, HashSet, VecDeque};
 
 /// Longest that a submission waits here: its user gives up after five seconds, and one
 /// who is told to come back may find another controller less busy.
 const PATIENCE_MS: f64 = 1200.0;
 /// What may wait at once, in seconds' worth of what the budget takes.
 const QUEUE_S: f64 = 0.8;
+/// Time after which a transaction without an answer is stuck.
+const STUCK_MS: f64 = 300.0;
+/// So few submissions at who does not lead get records of their own.
+const FEW: usize = 3;
 /// Tries of one submission's write before its user is told to come back.
 const TRIES: u32 = 4;
 
@@ -109,14 +110,14 @@
     queues: BTreeMap<Flow, VecDeque<Waiting>>,
     waiting: usize,
     turns: Turns,
-    /// Those of the transaction under way.
+    /// Those of the transaction under way, and when it was sent.
     sent: Vec<Waiting>,
+    sent_at: Millis,
     /// Who was sent away, by flow, and is to come back one after the other.
     owed: BTreeMap<Flow, f64>,
     owed_at: Millis,
     /// The most that may wait.
     most: usize,
-    demand: Demand,
 }
 
 impl Intake {
@@ -130,15 +131,20 @@
             waiting: 0,
             turns: Turns::default(),
             sent: Vec::new(),
+            sent_at: now,
             owed: BTreeMap::new(),
             owed_at: now,
             most: ((a_second * QUEUE_S) as usize).clamp(16, room.max(16)),
-            demand: Demand::new(),
         }
     }
 
-    /// How long those who wait have waited, at most.
+    /// How long those who wait have waited, at most; nothing where the state service does
+    /// not answer, as nobody should wait for that. (One that was cut off from it told of
+    /// long queues, and the others waited for it beyond all patience.)
     pub(crate) fn wait_ms(&self, now: Millis) -> f64 {
+        if self.is_writing() && now - self.sent_at > STUCK_MS {
+            return 0.0;
+        }
         let first = self.queues.values().filter_map(|q| q.front());
         first.map(|w| now - w.since).fold(0.0, f64::max)
     }
@@ -166,7 +172,6 @@
         for owed in self.owed.values_mut() {
             *owed = (*owed - passed * share).max(0.0);
         }
-        self.demand.counts.entry(flow).or_default()[2] += 1;
         let owed = self.owed.entry(flow).or_default();
         *owed += 1.0;
         let wait = (*owed / share.max(1e-3)).ceil();
@@ -216,12 +221,24 @@
 }
 
 impl Node {
+    /// The flows' weights, by index.
+    pub(crate) fn flow_weights(&self) -> Vec<f64> {
+        let flows = &self.mirror.flows;
+        let weight = |f: usize| {
+            self.config
+                .tuning
+                .admission
+                .of(flows.class(f as Flow))
+                .weight
+        };
+        (0..flows.len()).map(weight).collect()
+    }
+
     /// Takes a submission; the answer follows as an effect, maybe at once.
     pub fn offer(&mut self, offer: Offer, now: Millis) {
         self.notice(now);
-        let ticket = offer.ticket;
         let flow = offer.open.flow;
-        self.intake.demand.offered(flow, offer.job);
+        self.demand.offered(flow, offer.job);
         let waiting = Waiting {
             offer,
             since: now,
@@ -229,16 +246,10 @@
             divided: None,
         };
         if self.intake.waiting >= self.intake.most {
-            let per_s = self.taken_per_s();
             match self.intake.make_room(flow) {
-                Some(other) => {
-                    let other_flow = other.offer.open.flow;
-                    let verdict = self.intake.later(other_flow, per_s, now);
-                    self.answer(other.offer.ticket, verdict);
-                }
+                Some(other) => self.send_away(&other, now),
                 None => {
-                    let verdict = self.intake.later(flow, per_s, now);
-                    self.answer(ticket, verdict);
+                    self.send_away(&waiting, now);
                     return;
                 }
             }
@@ -252,6 +263,13 @@
         self.config.user_writes_per_s * MOST_ROWS as f64 / 2.0
     }
 
+    fn send_away(&mut self, waiting: &Waiting, now: Millis) {
+        let (flow, per_s) = (waiting.offer.open.flow, self.taken_per_s());
+        self.demand.refused(flow);
+        let verdict = self.intake.later(flow, per_s, now);
+        self.answer(waiting.offer.ticket, verdict);
+    }
+
     fn answer(&mut self, ticket: u64, verdict: Verdict) {
         self.effects.push(Effect::Answer(ticket, verdict));
     }
@@ -273,7 +291,14 @@
             return;
         }
         let commit = if self.mirror.takes_pages() {
-            self.page_of_new()
+            // The leader writes pages all the time; the others, to whom few come while
+            // there is one, would only get into its way and each other's.
+            let few = self.intake.waiting <= FEW && self.lead_stamp().is_none();
+            if few && self.mirror.format < BUCKETS {
+                self.records_of_new(now)
+            } else {
+                self.page_of_new()
+            }
         } else if self.mirror.by_pages {
             // Pages have begun, and what came before is not all known yet.
             self.effects.push(Effect::Refresh);
@@ -286,6 +311,7 @@
         }
         self.user_pace.spend(commit.apply.len() as f64);
         self.intake.change(Event::Sent);
+        self.intake.sent_at = now;
         self.effects.push(Effect::Commit(Ticket::Intake, commit));
     }
 
@@ -302,10 +328,8 @@
         }
         self.intake.queues.retain(|_, q| !q.is_empty());
         self.intake.waiting -= gone.len();
-        let per_s = self.taken_per_s();
         for waiting in gone {
-            let verdict = self.intake.later(waiting.offer.open.flow, per_s, now);
-            self.answer(waiting.offer.ticket, verdict);
+            self.send_away(&waiting, now);
         }
     }
 
@@ -351,14 +375,14 @@
         }
         let jobs = next.iter().map(|w| (w.offer.job, &w.offer.open));
         let added = self.mirror.add_jobs(&mut commit, jobs, &self.config);
-        for waiting in next.split_off(added).into_iter().rev() {
-            // One that fits into no page at all must not hold up the others.
-            if added == 0 && waiting.tries >= TRIES {
-                self.answer(waiting.offer.ticket, Verdict::Failed);
-            } else {
-                let tries = waiting.tries + u32::from(added == 0);
-                self.intake.put_back(Waiting { tries, ..waiting });
-            }
+        let mut rest = next.split_off(added);
+        // The first that fits into no page at all must not hold up the others.
+        if added == 0 && !rest.is_empty() {
+            let first = rest.remove(0);
+            self.answer(first.offer.ticket, Verdict::Failed);
+        }
+        for waiting in rest.into_iter().rev() {
+            self.intake.put_back(waiting);
         }
         self.intake.sent = next;
         commit
@@ -384,7 +408,8 @@
         self.mirror.require(commit, Key::Lead);
     }
 
-    /// Records of their own for the next submissions, before there are pages.
+    /// Records of their own for the next submissions: before there are pages, and where
+    /// few come to who does not lead.
     fn records_of_new(&mut self, now: Millis) -> Commit {
         let most = self.config.txn_ops.min(self.user_pace.left(now) as usize);
         let mut next = self.next_offers(most.max(1));
@@ -408,17 +433,20 @@
             }
             (records, written) = (more, attempt);
         }
-        for waiting in next.split_off(records.len()).into_iter().rev() {
-            let tries = waiting.tries + u32::from(records.is_empty());
-            if tries > TRIES {
-                self.answer(waiting.offer.ticket, Verdict::Failed);
-            } else {
-                self.intake.put_back(Waiting { tries, ..waiting });
-            }
+        let mut rest = next.split_off(records.len());
+        if records.is_empty() && !rest.is_empty() {
+            let first = rest.remove(0);
+            self.answer(first.offer.ticket, Verdict::Failed);
+        }
+        for waiting in rest.into_iter().rev() {
+            self.intake.put_back(waiting);
         }
         if !records.is_empty() {
-            // Not beside pages, nor beside buckets if it does not know of them.
+            // Not beside pages or buckets that it does not know of.
             self.mirror.require(&mut written, Key::Format);
+            if self.mirror.by_pages {
+                self.mirror.require_pages(&mut written);
+            }
             if moved {
                 self.mirror.require(&mut written, Key::Packed);
             }
@@ -440,8 +468,7 @@
         match outcome {
             Outcome::Applied(_) => {
                 for waiting in sent {
-                    let flow = waiting.offer.open.flow;
-                    self.intake.demand.counts.entry(flow).or_default()[1] += 1;
+                    self.demand.taken(waiting.offer.open.flow);
                     self.answer(waiting.offer.ticket, Verdict::Taken);
                 }
                 for part in &mut self.parts {
@@ -471,92 +498,3 @@
         }
     }
 }
-
-/// Jobs that were lately submitted, so that one is counted once, not once a try.
-const LATELY: NonZeroUsize = NonZeroUsize::new(4096).unwrap();
-
-/// What has become of submissions, by flow, since this process began.
-#[derive(Debug)]
-pub(crate) struct Demand {
-    lately: LruCache<u64, ()>,
-    /// Offered, taken, refused.
-    counts: BTreeMap<Flow, [u64; 3]>,
-    /// What each controller had told when it was last reported.
-    reported: HashMap<(usize, u32, String), [u64; 3]>,
-}
-
-impl Demand {
-    fn new() -> Self {
-        Self {
-            lately: LruCache::new(LATELY),
-            counts: BTreeMap::new(),
-            reported: HashMap::new(),
-        }
-    }
-
-    fn offered(&mut self, flow: Flow, job: u64) {
-        let known = self.lately.put(job, ()).is_some();
-        self.counts.entry(flow).or_default()[0] += u64::from(!known);
-    }
-}
-
-impl Node {
-    /// The flows' weights, by index.
-    pub(crate) fn flow_weights(&self) -> Vec<f64> {
-        let flows = &self.mirror.flows;
-        let weight = |f: usize| {
-            self.config
-                .tuning
-                .admission
-                .of(flows.class(f as Flow))
-                .weight
-        };
-        (0..flows.len()).map(weight).collect()
-    }
-
-    /// What has become of submissions at all controllers since the last call, by class
-    /// and team: offered, taken, refused. What is counted is totals, so a beat that is
-    /// lost or comes twice changes nothing, and a controller that starts anew begins at
-    /// nought.
-    pub fn demand_report(&mut self) -> Vec<(String, String, [u64; 3])> {
-        let ours = self.demand_out();
-        let peers = self.peers.iter().enumerate();
-        let theirs = peers.filter_map(|(i, p)| Some((i, p.as_ref()?.beat.demand.as_slice())));
-        let mut sums: BTreeMap<(u32, &str), [u64; 3]> = BTreeMap::new();
-        let mut reported = HashMap::new();
-        for (i, told) in theirs.chain([(self.config.me, ours.as_slice())]) {
-            for one in told {
-                let now = [one.offered, one.taken, one.refused];
-                let key = (i, one.team, one.class.clone());
-                let before = self.intake.demand.reported.get(&key).copied();
-                let before = before.unwrap_or_default();
-                let sum = sums.entry((one.team, one.class.as_str())).or_default();
-                for k in 0..3 {
-                    sum[k] += now[k].checked_sub(before[k]).unwrap_or(now[k]);
-                }
-                reported.insert(key, now);
-            }
-        }
-        let teams = &self.config.team_names;
-        let known = sums.iter().filter(|s| (s.0.0 as usize) < teams.len());
-        let report = known
-            .map(|(&(team, class), &sum)| (class.to_string(), teams.name(team).to_string(), sum));
-        let report = report.filter(|r| r.2 != [0; 3]).collect();
-        self.intake.demand.reported = reported;
-        report
-    }
-
-    /// What has become of submissions here.
-    pub(crate) fn demand_out(&self) -> Vec<DemandTold> {
-        let flows = &self.mirror.flows;
-        let all = self.intake.demand.counts.iter();
-        all.map(|(&flow, &[offered, taken, refused])| DemandTold {
-            class: flows.class(flow).into(),
-            team: flows.team(flow),
-            offered,
-            taken,
-            refused,
-        })
-        .collect()
-    }
-}
--- a/crates/cherryyard-core/src/admission/mod.rs
+++ b/crates/cherryyard-core/src/admission/mod.rs
@@ -4,6 +4,7 @@
 //! [`shares`] says what each flow is due, [`standing`] whether it has it, and
 //! [`ledger`] how owners act on that together without doing too much.
 
+pub(crate) mod demand;
 pub mod fair;
 pub mod flows;
 pub mod intake;
--- a/crates/cherryyard-core/src/admission/rights.rs
+++ b/crates/cherryyard-core/src/admission/rights.rs
@@ -46,6 +46,8 @@
     sent: VecDeque<(u64, Millis)>,
     /// The last message heard of each other controller, and when.
     heard: BTreeMap<usize, (u64, Millis)>,
+    /// When the last of our messages went that each of them has named.
+    named: BTreeMap<usize, Millis>,
 }
 
 fn amount(cores: f64) -> Amount {
@@ -286,6 +288,11 @@
         }
     }
 
+    /// When the last of our messages went that another controller has named.
+    pub(crate) fn named_at(&self, i: usize) -> Option<Millis> {
+        self.rights.named.get(&i).copied()
+    }
+
     /// Whether a flow goes ahead, as far as is known here.
     pub(crate) fn is_ahead(&self, flow: Flow, now: Millis) -> bool {
         let window = self.config.tuning.admission.window_s * 1000.0;
@@ -369,6 +376,13 @@
         self.rights.heard.insert(i, (beat.number, now));
         let me = self.config.me as u32;
         let named = beat.heard.iter().find(|h| h.0 == me).map(|h| h.1);
+        // When our message went that it had last heard of.
+        let sent = self.rights.sent.iter().find(|s| Some(s.0) == named);
+        let from = sent.map(|s| s.1);
+        if let Some(from) = from {
+            let known = self.rights.named.entry(i).or_insert(from);
+            *known = known.max(from);
+        }
         if self.leader.leads(&self.mirror) {
             let label = &self.config.labels[i];
             let owns = |p: usize| self.mirror.parts[p].as_ref().map(|c| &c.label) == Some(label);
@@ -382,9 +396,6 @@
         if !self.leader.is_label(&self.mirror, &beat.label) {
             return;
         }
-        // When our message went that the leader had last heard of.
-        let sent = self.rights.sent.iter().find(|s| Some(s.0) == named);
-        let from = sent.map(|s| s.1);
         self.rights.told_at = Some(now);
         let mut ahead = Vec::new();
         for share in &beat.shares {
--- a/crates/cherryyard-core/src/mirror/arrivals.rs
+++ b/crates/cherryyard-core/src/mirror/arrivals.rs
@@ -1,10 +1,11 @@
 //! Pages of new jobs in the mirror, and the transactions that change them.
 //!
-//! Every new job comes by the last page, or by a new one after it. Such a transaction
-//! depends on the last page's stamp and on there being none after it. So whoever adds
-//! a job has seen all that were added before, whoever added them, and no job comes
-//! twice: that is why no condition on the job itself is needed, and why one put can
-//! carry many. The last page is never deleted.
+//! A new job comes by the last page, or by a new one after it; or, where jobs have
+//! records of their own, by such a record. All these transactions depend on the last
+//! page's stamp and on there being none after it, and on the absence of a record of the
+//! job's own. So whoever adds a job has seen all that were added by pages before, and
+//! that it was not added otherwise: no job comes twice. One put can carry many, and
+//! records do not get into each other's way. The last page is never deleted.
 //!
 //! What is stored of a job elsewhere, in a record of its own or in a bucket, counts
 //! instead of its page: its end, or a division that has changed. A job without such a
@@ -14,7 +15,7 @@
 use super::{Mirror, OpenJob};
 use crate::Config;
 use cherryyard_wire::arrivals::{Arrival, ArrivalsRecord, Rest};
-use cherryyard_wire::record::{Key, arrivals_key};
+use cherryyard_wire::record::{BUCKETS, Key, arrivals_key};
 use cherryyard_wire::state::{Apply, Commit, Json};
 use std::collections::BTreeSet;
 
@@ -189,6 +190,10 @@
         let (mut page, mut draft) = drafted.unwrap_or((after, Draft::default()));
         let mut added = 0;
         for (job, open) in jobs {
+            // Its own condition, and the two on pages.
+            if self.format < BUCKETS && commit.when.len() + 3 > config.txn_ops * 4 {
+                break;
+            }
             if !draft.push(job, open, most) {
                 if added > 0 || draft.record.j.is_empty() {
                     break;
@@ -200,17 +205,26 @@
                 }
             }
             added += 1;
+            if self.format < BUCKETS {
+                self.require(commit, Key::Job(job));
+            }
         }
-        if let Some(last) = last {
-            self.require(commit, Key::Arrivals(last));
-        }
-        self.require(commit, Key::Arrivals(after));
+        self.require_pages(commit);
         if added > 0 {
             commit.apply.push(draft.apply(page));
         }
         added
     }
 
+    /// Adds the conditions that no job has come by a page that is not known here.
+    pub(crate) fn require_pages(&self, commit: &mut Commit) {
+        let last = self.arrivals.last_key_value().map(|(&page, _)| page);
+        if let Some(last) = last {
+            self.require(commit, Key::Arrivals(last));
+        }
+        self.require(commit, Key::Arrivals(last.map_or(0, |page| page + 1)));
+    }
+
     /// Adds to a transaction what writes a page anew with these jobs changed; false if
     /// it has no room for that.
     pub(crate) fn rewrite_page(
--- a/crates/cherryyard-core/src/node.rs
+++ b/crates/cherryyard-core/src/node.rs
@@ -1,5 +1,6 @@
 //! One controller: claims, reports, beats, and what ties the rest together.
 
+use crate::admission::demand::Demand;
 use crate::admission::intake::Intake;
 use crate::admission::rights::Rights;
 use crate::cancelled::Cancelled;
@@ -64,12 +65,16 @@
     pub(crate) user_pace: Pace,
     /// Machines whose marks rounds have looked at so far: what rounds cost.
     pub looked: u64,
+    /// Waiting jobs that rounds have looked at so far.
+    pub looked_jobs: u64,
     /// Cancellations that are told and were told.
     pub(crate) cancelled: Cancelled,
     /// Floors, and rights by them.
     pub(crate) rights: Rights,
     /// Submissions on their way into the state service.
     pub(crate) intake: Intake,
+    /// What has become of submissions here.
+    pub(crate) demand: Demand,
     /// Whether accounts of core-seconds are kept.
     pub accounting: bool,
     /// Time of day less steady clock, in milliseconds.
@@ -110,9 +115,11 @@
             strays: BTreeMap::new(),
             user_pace: Pace::new(config.user_writes_per_s / config.parts() as f64, now),
             looked: 0,
+            looked_jobs: 0,
             cancelled: Cancelled::new(now),
             rights: Rights::new(number),
             intake: Intake::new(&config, now),
+            demand: Demand::new(),
             accounting: config.tuning.account || tracing::enabled!(tracing::Level::DEBUG),
             wall_offset: 0.0,
             config,
--- a/crates/cherryyard-core/src/owner/mod.rs
+++ b/crates/cherryyard-core/src/owner/mod.rs
@@ -12,6 +12,7 @@
 mod returns;
 mod room;
 mod round;
+mod search;
 pub(crate) mod state;
 
 use crate::Millis;
--- a/crates/cherryyard-core/src/owner/preempt.rs
+++ b/crates/cherryyard-core/src/owner/preempt.rs
@@ -1,6 +1,6 @@
 //! Preemption: which less important work makes room.
 
-use super::place::Search;
+use super::search::Search;
 use super::*;
 use crate::admission::flows::Flow;
 
--- a/crates/cherryyard-core/src/users.rs
+++ b/crates/cherryyard-core/src/users.rs
@@ -4,8 +4,10 @@
 use crate::node::Node;
 use cherryyard_wire::state::Commit;
 
-/// Part of users' writes that is the leader's.
-const LEADERS_PART: f64 = 0.6;
+/// Part of its users' writes that a controller lends to the leader.
+const LENT_PART: f64 = 0.6;
+/// How long a leader goes by what a controller has last named.
+const LENT_MS: f64 = 2000.0;
 /// How long a leader goes by what it last saw of its claim.
 const LEADS_MS: f64 = 3000.0;
 
@@ -17,18 +19,30 @@
 
 impl Node {
     /// Sets the rate at which this controller may make users' writes, which leave room
-    /// for claims and marks. The leader, to whom submissions are passed on, has most of
-    /// the budget; each controller has a small part of the rest, whoever leads.
+    /// for claims and marks. Each has an even part of the budget, and lends most of it to
+    /// the leader, to whom submissions are passed on, while the two hear each other.
     ///
-    /// Two never have the leader's part at once: a leader uses it only for a time after
-    /// it last saw itself lead, and its successor not before that time has passed.
+    /// No part is used twice. A leader uses what a controller lends for a time after it
+    /// sent the last message that this one has named; the lender takes it back a longer
+    /// time after it heard that message. And a leader uses anything lent only for a time
+    /// after it last saw itself lead, its successor not before that time has passed.
     pub(crate) fn set_user_rate(&mut self, now: Millis) {
-        let all = self.config.user_writes_per_s;
-        let mut rate = all * (1.0 - LEADERS_PART) / self.parts.len() as f64;
-        let seen = now - self.seen_at <= LEADS_MS && self.caught_up();
-        if self.leader.leads(&self.mirror) && seen && now - self.leader.since >= LEADS_MS * 1.01 {
-            rate += all * LEADERS_PART;
-        }
+        let even = self.config.user_writes_per_s / self.parts.len() as f64;
+        let me = self.config.me;
+        let rate = if self.leader.leads(&self.mirror) {
+            let seen = now - self.seen_at <= LEADS_MS && self.caught_up();
+            let waited = now - self.leader.since >= LEADS_MS * 1.01;
+            let lends = |i: &usize| self.named_at(*i).is_some_and(|at| now - at <= LENT_MS);
+            let lenders = (0..self.parts.len()).filter(|&i| i != me).filter(lends);
+            let lenders = if seen && waited { lenders.count() } else { 0 };
+            even * (1.0 + LENT_PART * lenders as f64)
+        } else {
+            let label = self.mirror.lead.as_ref().map(|c| &c.label);
+            let leader = self.config.labels.iter().position(|l| Some(l) == label);
+            let heard = leader.and_then(|i| self.peers[i].as_ref());
+            let lent = heard.is_some_and(|p| now - p.heard_at <= LENT_MS * 1.25);
+            even * if lent { 1.0 - LENT_PART } else { 1.0 }
+        };
         self.user_pace.set_rate(rate, now);
     }
 
--- a/crates/cherryyard/src/app/asks.rs
+++ b/crates/cherryyard/src/app/asks.rs
@@ -27,7 +27,7 @@
             let to = self.peers.get(whom)?;
             let patience = if n.state_fresh(now) {
                 // Where many wait there, to write it here too would only be in the way.
-                ASK_PATIENCE + Duration::from_millis(2 * n.intake_ms(whom).min(1000))
+                ASK_PATIENCE + Duration::from_millis(2 * n.intake_ms(whom).min(200))
             } else {
                 ASK_ONLY_PATIENCE
             };
