--- a/crates/cherryyard-core/src/admission/queue.rs
+++ b/crates/cherryyard-core/src/admission/queue.rs
@@ -185,7 +185,7 @@
         for late in &mut self.late {
             while let Some(&(at, job)) = late.jobs.first() {
                 let cost = cores(job);
-                if late.owed < cost {
+                if late.owed + 1e-6 < cost {
                     // What is saved up is worth one job.
                     late.owed = late.owed.min(cost);
                     break;
