--- a/crates/cherryyard-core/src/account.rs
+++ b/crates/cherryyard-core/src/account.rs
@@ -313,7 +313,7 @@
                 Went::Excluded
             } else if !needs.fits(&free) {
                 Went::Fragments
-            } else if trouble.is_some_and(|t| t.until > now) {
+            } else if trouble.is_some_and(|t| t.held_off(now)) {
                 Went::Troubled
             } else if at_limit {
                 Went::Limits
--- a/crates/cherryyard-core/src/beats.rs
+++ b/crates/cherryyard-core/src/beats.rs
@@ -89,9 +89,9 @@
                 self.leader.hear(report.clone(), now);
             }
         }
-        self.strays.retain(|_, at| now - *at < 4000.0);
+        self.strays.retain(|_, stray| now - stray.at < 4000.0);
         let mut strays: Vec<(u32, u32)> = Vec::new();
-        for (p, _) in self.strays.keys() {
+        for ((p, _), _) in self.strays.iter().filter(|s| s.1.hears) {
             match strays.last_mut() {
                 Some(last) if last.0 == *p as u32 => last.1 += 1,
                 _ => strays.push((*p as u32, 1)),
--- a/crates/cherryyard-core/src/effects.rs
+++ b/crates/cherryyard-core/src/effects.rs
@@ -70,6 +70,13 @@
         /// The commands.
         request: DoRequest,
     },
+    /// Ask a machine directly for its report.
+    Ask {
+        /// The machine.
+        host: u32,
+        /// Its address.
+        addr: String,
+    },
     /// Tell the other controllers at once.
     Beat,
     /// What has become of the submission with this number.
--- a/crates/cherryyard-core/src/lib.rs
+++ b/crates/cherryyard-core/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod pages;
 pub mod parting;
 mod peers;
+pub mod reach;
 mod reports;
 pub mod tenancy;
 mod users;
--- a/crates/cherryyard-core/src/machine.rs
+++ b/crates/cherryyard-core/src/machine.rs
@@ -1,9 +1,10 @@
 //! One machine as its part's owner sees it.
 
 use crate::Millis;
+use crate::reach::{Reach, ReachEvent};
 use cherryyard_wire::cloud::HostEntry;
 use cherryyard_wire::worker::{Cause, PieceReport, PieceStatus, Report, piece_numbers};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// How long after the time it was told a recalled machine counts as taken.
 const TAKEN_MS: f64 = 1000.0;
@@ -139,6 +140,16 @@
     pub heard_at: Millis,
     /// When a report of it was last answered 200.
     pub answered_at: Millis,
+    /// Whether what we send it arrives.
+    pub reach: Reach,
+    /// When it was last asked directly, and what was the newest message then.
+    pub(crate) asked: (Millis, (u64, u64)),
+    /// Whether a question is under way.
+    pub(crate) asking: bool,
+    /// Reports in a row that were older than one before them.
+    pub(crate) old_in_a_row: u32,
+    /// Attempts up to this one are of a life before: the worker began anew.
+    pub(crate) born_after: u64,
     /// Starts sent directly whose fate is not known.
     pub pushed: Vec<PushedStart>,
     /// Starts in the answer to the newest report.
@@ -151,8 +162,11 @@
     pub images: Vec<Image>,
     /// Not used for new tasks before this time, after failures.
     pub avoid_until: Millis,
-    /// Failures without a completion in between.
+    /// Failures without a completion in between of jobs that complete elsewhere.
     pub failures: u32,
+    /// Jobs that have failed here and have yet to complete anything: they or the
+    /// machine may be at fault.
+    pub(crate) suspected: BTreeSet<u64>,
     /// When it last had a task.
     pub busy_at: Millis,
     /// When it may be released again after a failed try.
@@ -182,6 +196,11 @@
             recall_at: None,
             heard_at: now,
             answered_at: now,
+            reach: Reach::Hears(0),
+            asked: (f64::NEG_INFINITY, (0, 0)),
+            asking: false,
+            old_in_a_row: 0,
+            born_after: 0,
             pushed: Vec::new(),
             offered: Vec::new(),
             pushing: false,
@@ -189,6 +208,7 @@
             images: Vec::new(),
             avoid_until: 0.0,
             failures: 0,
+            suspected: BTreeSet::new(),
             busy_at: now,
             release_after: now,
             since: now,
@@ -247,8 +267,10 @@
     pub fn hear(&mut self, report: &Report, own_token: u64, now: Millis) -> Heard {
         let order = (report.tenure, report.tick);
         if order <= self.newest {
+            self.old_in_a_row += 1;
             return Heard::Old;
         }
+        self.old_in_a_row = 0;
         if self.tells_the_same(report, own_token) {
             self.newest = order;
             self.heard_at = now;
@@ -263,7 +285,21 @@
             let (session, token_rose) = (report.tenure, report.baton > self.token);
             self.pushed.retain(|p| p.session >= session && !token_rose);
         }
+        if report.baton == own_token && self.token < own_token {
+            self.reached(ReachEvent::Reflected, now);
+        } else if report.baton < own_token && self.confirmed_token == own_token {
+            // The last one was answered with our token.
+            self.reached(ReachEvent::Missed, now);
+        } else if report.tenure > self.newest.0 && self.newest.0 > 0 {
+            self.reached(ReachEvent::NewSession, now);
+        }
         self.newest = order;
+        self.take(report, own_token, now);
+        Heard::New
+    }
+
+    /// Takes over what a message tells.
+    fn take(&mut self, report: &Report, own_token: u64, now: Millis) {
         self.token = report.baton;
         self.confirmed_token = own_token;
         self.heard_at = now;
@@ -289,9 +325,85 @@
         if report.baton == own_token {
             self.change(HostEvent::Confirmed);
         }
+    }
+
+    /// The one place through which its reach changes.
+    pub(crate) fn reached(&mut self, event: ReachEvent, now: Millis) {
+        let after = self.reach.after(event, now);
+        match (self.reach, after) {
+            (Reach::Doubted(_), Reach::Unreachable(_)) => {
+                tracing::info!(machine = %self.addr, "a machine reports, but what we send it does not arrive");
+            }
+            (Reach::Unreachable(since), Reach::Hears(_)) => {
+                tracing::info!(machine = %self.addr, after_ms = now - since, "a machine hears us again");
+            }
+            _ => {}
+        }
+        self.reach = after;
+    }
+
+    /// Takes a newer report's word for what the last answer brought about.
+    pub(crate) fn check_offered(&mut self, now: Millis) {
+        let offered = std::mem::take(&mut self.offered);
+        if offered.is_empty() {
+            return;
+        }
+        let shown = |(task, attempt): &(Task, u64)| {
+            self.seen.get(task).is_some_and(|s| s.attempt == *attempt)
+        };
+        let event = if offered.iter().all(shown) {
+            ReachEvent::Reflected
+        } else {
+            ReachEvent::Missed
+        };
+        self.reached(event, now);
+    }
+
+    /// Takes the answer to a direct question, which no late copy can be: the connection
+    /// was made for it. The worker numbers it after all that it sent before, so one that
+    /// comes before what was known when it was asked is of a worker that began anew:
+    /// whatever was started there before, up to this attempt, is gone with its
+    /// process. Only starts sent directly may yet arrive, if the sessions' numbers agree.
+    pub(crate) fn answered(
+        &mut self,
+        report: &Report,
+        token: u64,
+        last: u64,
+        now: Millis,
+    ) -> Heard {
+        self.reached(ReachEvent::Reflected, now);
+        let order = (report.tenure, report.tick);
+        if order >= self.asked.1 {
+            return self.hear(report, token, now);
+        }
+        tracing::info!(machine = %self.addr, session = report.tenure, before = self.newest.0, "a worker began anew");
+        self.pushed.retain(|p| p.session >= report.tenure);
+        self.offered.clear();
+        self.runs.clear();
+        self.images.clear();
+        self.born_after = last;
+        self.newest = order;
+        self.old_in_a_row = 0;
+        self.change(HostEvent::TokenChanged);
+        self.take(report, token, now);
         Heard::New
     }
 
+    /// Whether it is to be asked directly now.
+    pub(crate) fn ask_due(&self, lost_ms: f64, now: Millis) -> bool {
+        let since = now - self.asked.0;
+        let doubt =
+            self.reach.ask_ms().is_some_and(|ms| since >= ms) && now - self.heard_at < lost_ms;
+        // A copy that came late, or a worker that began anew: only it can tell.
+        let old = self.old_in_a_row >= 2 && since >= 1000.0;
+        !self.asking
+            && (doubt || old)
+            && matches!(
+                self.state,
+                HostState::Unconfirmed | HostState::Ready | HostState::Expired
+            )
+    }
+
     /// Keeps the times of tasks that go on running, or have just ended.
     fn note_runs(&mut self, now: Millis) {
         let seen = &self.seen;
@@ -350,6 +462,9 @@
         if self.lease_over && session <= self.newest.0 {
             return true;
         }
+        if self.born_after > 0 && self.of_life_before(task, session, attempt) {
+            return true;
+        }
         match self.state {
             HostState::Gone => true,
             HostState::Unconfirmed | HostState::Expired => false,
@@ -368,6 +483,19 @@
         }
     }
 
+    /// Whether an attempt was of the worker's life before, and nothing of it is left.
+    /// The worker shows our token: of older owners nothing can arrive any more.
+    fn of_life_before(&self, task: Task, session: u64, attempt: u64) -> bool {
+        matches!(self.state, HostState::Ready | HostState::Returning)
+            && self.token_ours()
+            && (session > self.newest.0 || attempt <= self.born_after)
+            && !self.start_pending(task, attempt)
+            && self
+                .seen
+                .get(&task)
+                .is_none_or(|s| s.attempt != attempt || s.ended())
+    }
+
     /// Whether the newest message carried the token that is ours now.
     pub fn token_ours(&self) -> bool {
         self.confirmed_token != 0 && self.token == self.confirmed_token
@@ -405,6 +533,7 @@
     /// Whether new tasks may be placed here.
     pub fn usable(&self, now: Millis, silence_ms: f64) -> bool {
         self.state == HostState::Ready
+            && self.reach.hears()
             && self.recall_at.is_none()
             && now - self.heard_at <= silence_ms
             && now >= self.avoid_until
--- a/crates/cherryyard-core/src/node.rs
+++ b/crates/cherryyard-core/src/node.rs
@@ -10,7 +10,7 @@
 use crate::machine::{HostEvent, HostState, Machine};
 use crate::owner::state::Part;
 use crate::pace::Pace;
-use crate::peers::PeerState;
+use crate::peers::{PeerState, Stray};
 use crate::tenancy::{Tenancy, TenancyEvent};
 use crate::{Config, Millis, Mirror};
 use cherryyard_wire::cloud::{HostEntry, HostKind};
@@ -59,8 +59,8 @@
     pub(crate) clock: Millis,
     /// When this controller last started, or went on after it had stood still.
     pub(crate) woke_at: Millis,
-    /// Workers of others' parts that reported here: by part and name, when.
-    pub(crate) strays: BTreeMap<(usize, String), Millis>,
+    /// Workers of others' parts that reported here, by part and machine.
+    pub(crate) strays: BTreeMap<(usize, u32), Stray>,
     /// Users' writes that this controller may make.
     pub(crate) user_pace: Pace,
     /// Machines whose marks rounds have looked at so far: what rounds cost.
--- a/crates/cherryyard-core/src/owner/mod.rs
+++ b/crates/cherryyard-core/src/owner/mod.rs
@@ -4,6 +4,7 @@
 //! collects what reports prove, places waiting numbers, and writes both in one
 //! transaction; orders are then the difference between marks and reports.
 
+mod blame;
 mod images;
 mod orders;
 mod place;
@@ -23,6 +24,7 @@
 use crate::needs::Needs;
 use crate::node::Node;
 use crate::pages::{Mark, Page};
+use crate::reach::Reach;
 use crate::tenancy::Tenancy;
 use cherryyard_wire::cloud::{HostEntry, HostStatus};
 use cherryyard_wire::job::{Rank, Shape};
@@ -89,6 +91,7 @@
             self.parts[p].unheard_at = now;
             self.return_unheard(p, now);
         }
+        self.ask_machines(p, now);
         self.push_due(p, now);
     }
 
@@ -198,25 +201,12 @@
             Outcome::Applied(_) => {
                 self.room_changed = true;
                 for (job, host) in pending.done {
-                    self.parts[p].trouble.remove(&job);
-                    if let Some(m) = self.machines.get_mut(&host) {
-                        m.failures = 0;
-                    }
+                    self.note_done(p, job, host);
                 }
                 for (job, host) in pending.failed {
-                    // A machine or a job that fails is left alone for a while,
-                    // longer each time, so that a job which fails everywhere
-                    // neither spins nor empties the fleet.
-                    if let Some(m) = self.machines.get_mut(&host) {
-                        m.failures += 1;
-                        m.avoid_until = now + 5000.0 * f64::from(1u32 << m.failures.min(5));
-                    }
-                    let t = self.parts[p].trouble.entry(job).or_default();
-                    t.fails += 1;
-                    if t.fails >= 3 {
-                        t.until = now + 1000.0 * f64::from(1u32 << (t.fails - 3).min(5));
-                    }
+                    self.note_failed(p, job, host, now);
                 }
+                self.forget_troubles(p, now);
                 for host in pending.hosts {
                     self.note_images(host);
                     self.push(host, now);
--- a/crates/cherryyard-core/src/owner/orders.rs
+++ b/crates/cherryyard-core/src/owner/orders.rs
@@ -80,7 +80,10 @@
                 }
             }
         }
-        if fresh && owned && m.recall_at.is_none_or(|at| at - now > 60_000.0) {
+        // To one that does not hear us no start is sent: only then a report without the
+        // task proves that it is not there.
+        let hears = !matches!(m.reach, Reach::Unreachable(_));
+        if fresh && owned && hears && m.recall_at.is_none_or(|at| at - now > 60_000.0) {
             for (task, mark) in self.mirror.on_host(host) {
                 if mark.session == m.newest.0
                     && !m.seen.contains_key(&task)
@@ -105,7 +108,11 @@
         let Tenancy::Owned(token) = self.parts[m.part].tenancy else {
             return;
         };
-        if m.pushing || now < m.push_after || now - m.heard_at > self.silence_ms() {
+        if m.pushing
+            || now < m.push_after
+            || now - m.heard_at > self.silence_ms()
+            || matches!(m.reach, Reach::Unreachable(_))
+        {
             return;
         }
         let orders = self.orders(host, now, false);
--- a/crates/cherryyard-core/src/owner/place.rs
+++ b/crates/cherryyard-core/src/owner/place.rs
@@ -1,5 +1,6 @@
 //! Placement: which waiting number goes to which machine.
 
+use super::blame::Trouble;
 use super::search::{Looks, Search};
 use super::*;
 use crate::admission::flows::Flow;
@@ -173,10 +174,21 @@
                 continue;
             }
             let team = open.team as usize;
-            let trouble = self.parts[p].trouble.get(job).copied().unwrap_or_default();
-            if trouble.until > now {
+            let trouble = self.parts[p].trouble.get(job);
+            if trouble.is_some_and(|t| t.held_off(now)) {
                 continue;
             }
+            // Of a job that fails everywhere one task at a time is tried.
+            let blamed = trouble.is_some_and(Trouble::blamed);
+            let tried = || {
+                let marks = self.mirror.marks.get(&(p, *job));
+                marks.is_some_and(|m| m.marks.len() > round.gone_of(*job))
+            };
+            if blamed && tried() {
+                continue;
+            }
+            // Elsewhere than where it failed, while that may tell whose fault it is.
+            let failed_on = trouble.filter(|t| !t.blamed()).map(|t| t.hosts.clone());
             let limited = self.config.teams[team].limited().then_some(team as u32);
             if self.beyond_grant(p, team as u32, &used, &needs) {
                 continue;
@@ -229,7 +241,8 @@
                             // A spot machine may be taken with its work: only for
                             // what finds no other room.
                             let tier = open.tier(&m.kind, &m.zone, m.spot);
-                            (Reverse(tier), image, !m.spot)
+                            let failed = failed_on.as_ref().is_some_and(|f| f.contains(&r.0));
+                            (!failed, Reverse(tier), image, !m.spot)
                         };
                         key(a)
                             .cmp(&key(b))
@@ -322,6 +335,9 @@
                         continue 'jobs;
                     }
                 }
+                if blamed {
+                    continue 'jobs;
+                }
             }
             if !unplaced.is_empty() && self.may_preempt(&self.mirror.open[job], &preemptible) {
                 let job = *job;
--- a/crates/cherryyard-core/src/owner/returns.rs
+++ b/crates/cherryyard-core/src/owner/returns.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// How much longer than its lease a machine may fail to hear us before it is returned.
+const UNREACHABLE_MS: f64 = 30_000.0;
+
 impl Node {
     /// Machines to return: dead, never up, silent, or of no use.
     pub(crate) fn return_listed(&mut self, now: Millis) {
@@ -20,6 +23,13 @@
                 s.1 += whole.cores;
             }
         }
+        // Where many do not hear us, the fault is between us and them.
+        let mut unreachable: HashMap<usize, (usize, usize)> = HashMap::new();
+        for m in self.machines.values() {
+            let n = unreachable.entry(m.part).or_default();
+            n.0 += usize::from(matches!(m.reach, Reach::Unreachable(_)));
+            n.1 += 1;
+        }
         let lease = self.config.lease_ms;
         let mut names: Vec<&String> = self.listed.keys().collect();
         names.sort();
@@ -49,7 +59,13 @@
                 {
                     Some("silent")
                 }
-                Some(m) if m.failures >= 4 => Some("failing"),
+                Some(m) if m.failures() >= blame::FAULTY => Some("failing"),
+                Some(m)
+                    if self.long_unreachable(m, now)
+                        && unreachable.get(&p).is_some_and(|n| n.0 <= (n.1 / 5).max(1)) =>
+                {
+                    Some("does not hear us")
+                }
                 Some(m) => {
                     let (free, whole) = spare.get(&p).copied().unwrap_or_default();
                     let cores = self.whole(m).map_or(0.0, |w| w.cores);
@@ -94,6 +110,11 @@
         self.return_unlisted(now);
     }
 
+    /// Whether a machine has not heard us for so long that it is of no use.
+    fn long_unreachable(&self, m: &Machine, now: Millis) -> bool {
+        matches!(m.reach, Reach::Unreachable(since) if now - since > self.config.lease_ms + UNREACHABLE_MS)
+    }
+
     /// A machine that has fallen silent with replicas on it is released at
     /// once: the answer proves them gone well before the lease would, if the
     /// machine is dead. Arrays wait for the lease, as their machine may come
@@ -192,7 +213,13 @@
             match self.machines.get(&host) {
                 Some(m) if m.part != p => {}
                 Some(m) if m.token_ours() || m.state == HostState::Gone => all += 1,
-                Some(m) if now - m.heard_at < limit || now < m.release_after => all += 1,
+                Some(m) if now < m.release_after => all += 1,
+                // It reports, but does not hear us: it will never show our token.
+                Some(m)
+                    if now - m.heard_at < limit && !matches!(m.reach, Reach::Unreachable(_)) =>
+                {
+                    all += 1;
+                }
                 _ if self.mirror.part_of_mark(host) == Some(p) => {
                     all += 1;
                     unheard.push(host);
--- a/crates/cherryyard-core/src/owner/round.rs
+++ b/crates/cherryyard-core/src/owner/round.rs
@@ -166,6 +166,11 @@
         true
     }
 
+    /// How many of a job's marks this round takes out.
+    pub fn gone_of(&self, job: u64) -> usize {
+        self.gone.iter().filter(|task| task.0 == job).count()
+    }
+
     /// Whether this round ends the job.
     fn end(&mut self, job: u64) {
         if self.fits(1, 1) {
@@ -203,6 +208,7 @@
         let may_start = m.state == HostState::Ready
             && m.newest.0 == mark.session
             && !m.lease_over
+            && !matches!(m.reach, Reach::Unreachable(_))
             && m.recall_at.is_none_or(|at| at - now > 60_000.0);
         if open && may_start {
             Fate::Keep
@@ -241,7 +247,9 @@
                 };
                 let fate = self.fate(job, number, &mark, now);
                 if matches!(fate, Fate::Keep) {
-                    blocked |= !self.mirror.open.contains_key(&job)
+                    let m = self.machines.get(&host);
+                    let of_life_before = m.is_some_and(|m| mark.attempt <= m.born_after);
+                    blocked |= (of_life_before || !self.mirror.open.contains_key(&job))
                         && self.blocked_by_push(job, number, &mark, now);
                     continue;
                 }
--- a/crates/cherryyard-core/src/owner/state.rs
+++ b/crates/cherryyard-core/src/owner/state.rs
@@ -1,5 +1,6 @@
 //! What an owner remembers of a part.
 
+use super::blame::Trouble;
 use crate::Millis;
 use crate::account::Account;
 use crate::admission::queue::Queues;
@@ -16,13 +17,6 @@
     pub(crate) until: Millis,
 }
 
-/// A job's failures in a part.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct JobTrouble {
-    pub(crate) fails: u32,
-    pub(crate) until: Millis,
-}
-
 /// What a round will do once its transaction is durable.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Pending {
@@ -60,7 +54,7 @@
     pub(crate) preempted: HashMap<Task, Preempted>,
     /// Machines kept for a task that others were stopped for.
     pub(crate) reserved: BTreeMap<u32, (Task, Millis)>,
-    pub(crate) trouble: HashMap<u64, JobTrouble>,
+    pub(crate) trouble: HashMap<u64, Trouble>,
     /// Services kept back for a moment, for the leader to move.
     pub(crate) handing: BTreeSet<u64>,
     /// What waits, in the order of service.
--- a/crates/cherryyard-core/src/peers.rs
+++ b/crates/cherryyard-core/src/peers.rs
@@ -15,3 +15,16 @@
     /// Up to when we know of all cancellations that it has taken.
     pub covered_to: Millis,
 }
+
+/// A worker of another's part that reported here.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Stray {
+    /// When it last did.
+    pub(crate) at: Millis,
+    /// When it was asked whether it hears.
+    pub(crate) asked_at: Millis,
+    /// Whether the question is under way.
+    pub(crate) asking: bool,
+    /// Whether it has answered.
+    pub(crate) hears: bool,
+}
--- a/crates/cherryyard-core/src/reports.rs
+++ b/crates/cherryyard-core/src/reports.rs
@@ -2,11 +2,18 @@
 
 use crate::Millis;
 use crate::effects::{Effect, PushOutcome, Reply};
-use crate::machine::{Heard, HostState};
+use crate::machine::{Heard, HostState, Machine};
 use crate::node::Node;
+use crate::peers::Stray;
+use crate::reach::ReachEvent;
 use crate::tenancy::Tenancy;
 use cherryyard_wire::worker::{DoRequest, Order, Report, ReportAnswer};
 
+/// Questions to machines under way at once.
+const ASKS: usize = 16;
+/// How much longer than its lease a silent machine is still asked.
+const LOST_MS: f64 = 15_000.0;
+
 impl Node {
     /// The token under which reports of part `p` are answered now, if any.
     fn answering(&self, p: usize, now: Millis) -> Option<u64> {
@@ -43,14 +50,40 @@
             .filter(|label| *label != self.config.labels[self.config.me])
     }
 
+    /// Notes that a worker of another's part reports here. It may have lost its owner, or
+    /// hear nobody, and roam from one to the next: then no other owner would do better.
+    /// So it is asked, unless the owner has ended anyway.
+    fn note_stray(&mut self, p: usize, report: &Report, now: Millis) {
+        if self.strays.len() >= 1000 || report.host.len() > 100 {
+            return;
+        }
+        let owner = self.owner_elsewhere(p, now);
+        let owner = owner.and_then(|label| self.config.labels.iter().position(|l| *l == label));
+        let alive = owner.and_then(|i| self.peers[i].as_ref());
+        let alive = alive.is_some_and(|peer| now - peer.heard_at < 2000.0);
+        let asking = self.strays.values().filter(|s| s.asking).count();
+        let host = self.mirror.hosts.intern(&report.host);
+        let stray = self.strays.entry((p, host)).or_insert(Stray {
+            at: now,
+            asked_at: f64::NEG_INFINITY,
+            asking: false,
+            hears: false,
+        });
+        stray.at = now;
+        if alive && !stray.hears && !stray.asking && asking < ASKS && now - stray.asked_at > 3000.0
+        {
+            (stray.asking, stray.asked_at) = (true, now);
+            let addr = report.addr.clone();
+            self.effects.push(Effect::Ask { host, addr });
+        }
+    }
+
     /// Takes a worker's report.
     pub fn report(&mut self, report: &Report, now: Millis) -> Reply {
         self.notice(now);
         let p = self.config.parting.part(&report.yard, &report.host);
         let Some(token) = self.answering(p, now) else {
-            if self.strays.len() < 1000 && report.host.len() <= 100 {
-                self.strays.insert((p, report.host.clone()), now);
-            }
+            self.note_stray(p, report, now);
             if self.vouches(p, report, now) {
                 tracing::debug!(host = %report.host, "vouch for a lease");
                 return Reply::Answer(ReportAnswer {
@@ -80,12 +113,17 @@
         if machine.state == HostState::Gone {
             return Reply::Unavailable;
         }
-        machine.answered_at = now;
-        let before = machine.state;
+        let before = (machine.state, machine.reach.hears());
         let heard = machine.hear(report, token, now);
+        // The answer to an older report renews the lease, if at all, from when that was
+        // sent, before the newest message: a late copy keeps no dead machine alive.
+        machine.answered_at = match heard {
+            Heard::Old => machine.answered_at.max(machine.heard_at),
+            Heard::Same | Heard::New => now,
+        };
         // A new owner's machines are told of as they come, or the leader gives
         // the part nothing until its next regular report.
-        self.room_changed |= machine.state != before;
+        self.room_changed |= (machine.state, machine.reach.hears()) != before;
         if heard == Heard::Old {
             return Reply::Answer(ReportAnswer {
                 baton: token,
@@ -94,7 +132,7 @@
         }
         // The worker has one report under way at a time, so a newer one shows
         // that the last answer was executed or dropped.
-        machine.offered.clear();
+        machine.check_offered(now);
         if heard == Heard::New {
             self.after_message(host, now);
         }
@@ -127,6 +165,7 @@
         match outcome {
             PushOutcome::Answered(report) => {
                 machine.settle_push(request);
+                machine.reached(ReachEvent::Reflected, now);
                 let Tenancy::Owned(token) = self.parts[p].tenancy else {
                     return;
                 };
@@ -137,10 +176,63 @@
             }
             PushOutcome::Unsent => {
                 machine.settle_push(request);
+                machine.reached(ReachEvent::Missed, now);
                 machine.push_after = now + 500.0;
             }
             // The starts stay pending: they may yet be executed.
-            PushOutcome::Unknown => machine.push_after = now + 1000.0,
+            PushOutcome::Unknown => {
+                machine.reached(ReachEvent::Missed, now);
+                machine.push_after = now + 1000.0;
+            }
+        }
+    }
+
+    /// Asks machines directly whose reports leave something open.
+    pub(crate) fn ask_machines(&mut self, p: usize, now: Millis) {
+        let part = |m: &&mut Machine| m.part == p;
+        let lost_ms = self.config.lease_ms + LOST_MS;
+        let mut left = ASKS.saturating_sub(self.machines.values().filter(|m| m.asking).count());
+        for m in self.machines.values_mut().filter(part) {
+            if left == 0 {
+                return;
+            }
+            if m.ask_due(lost_ms, now) {
+                left -= 1;
+                m.asking = true;
+                m.asked = (now, m.newest);
+                let (host, addr) = (m.host, m.addr.clone());
+                self.effects.push(Effect::Ask { host, addr });
+            }
+        }
+    }
+
+    /// Takes the answer to a direct question, or that there was none.
+    pub fn asked(&mut self, host: u32, answer: Option<&Report>, now: Millis) {
+        self.notice(now);
+        let last = self.mirror.epoch.max(self.newest_epoch) + 1;
+        for (_, stray) in self
+            .strays
+            .iter_mut()
+            .filter(|s| s.0.1 == host && s.1.asking)
+        {
+            (stray.asking, stray.hears) = (false, answer.is_some());
+        }
+        let Some(m) = self.machines.get_mut(&host) else {
+            return;
+        };
+        m.asking = false;
+        let p = m.part;
+        let Tenancy::Owned(token) = self.parts[p].tenancy else {
+            return;
+        };
+        let Some(report) = answer else {
+            m.reached(ReachEvent::NoAnswer, now);
+            self.parts[p].touched.insert(host);
+            return;
+        };
+        self.room_changed |= !m.reach.hears();
+        if m.answered(report, token, last, now) != Heard::Old {
+            self.after_message(host, now);
         }
     }
 }
--- a/crates/cherryyard-io/src/worker.rs
+++ b/crates/cherryyard-io/src/worker.rs
@@ -6,6 +6,25 @@
 use hyper::Method;
 use std::time::Duration;
 
+/// Largest report that is read.
+const MAX_REPORT: usize = 1024 * 1024;
+
+/// Asks a worker for its report.
+pub async fn ask(http: &Http, addr: &str) -> Result<Report, Failure> {
+    let url = format!("http://{addr}/status");
+    let patience = Duration::from_millis(2500);
+    let (status, body) = http
+        .call(Method::GET, &url, None, patience, MAX_REPORT)
+        .await?;
+    match status {
+        200 => parse_object(&body).map_err(|e| {
+            tracing::warn!(addr, "bad answer of a worker: {e}");
+            Failure::Unknown
+        }),
+        _ => Err(Failure::Unknown),
+    }
+}
+
 /// Sends direct commands; 200 and 409 both carry the worker's report.
 pub async fn send(http: &Http, addr: &str, request: &DoRequest) -> Result<Report, Failure> {
     let body = serde_json::to_vec(request).map_err(|_| Failure::Unsent)?;
@@ -16,7 +35,7 @@
             &url,
             Some(body),
             Duration::from_millis(2500),
-            1024 * 1024,
+            MAX_REPORT,
         )
         .await?;
     match status {
--- /dev/null
+++ b/crates/cherryyard-rehearsal/tests/blame.rs
@@ -0,0 +1,120 @@
+//! Jobs submitted with a mistake, and machines that are faulty.
+
+use cherryyard_rehearsal::{Setup, World};
+use std::collections::BTreeSet;
+
+/// A cluster of twelve machines on which tasks run for `run_ms`.
+fn cluster(run_ms: f64, bad: &[&str]) -> World {
+    let mut w = World::new(Setup {
+        machines: vec![("a", 4), ("b", 4), ("c", 4)],
+        ..Setup::default()
+    });
+    for worker in w.workers.values_mut() {
+        worker.run_ms = run_ms;
+        worker.bad_jobs = bad.iter().map(|s| s.to_string()).collect();
+    }
+    w.run(5.0);
+    w
+}
+
+fn starts(w: &World, from: usize, job: &str) -> Vec<String> {
+    let needle = format!("starts {job}/");
+    let lines = w.trace[from..].iter();
+    lines.filter(|l| l.contains(&needle)).cloned().collect()
+}
+
+fn done(w: &mut World, id: &str) -> bool {
+    w.view(1, id)
+        .is_some_and(|v| v.status == cherryyard_wire::job::JobStatus::Done)
+}
+
+/// Three bad arrays fail wherever they run, beside good ones. No machine is returned for
+/// it or left alone, the good ones are served as without them, and what the bad ones
+/// start is counted. Before, four failures returned a machine: one array of forty
+/// emptied the fleet.
+#[test]
+fn bad_jobs_cost_no_machines() {
+    let mut w = cluster(2000.0, &["j-000001", "j-000002", "j-000003"]);
+    for job in 1..=3 {
+        w.submit(&World::spec(&format!("j-00000{job}"), "sweep", 40));
+    }
+    for second in 0..60 {
+        if second % 10 == 0 {
+            let id = format!("j-00001{}", second / 10);
+            w.submit(&World::spec(&id, "sweep", 24));
+        }
+        w.run(1.0);
+        w.list_machines();
+    }
+    w.run(10.0);
+    assert_eq!(w.workers.len(), 12, "{}", w.trace.join("\n"));
+    for job in 0..6 {
+        assert!(done(&mut w, &format!("j-00001{job}")), "j-00001{job}");
+    }
+    for job in 1..=3 {
+        let tries = starts(&w, 0, &format!("j-00000{job}")).len();
+        // A first batch on each part, then one at a time, some seconds apart.
+        assert!((9..=100).contains(&tries), "{tries}");
+    }
+    assert!(w.broken.is_empty(), "{:?}", w.broken);
+}
+
+/// A cancelled bad job is tried no more.
+#[test]
+fn a_cancelled_bad_job_is_over() {
+    let mut w = cluster(2000.0, &["j-000001"]);
+    w.submit(&World::spec("j-000001", "sweep", 40));
+    w.run(20.0);
+    w.cancel(0, "j-000001");
+    w.run(1.0);
+    let from = w.trace.len();
+    w.run(80.0);
+    assert!(starts(&w, from, "j-000001").is_empty());
+}
+
+/// A faulty machine fails whatever it gets. The jobs that it fails complete elsewhere,
+/// none of them is held off, and it is returned.
+#[test]
+fn a_faulty_machine_is_found() {
+    let mut w = cluster(3000.0, &[]);
+    let name = "host-000001".to_string();
+    w.workers.get_mut(&name).unwrap().faulty = true;
+    w.workers.get_mut(&name).unwrap().run_ms = 300.0;
+    for second in 0..60 {
+        if second % 2 == 0 && second < 50 {
+            let id = format!("j-{:06}", second + 1);
+            w.submit(&World::spec(&id, "sweep", 12));
+        }
+        w.run(1.0);
+        w.list_machines();
+    }
+    w.run(5.0);
+    for second in (0..50).step_by(2) {
+        assert!(done(&mut w, &format!("j-{:06}", second + 1)));
+    }
+    assert!(!w.workers.contains_key(&name), "still there");
+    assert_eq!(w.workers.len(), 11);
+}
+
+/// A job that fails a few times everywhere and then runs is served, within the longest
+/// wait; also if its part's owner ends meanwhile and another begins to count anew.
+#[test]
+fn a_job_that_fails_for_a_while_is_served() {
+    for ends in [false, true] {
+        let mut w = cluster(2000.0, &["j-000001"]);
+        w.submit(&World::spec("j-000001", "sweep", 6));
+        w.run(30.0);
+        if ends {
+            w.restart_all();
+            w.run(10.0);
+        }
+        for worker in w.workers.values_mut() {
+            worker.bad_jobs = BTreeSet::new();
+        }
+        let at = w.now;
+        while !done(&mut w, "j-000001") {
+            w.run(1.0);
+            assert!(w.now - at < 48_000.0, "{}", w.trace.join("\n"));
+        }
+    }
+}
--- a/crates/cherryyard/src/app/mod.rs
+++ b/crates/cherryyard/src/app/mod.rs
@@ -116,6 +116,12 @@
                     app.with(|n, now| n.pushed(host, &request, outcome, now));
                 });
             }
+            Effect::Ask { host, addr } => {
+                tokio::spawn(async move {
+                    let answer = worker::ask(&app.workers, &addr).await.ok();
+                    app.with(|n, now| n.asked(host, answer.as_ref(), now));
+                });
+            }
             Effect::ReadLeaf(level, job) => {
                 tokio::spawn(async move {
                     let leaf = app.state.read_leaf(level, job).await;
