--- a/crates/cherryyard-core/src/admission/queue.rs
+++ b/crates/cherryyard-core/src/admission/queue.rs
@@ -83,6 +83,10 @@
     /// Where each flow's look at others goes on.
     cursors: Vec<Option<Place>>,
     late: Vec<Late>,
+    /// What waits, by age, as far as it may not have begun, and whose turn it is for
+    /// that, by flow.
+    ages: Vec<BTreeSet<(u64, u64)>>,
+    oldest: Vec<Option<u64>>,
 }
 
 /// A flow's jobs that cannot make any multiple of their deadlines. They come after all
@@ -107,12 +111,17 @@
         {
             (place.hope, place.work) = (0, 0.0);
         }
+        if self.turn(flow) == Some(place.job) {
+            (place.hope, place.work) = (0, 0.0);
+        }
         let turns = if turns.is_finite() {
             turns.max(0.0) as u64
         } else {
             u64::MAX
         };
-        let since = match self.take(place.job) {
+        let before = self.take(place.job);
+        let came = before.is_none();
+        let since = match before {
             Some(before) => before.since,
             None => {
                 if !place.sweep {
@@ -125,6 +134,11 @@
         if self.flows.len() <= at {
             self.flows.resize_with(at + 1, BTreeSet::new);
             self.cursors.resize(at + 1, None);
+            self.ages.resize_with(at + 1, BTreeSet::new);
+            self.oldest.resize(at + 1, None);
+        }
+        if came {
+            self.ages[at].insert((place.at, place.job));
         }
         self.flows[at].insert(place);
         if turns != u64::MAX {
@@ -148,11 +162,14 @@
 
     /// A job waits no longer.
     pub fn remove(&mut self, job: u64) {
-        if let Some(w) = self.take(job)
-            && let Some(late) = self.late.get_mut(w.flow as usize)
-        {
-            late.jobs.remove(&(w.place.at, job));
-            late.turn.remove(&job);
+        if let Some(w) = self.take(job) {
+            let f = w.flow as usize;
+            if let Some(late) = self.late.get_mut(f) {
+                late.jobs.remove(&(w.place.at, job));
+                late.turn.remove(&job);
+            }
+            self.ages[f].remove(&(w.place.at, job));
+            self.oldest[f].take_if(|oldest| *oldest == job);
         }
         self.unseen.remove(&job);
     }
@@ -199,6 +216,39 @@
         all
     }
 
+    /// Whose turn it is of a flow's jobs that have not begun.
+    pub fn turn(&self, flow: Flow) -> Option<u64> {
+        self.oldest.get(flow as usize).copied().flatten()
+    }
+
+    /// Gives each flow's turn to its oldest job, if it is old enough, that has not
+    /// `begun`; says which jobs are to be set anew.
+    pub fn give_turns(
+        &mut self,
+        old: impl Fn(u64) -> bool,
+        begun: impl Fn(u64) -> bool,
+    ) -> Vec<u64> {
+        let mut changed = Vec::new();
+        for (ages, turn) in self.ages.iter_mut().zip(&mut self.oldest) {
+            let mut next = None;
+            while let Some(&(at, job)) = ages.first() {
+                if !old(at) {
+                    break;
+                }
+                if !begun(job) {
+                    next = Some(job);
+                    break;
+                }
+                ages.remove(&(at, job));
+            }
+            if next != *turn {
+                changed.extend(turn.take().into_iter().chain(next));
+                *turn = next;
+            }
+        }
+        changed
+    }
+
     /// Nothing waits.
     pub fn clear(&mut self) {
         *self = Self::default();
@@ -402,6 +452,37 @@
         assert_eq!(turns, [(10, 2), (20, 1)]);
     }
 
+    /// While small jobs keep coming, the oldest that has not begun goes first once it is
+    /// old enough; when it has, it is in its place again, and the next one's turn comes.
+    #[test]
+    fn the_oldest_that_has_not_begun_goes_first() {
+        let mut q = Queues::default();
+        let set = |q: &mut Queues, job: u64| {
+            let work = if job < 3 { 900.0 } else { 1.0 };
+            let place = Place {
+                at: job * 10,
+                ..place(job, Rank::High, work)
+            };
+            q.set(0, place, f64::INFINITY, 0.0);
+        };
+        (1..6).for_each(|job| set(&mut q, job));
+        assert_eq!(order(&mut q.line()), [3, 4, 5, 1, 2]);
+        assert!(
+            q.give_turns(|at| at < 10, |_| false).is_empty(),
+            "too young"
+        );
+        assert_eq!(q.give_turns(|at| at <= 20, |_| false), [1]);
+        set(&mut q, 1);
+        assert_eq!(order(&mut q.line()), [1, 3, 4, 5, 2]);
+        let changed = q.give_turns(|at| at <= 20, |job| job == 1);
+        assert_eq!(changed, [1, 2]);
+        changed.into_iter().for_each(|job| set(&mut q, job));
+        assert_eq!(order(&mut q.line()), [2, 3, 4, 5, 1]);
+        q.remove(2);
+        assert_eq!(q.turn(0), None);
+        assert!(q.give_turns(|at| at <= 20, |job| job == 1).is_empty());
+    }
+
     /// Flows come as one line, by their jobs' places; one that is ahead comes first.
     #[test]
     fn flows_are_merged() {
--- a/crates/cherryyard-core/src/owner/mod.rs
+++ b/crates/cherryyard-core/src/owner/mod.rs
@@ -15,6 +15,7 @@
 mod round;
 mod search;
 pub(crate) mod state;
+mod turns;
 
 use crate::Millis;
 use crate::effects::{Effect, Outcome, Ticket};
--- a/crates/cherryyard-core/src/owner/place.rs
+++ b/crates/cherryyard-core/src/owner/place.rs
@@ -106,6 +106,7 @@
         for job in turns {
             self.requeue(p, job, now);
         }
+        self.give_turns(p, now);
         let part = &mut self.parts[p];
         // Back in its place at the end: nothing in between looks there.
         let mut queues = std::mem::take(&mut part.queues);
@@ -229,6 +230,7 @@
                                 .reserved
                                 .get(host)
                                 .is_none_or(|(task, _)| *task == (*job, number))
+                            && !self.kept_from(p, *host, open)
                             && self.zone_open(p, open, &m.zone, &zones)
                     })
                     .max_by(|(_, a), (_, b)| {
@@ -339,6 +341,9 @@
                     continue 'jobs;
                 }
             }
+            if let Some(&first) = unplaced.first() {
+                self.keep_machine(p, flow, (*job, first), queues, &zones, now);
+            }
             if !unplaced.is_empty() && self.may_preempt(&self.mirror.open[job], &preemptible) {
                 let job = *job;
                 self.preempt(
--- a/crates/cherryyard-core/src/owner/preempt.rs
+++ b/crates/cherryyard-core/src/owner/preempt.rs
@@ -90,6 +90,7 @@
                     || m.seen.contains_key(&(job, number))
                     || chosen.iter().any(|c| c.2 == m.host)
                     || self.parts[p].reserved.contains_key(&m.host)
+                    || self.kept_from(p, m.host, open)
                     || !self.zone_open(p, open, &m.zone, &zones)
                     || self
                         .mirror
--- a/crates/cherryyard-core/src/owner/state.rs
+++ b/crates/cherryyard-core/src/owner/state.rs
@@ -3,6 +3,7 @@
 use super::blame::Trouble;
 use crate::Millis;
 use crate::account::Account;
+use crate::admission::flows::Flow;
 use crate::admission::queue::Queues;
 use crate::machine::Task;
 use crate::pace::Pace;
@@ -54,6 +55,8 @@
     pub(crate) preempted: HashMap<Task, Preempted>,
     /// Machines kept for a task that others were stopped for.
     pub(crate) reserved: BTreeMap<u32, (Task, Millis)>,
+    /// Machines kept for the oldest jobs that have not begun, by flow.
+    pub(crate) kept: BTreeMap<Flow, (Task, u32)>,
     pub(crate) trouble: HashMap<u64, Trouble>,
     /// Services kept back for a moment, for the leader to move.
     pub(crate) handing: BTreeSet<u64>,
@@ -91,6 +94,7 @@
             retry_after: now,
             preempted: HashMap::new(),
             reserved: BTreeMap::new(),
+            kept: BTreeMap::new(),
             trouble: HashMap::new(),
             handing: BTreeSet::new(),
             queues: Queues::default(),
@@ -110,6 +114,7 @@
         self.reserved.clear();
         self.queues.clear();
         self.handing.clear();
+        self.kept.clear();
         self.trouble.clear();
         self.bump = false;
         self.ran.clear();
--- /dev/null
+++ b/crates/cherryyard-core/src/owner/turns.rs
@@ -0,0 +1,120 @@
+//! The oldest job of each flow that has not begun: it goes first, and where only cracks
+//! are free a machine is kept for it.
+//!
+//! Within a flow the least work goes first, so while small jobs keep coming a large one
+//! would never begin. All controllers see which jobs have begun, so they agree on whose
+//! turn it is without a word; only its first task goes ahead of the others, and then the
+//! turn is the next one's. A task belongs to one part, so one owner at the most keeps a
+//! machine for it.
+
+use super::*;
+use crate::admission::flows::Flow;
+use crate::admission::queue::Queues;
+
+/// How long a job waits before it can have its flow's turn. Machines may take the
+/// longest of their tasks to be free for it.
+const TURN_MS: f64 = 60_000.0;
+
+impl Node {
+    /// Whether any task of a job has been started, anywhere.
+    pub(crate) fn begun(&self, job: u64) -> bool {
+        self.mirror.marked(job) + self.mirror.done(job) > 0
+    }
+
+    /// Gives each flow's turn to its oldest job that has not begun.
+    pub(crate) fn give_turns(&mut self, p: usize, now: Millis) {
+        let wall = now + self.wall_offset;
+        let mut queues = std::mem::take(&mut self.parts[p].queues);
+        // Where a job that fails everywhere had the turn, none other ever would.
+        let over = |job: u64| {
+            let trouble = self.parts[p].trouble.get(&job);
+            self.begun(job) || trouble.is_some_and(|t| t.blamed())
+        };
+        let changed = queues.give_turns(|at| wall - at as f64 >= TURN_MS, over);
+        self.parts[p].queues = queues;
+        for job in changed {
+            self.requeue(p, job, now);
+        }
+        let lost_ms = self.config.lease_ms;
+        let part = &mut self.parts[p];
+        let (queues, mirror, machines) = (&part.queues, &self.mirror, &self.machines);
+        part.kept.retain(|&flow, (task, host)| {
+            queues.turn(flow) == Some(task.0)
+                && machines.get(host).is_some_and(|m| m.usable(now, lost_ms))
+                && mirror
+                    .waiting(p, task.0)
+                    .is_some_and(|w| w.contains(task.1))
+        });
+    }
+
+    /// Whether a machine is kept for another job that is at least as important.
+    pub(crate) fn kept_from(&self, p: usize, host: u32, open: &OpenJob) -> bool {
+        let mut kept = self.parts[p].kept.values().filter(|k| k.1 == host);
+        kept.any(|&((job, _), _)| {
+            let other = self.mirror.open.get(&job);
+            other.is_some_and(|o| o.spec.id != open.spec.id && o.spec.rank >= open.spec.rank)
+        })
+    }
+
+    /// Keeps a machine for a task whose flow's turn it is, if no machine has room for it
+    /// but one would have once its arrays are done: the one with the most free. One a
+    /// flow, and a tenth of the part's machines in all.
+    pub(crate) fn keep_machine(
+        &mut self,
+        p: usize,
+        flow: Flow,
+        task: Task,
+        queues: &Queues,
+        zones: &HashMap<String, u32>,
+        now: Millis,
+    ) {
+        let silence = self.silence_ms();
+        let part = &self.parts[p];
+        if queues.turn(flow) != Some(task.0) || part.kept.contains_key(&flow) {
+            return;
+        }
+        let Some(open) = self.mirror.open.get(&task.0) else {
+            return;
+        };
+        let needs = open.needs();
+        let usable = |m: &&Machine| m.part == p && m.usable(now, silence);
+        let all = self.machines.values().filter(usable).count();
+        if part.kept.len() >= (all / 10).max(1) {
+            return;
+        }
+        let will_have = |m: &Machine| {
+            let mut free = self.free_on(m, None)?;
+            let now_free = free.cores;
+            for ((job, _), _) in self.mirror.on_host(m.host) {
+                if let Some(o) = self.mirror.open.get(&job)
+                    && o.spec.shape == Shape::Sweep
+                {
+                    free.give(&o.needs());
+                }
+            }
+            needs.fits(&free).then_some(now_free)
+        };
+        let best = self
+            .machines
+            .values()
+            .filter(usable)
+            .filter(|m| {
+                self.allowed(open, m)
+                    && !part.reserved.contains_key(&m.host)
+                    && part.kept.values().all(|k| k.1 != m.host)
+                    && self.zone_open(p, open, &m.zone, zones)
+            })
+            .filter_map(|m| Some((will_have(m)?, m.host)))
+            .max_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1)));
+        if let Some((free, host)) = best {
+            let machine = self.mirror.hosts.name(host);
+            tracing::info!(
+                job = task.0,
+                machine,
+                free,
+                "keep a machine for a job that has long not begun"
+            );
+            self.parts[p].kept.insert(flow, (task, host));
+        }
+    }
+}
--- /dev/null
+++ b/crates/cherryyard-rehearsal/tests/largest.rs
@@ -0,0 +1,109 @@
+//! The largest jobs of a class begin, whatever else comes.
+
+use cherryyard_rehearsal::{Setup, World};
+use cherryyard_wire::job::JobSpec;
+
+fn cluster(controllers: usize, machines: usize) -> World {
+    let zones = ["a", "b", "c"];
+    let mut w = World::new(Setup {
+        zones: zones[..controllers].to_vec(),
+        machines: zones[..controllers]
+            .iter()
+            .map(|&z| (z, machines))
+            .collect(),
+        write_rps: 60.0,
+        ..Setup::default()
+    });
+    for worker in w.workers.values_mut() {
+        worker.run_ms = 4000.0;
+    }
+    w.run(5.0);
+    w
+}
+
+fn spec(job: usize, pieces: u32, cores: f64) -> JobSpec {
+    let mut spec = World::spec(&format!("j-{job:06}"), "sweep", pieces);
+    (spec.cores, spec.expected_s) = (cores, 4.0);
+    spec
+}
+
+/// One job a second that takes more than there is, for `seconds`; `at` each second
+/// something else. Gives how long the job `large` waited for its first task.
+fn flood(
+    w: &mut World,
+    small: (u32, f64),
+    large: Option<&JobSpec>,
+    seconds: usize,
+    mut each: impl FnMut(&mut World, usize),
+) -> Option<f64> {
+    let needle = large.map(|large| format!("starts {}/", large.id));
+    let mut job = 100;
+    let mut came = None;
+    for second in 0..seconds {
+        job += 1;
+        w.submit(&spec(job, small.0, small.1));
+        if let Some(large) = large.filter(|_| second == 20) {
+            came = Some(w.now);
+            w.submit(large);
+        }
+        each(w, second);
+        w.run(1.0);
+        let begun = |l: &&String| needle.as_ref().is_some_and(|n| l.contains(n));
+        if let Some(line) = w.trace.iter().find(begun) {
+            let at: f64 = line.trim_start().split(' ').next()?.parse().ok()?;
+            return Some(at - came? / 1000.0);
+        }
+    }
+    None
+}
+
+/// Small jobs take all there is, and as the least work goes first a large array of the
+/// same class would never begin.
+#[test]
+fn a_large_array_begins_in_a_flood_of_small_jobs() {
+    let mut w = cluster(3, 4);
+    let waited = flood(&mut w, (8, 2.0), Some(&spec(1, 3000, 2.0)), 200, |_, _| {});
+    let waited = waited.expect("it begins");
+    assert!((1.0..120.0).contains(&waited), "{waited}");
+    assert!(w.broken.is_empty(), "{:?}", w.broken);
+}
+
+/// A task that takes a whole machine, where machines only ever have cracks free: one is
+/// kept for it, whatever ends meanwhile.
+#[test]
+fn a_task_that_fills_a_machine_begins_among_cracks() {
+    for ends in [false, true] {
+        let mut w = cluster(3, 4);
+        let waited = flood(
+            &mut w,
+            (40, 0.5),
+            Some(&spec(1, 2, 4.0)),
+            260,
+            |w, second| {
+                if ends && [90, 110].contains(&second) {
+                    let i = (second / 10) % 3;
+                    w.kill(i);
+                    w.start(i);
+                }
+            },
+        );
+        let waited = waited.unwrap_or_else(|| panic!("{}", w.trace.len()));
+        assert!(waited < 150.0, "{waited}");
+        assert!(w.broken.is_empty(), "{:?}", w.broken);
+    }
+}
+
+/// Several at once, each with its turn: all begin within four minutes.
+#[test]
+fn large_jobs_take_turns() {
+    let mut w = cluster(3, 4);
+    for job in 1..=6 {
+        w.submit(&spec(job, 1, 4.0));
+        w.submit(&spec(job + 10, 500, 2.0));
+    }
+    flood(&mut w, (40, 0.5), None, 240, |_, _| {});
+    for job in (1..=6).chain(11..=16) {
+        let needle = format!("starts j-{job:06}/");
+        assert!(w.trace.iter().any(|l| l.contains(&needle)), "{job}");
+    }
+}
