--- /dev/null
+++ b/crates/cherryyard-core/src/leader/boots.rs
@@ -0,0 +1,172 @@
+//! Rented machines on their way: when each should be up, and which will not be.
+//!
+//! What a type takes to be up is learned by zone from what has come up there, the way
+//! round-trip times are; `ready_s` stands for it at first. One that is overdue is
+//! counted as room that will not come and is so replaced, but only a part of them at a
+//! time: where all are late, for as long as some trouble lasts, a replacement for each
+//! would come as a second fleet once it is over.
+
+use super::*;
+use std::collections::HashMap;
+
+/// Weights of a new time in the mean and in the deviation.
+const MEAN_GAIN: f64 = 0.125;
+const DEV_GAIN: f64 = 0.25;
+/// An expectation is at least this part of the published time, and at most so many times
+/// that.
+const LEAST: f64 = 1.6;
+const MOST: f64 = 6.0;
+/// Overdue machines that are replaced at a time: this part of all, and so many anyway.
+const REPLACED_SHARE: f64 = 0.08;
+const REPLACED: f64 = 4.0;
+/// A machine that takes this many times its expectation never comes up.
+const NEVER: f64 = 3.0;
+const NEVER_MORE_S: f64 = 30.0;
+
+/// Where a rented machine stands, on its way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Boot {
+    /// It should be up at any time.
+    Expected,
+    /// It should have been up.
+    Overdue,
+    /// It will not come up: it is returned.
+    Never,
+}
+
+/// What a type takes to be up in a zone, in seconds.
+#[derive(Clone, Copy, Debug)]
+struct Learned {
+    mean: f64,
+    dev: f64,
+}
+
+/// What machines take to be up, as learned from the lists.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Boots {
+    learned: HashMap<(String, String), Learned>,
+}
+
+impl Boots {
+    /// A machine of this type and zone was up after so many seconds, at the latest.
+    pub(crate) fn up(&mut self, kind: &str, zone: &str, ready_s: f64, took_s: f64) {
+        let key = (kind.to_string(), zone.to_string());
+        let l = self.learned.entry(key).or_insert(Learned {
+            mean: ready_s,
+            dev: ready_s / 4.0,
+        });
+        let off = took_s - l.mean;
+        l.dev += DEV_GAIN * (off.abs() - l.dev);
+        l.mean += MEAN_GAIN * off;
+    }
+
+    /// Until how many seconds after its rental a machine is expected to be up.
+    pub(crate) fn expected_s(&self, kind: &str, zone: &str, ready_s: f64) -> f64 {
+        let key = (kind.to_string(), zone.to_string());
+        let learned = self.learned.get(&key);
+        let by = learned.map_or(ready_s * 2.0, |l| l.mean + 4.0 * l.dev);
+        by.clamp(ready_s * LEAST, ready_s * MOST)
+    }
+
+    /// Where a machine stands that has been on its way for so long.
+    pub(crate) fn stands(&self, kind: &str, zone: &str, ready_s: f64, held_s: f64) -> Boot {
+        let by = self.expected_s(kind, zone, ready_s);
+        if held_s <= by {
+            Boot::Expected
+        } else if held_s <= by * NEVER + NEVER_MORE_S {
+            Boot::Overdue
+        } else {
+            Boot::Never
+        }
+    }
+}
+
+/// How many cores still come of those on their way: overdue ones do not, but for those
+/// beyond what is replaced at a time.
+pub(crate) fn coming(expected: f64, overdue: f64, total: f64, largest: f64) -> f64 {
+    let replaced = (total * REPLACED_SHARE).max(REPLACED * largest);
+    expected + (overdue - replaced).max(0.0)
+}
+
+impl Node {
+    /// The published time of a type until a machine is up.
+    pub(crate) fn ready_s(&self, sku: &str) -> f64 {
+        let kind = self.mirror.kinds.iter().find(|k| k.sku == sku);
+        kind.map_or(60.0, |k| k.ready_s).max(1.0)
+    }
+
+    /// Learns from the next list which machines have come up. `held_s` is as of the list,
+    /// so it is at most one list too much.
+    pub(crate) fn learn_boots(&mut self, hosts: &[HostEntry]) {
+        for host in hosts.iter().filter(|h| h.status == HostStatus::Running) {
+            let before = self.listed.get(&host.id);
+            if before.is_some_and(|b| b.status == HostStatus::Starting) {
+                let ready_s = self.ready_s(&host.host_kind);
+                let (kind, zone) = (&host.host_kind, &host.yard);
+                self.leader.boots.up(kind, zone, ready_s, host.held_s);
+            }
+        }
+    }
+
+    /// Where a listed machine stands that is not up yet.
+    pub(crate) fn boot(&self, host: &HostEntry) -> Boot {
+        let ready_s = self.ready_s(&host.host_kind);
+        let boots = &self.leader.boots;
+        boots.stands(&host.host_kind, &host.yard, ready_s, host.held_s)
+    }
+
+    /// Cores of rented machines that will come up, as far as is known.
+    pub(crate) fn cores_coming(&self, total: f64) -> f64 {
+        let kinds = &self.mirror.kinds;
+        let cores_of = |sku: &str| kinds.iter().find(|k| k.sku == sku).map_or(0.0, |k| k.cores);
+        let (mut expected, mut overdue, mut largest) = (0.0, 0.0, 0.0f64);
+        for h in self.listed.values() {
+            if h.status == HostStatus::Starting {
+                let cores = cores_of(&h.host_kind);
+                largest = largest.max(cores);
+                match self.boot(h) {
+                    Boot::Expected => expected += cores,
+                    Boot::Overdue => overdue += cores,
+                    Boot::Never => {}
+                }
+            }
+        }
+        for h in &self.leader.hired {
+            let unlisted = h.hosts.iter().filter(|n| !self.listed.contains_key(*n));
+            expected += cores_of(&h.kind) * unlisted.count() as f64;
+        }
+        coming(expected, overdue, total, largest)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// What has come up sets when the next is expected, within bounds.
+    #[test]
+    fn expectations_are_learned() {
+        let mut b = Boots::default();
+        assert_eq!(b.expected_s("m", "a", 25.0), 50.0);
+        for _ in 0..50 {
+            b.up("m", "a", 25.0, 22.0);
+        }
+        assert_eq!(b.expected_s("m", "a", 25.0), 40.0, "no less than the least");
+        assert_eq!(b.stands("m", "a", 25.0, 41.0), Boot::Overdue);
+        assert_eq!(b.stands("m", "a", 25.0, 151.0), Boot::Never);
+        for _ in 0..50 {
+            b.up("m", "a", 25.0, 100.0);
+        }
+        let by = b.expected_s("m", "a", 25.0);
+        assert!((100.0..=150.0).contains(&by), "{by}");
+        assert_eq!(b.expected_s("m", "b", 25.0), 50.0, "another zone");
+    }
+
+    /// Few that are overdue are replaced, of very many only a part.
+    #[test]
+    fn no_storm_of_replacements() {
+        assert_eq!(coming(40.0, 8.0, 1000.0, 4.0), 40.0);
+        assert_eq!(coming(0.0, 400.0, 1000.0, 4.0), 320.0);
+        assert_eq!(coming(0.0, 12.0, 20.0, 4.0), 0.0);
+    }
+}
--- a/crates/cherryyard-core/src/leader/rent.rs
+++ b/crates/cherryyard-core/src/leader/rent.rs
@@ -22,15 +22,6 @@
         self.leader.hired.retain(|h| now - h.at < lag);
         let kinds = &self.mirror.kinds;
         let cores_of = |sku: &str| kinds.iter().find(|k| k.sku == sku).map_or(0.0, |k| k.cores);
-        let mut booting: f64 = listed
-            .values()
-            .filter(|h| h.status == HostStatus::Starting && h.held_s < 120.0)
-            .map(|h| cores_of(&h.host_kind))
-            .sum();
-        for h in &self.leader.hired {
-            let unlisted = h.hosts.iter().filter(|n| !listed.contains_key(*n)).count();
-            booting += cores_of(&h.kind) * unlisted as f64;
-        }
         let (mut free, mut total) = (0.0, 0.0);
         for p in 0..self.parts.len() {
             let Some(room) = self.current_room(p, now) else {
@@ -57,7 +48,7 @@
             }
         }
         let headroom = total * self.config.tuning.headroom_share;
-        let need = waiting + headroom - free - booting;
+        let need = waiting + headroom - free - self.cores_coming(total);
         if need <= 0.5 {
             return;
         }
--- a/crates/cherryyard-core/src/leader/state.rs
+++ b/crates/cherryyard-core/src/leader/state.rs
@@ -1,5 +1,6 @@
 //! What a leader remembers; every controller keeps it, so that taking over is quick.
 
+use super::boots::Boots;
 use super::creating::Creating;
 use super::packing::Packing;
 use crate::needs::Needs;
@@ -99,6 +100,8 @@
     pub(crate) hire_after: Millis,
     pub(crate) refused: HashMap<(String, String, bool), Millis>,
     pub(crate) hired: Vec<Hired>,
+    /// What machines take to be up.
+    pub(crate) boots: Boots,
     pub(crate) ownerless: HashMap<usize, Millis>,
     /// Services lately handed over: not again at once, or one went round among
     /// parts whose reports are a moment old.
@@ -133,6 +136,7 @@
             hire_after: now + 8000.0,
             refused: HashMap::new(),
             hired: Vec::new(),
+            boots: Boots::default(),
             ownerless: HashMap::new(),
             handed: HashMap::new(),
             warned: false,
--- a/crates/cherryyard-core/src/node.rs
+++ b/crates/cherryyard-core/src/node.rs
@@ -378,6 +378,7 @@
     /// Takes a reading of the cloud's machine list.
     pub fn listed(&mut self, hosts: Vec<HostEntry>, now: Millis) {
         self.notice(now);
+        self.learn_boots(&hosts);
         self.listed = hosts.into_iter().map(|h| (h.id.clone(), h)).collect();
         self.listed_at = now;
         // Machines long gone are forgotten, unless something still names them:
--- a/crates/cherryyard-core/src/owner/returns.rs
+++ b/crates/cherryyard-core/src/owner/returns.rs
@@ -1,6 +1,7 @@
 //! Machines to return: dead, never up, silent, or of no use.
 
 use super::*;
+use crate::leader::boots::Boot;
 
 /// How much longer than its lease a machine may fail to hear us before it is returned.
 const UNREACHABLE_MS: f64 = 30_000.0;
@@ -42,12 +43,7 @@
             let owned_for = now - self.parts[p].owned_since;
             let host = self.mirror.hosts.get(name);
             let machine = host.and_then(|h| self.machines.get(&h));
-            let ready_ms = self
-                .mirror
-                .kinds
-                .iter()
-                .find(|k| k.sku == entry.host_kind)
-                .map_or(60_000.0, |k| k.ready_s * 1000.0);
+            let ready_ms = self.ready_s(&entry.host_kind) * 1000.0;
             let why = match machine {
                 Some(m) if m.state == HostState::Gone => None,
                 Some(m) if now < m.release_after => None,
@@ -80,7 +76,7 @@
                     }
                 }
                 None if entry.status == HostStatus::Starting => {
-                    (entry.held_s * 1000.0 > ready_ms * 5.0 + 30_000.0).then_some("never up")
+                    (self.boot(entry) == Boot::Never).then_some("never up")
                 }
                 None => (owned_for > lease * 2.0 + 20_000.0
                     && entry.held_s * 1000.0 > ready_ms + lease * 2.0 + 20_000.0)
--- a/crates/cherryyard-rehearsal/src/world.rs
+++ b/crates/cherryyard-rehearsal/src/world.rs
@@ -148,8 +148,13 @@
     /// What has become of submissions, by ticket.
     pub verdicts: BTreeMap<u64, Verdict>,
     tickets: u64,
-    /// Machines that were to be rented; there are none.
+    /// Machines that were to be rented.
     pub hires: Vec<HireRequest>,
+    /// What a rented machine takes to be up, in milliseconds; none: there are none to
+    /// rent.
+    pub boot_ms: Option<f64>,
+    /// Machines on their way: when up, when rented.
+    pub booting: BTreeMap<String, (f64, f64, String)>,
     /// The time.
     pub now: f64,
     /// What happened.
@@ -194,6 +199,8 @@
             verdicts: BTreeMap::new(),
             tickets: 0,
             hires: Vec::new(),
+            boot_ms: None,
+            booting: BTreeMap::new(),
             now: 0.0,
             trace: Vec::new(),
             broken: Vec::new(),
@@ -534,6 +541,7 @@
     fn step(&mut self) {
         let now = self.now;
         self.state.expire(now);
+        self.boot();
         for i in 0..self.nodes.len() {
             let Some(node) = self.nodes[i].as_mut().filter(|_| !self.frozen.contains(&i)) else {
                 continue;
@@ -697,6 +705,7 @@
                         for name in &hosts {
                             self.say(format!("node-{i} releases {name}"));
                             self.workers.remove(name);
+                            self.booting.remove(name);
                         }
                         if let Some(n) = &mut self.nodes[i] {
                             n.released(&hosts, true, now);
@@ -704,8 +713,9 @@
                     }
                     Effect::Hire(request) => {
                         self.hires.push(request.clone());
+                        let hosts = self.hire(&request).ok_or(true);
                         if let Some(n) = &mut self.nodes[i] {
-                            n.hired(&request, Err(true), now);
+                            n.hired(&request, hosts, now);
                         }
                     }
                     Effect::ReadLeaf(level, job) => {
@@ -856,9 +866,43 @@
             .collect()
     }
 
+    /// The cloud rents machines, if it has any.
+    fn hire(&mut self, request: &HireRequest) -> Option<Vec<String>> {
+        let boot_ms = self.boot_ms?;
+        let first = 100_000 + self.booting.len() + self.workers.len() + self.hires.len() * 100;
+        let names = (0..request.number as usize).map(|k| format!("host-{:06}", first + k));
+        let names: Vec<String> = names.collect();
+        let on_the_way = (self.now + boot_ms, self.now, request.yard.clone());
+        for name in &names {
+            self.booting.insert(name.clone(), on_the_way.clone());
+        }
+        self.say(format!("{} rented", names.len()));
+        Some(names)
+    }
+
+    /// Rented machines come up.
+    fn boot(&mut self) {
+        let now = self.now;
+        let up = self.booting.extract_if(.., |_, b| b.0 <= now);
+        for (name, (_, _, zone)) in up.collect::<Vec<_>>() {
+            let worker = WorkerStandIn::new(&name, &zone, 0, 10_000.0, now);
+            self.workers.insert(name, worker);
+        }
+    }
+
     /// Every controller reads the cloud's list of machines.
     pub fn list_machines(&mut self) {
         let now = self.now;
+        let starting = self.booting.iter().map(|(name, b)| HostEntry {
+            id: name.clone(),
+            addr: format!("{name}:9000"),
+            host_kind: "m4".into(),
+            yard: b.2.clone(),
+            borrowed: false,
+            status: HostStatus::Starting,
+            held_s: (now - b.1) / 1000.0,
+        });
+        let starting: Vec<HostEntry> = starting.collect();
         let hosts: Vec<HostEntry> = self
             .workers
             .values()
@@ -871,6 +915,7 @@
                 status: HostStatus::Running,
                 held_s: 10.0,
             })
+            .chain(starting)
             .collect();
         for i in 0..self.nodes.len() {
             if let Some(node) = &mut self.nodes[i] {
--- /dev/null
+++ b/crates/cherryyard-rehearsal/tests/renting.rs
@@ -0,0 +1,87 @@
+//! Rented machines that come late, never, or all at once.
+
+use cherryyard_rehearsal::{Setup, World};
+use std::collections::BTreeSet;
+
+/// Two machines, and work for twelve.
+fn short(boot_ms: f64) -> World {
+    let mut w = World::new(Setup {
+        machines: vec![("a", 1), ("b", 1)],
+        ..Setup::default()
+    });
+    w.boot_ms = Some(boot_ms);
+    w.run(10.0);
+    w.submit(&World::spec("j-000001", "service", 24));
+    w
+}
+
+fn listing(w: &mut World, seconds: usize) {
+    for _ in 0..seconds {
+        w.run(1.0);
+        w.list_machines();
+    }
+}
+
+fn rented(w: &World) -> usize {
+    w.hires.iter().map(|h| h.number as usize).sum()
+}
+
+/// Up within a second: used, and no more are rented than are needed.
+#[test]
+fn up_at_once() {
+    let mut w = short(500.0);
+    listing(&mut w, 60);
+    assert_eq!(w.running(), 24, "{}", w.trace.join("\n"));
+    assert!((10..=24).contains(&rented(&w)), "{}", rented(&w));
+}
+
+/// All are late by two minutes: replacements are a few, not a second fleet; when they
+/// come they are used, and what is too much is returned.
+#[test]
+fn all_late_and_then_at_once() {
+    let mut w = short(150_000.0);
+    listing(&mut w, 140);
+    let before = rented(&w);
+    assert!((12..=30).contains(&before), "{before}");
+    listing(&mut w, 60);
+    assert_eq!(w.running(), 24, "{}", w.trace.join("\n"));
+    listing(&mut w, 400);
+    assert!(w.workers.len() <= 24, "{}", w.workers.len());
+    let names: BTreeSet<&String> = w.hires.iter().map(|h| &h.hire).collect();
+    assert_eq!(names.len(), w.hires.len(), "a name was used again");
+}
+
+/// None of the first comes: they are replaced once they are overdue, and returned.
+#[test]
+fn some_never_come() {
+    let mut w = short(1e12);
+    listing(&mut w, 20);
+    w.boot_ms = Some(20_000.0);
+    let lost: Vec<String> = w.booting.keys().cloned().collect();
+    assert!(lost.len() >= 8);
+    listing(&mut w, 100);
+    // The first were expected after 60 s; four at a time are replaced.
+    assert!(w.running() > 12, "{}", w.running());
+    listing(&mut w, 200);
+    assert_eq!(w.running(), 24);
+    assert!(
+        lost.iter().all(|name| !w.booting.contains_key(name)),
+        "kept"
+    );
+}
+
+/// The leader ends with rentals in flight: its successor counts what is listed.
+#[test]
+fn the_leader_ends_with_rentals_in_flight() {
+    let mut w = short(30_000.0);
+    listing(&mut w, 12);
+    let leads = |n: &cherryyard_core::Node| n.lead_stamp().is_some();
+    let leader = w.nodes.iter().position(|n| n.as_ref().is_some_and(leads));
+    let leader = leader.expect("a leader");
+    w.kill(leader);
+    listing(&mut w, 6);
+    w.start(leader);
+    listing(&mut w, 90);
+    assert_eq!(w.running(), 24, "{}", w.trace.join("\n"));
+    assert!(rented(&w) <= 30, "{}", rented(&w));
+}
