--- a/crates/cherryyard-core/src/beats.rs
+++ b/crates/cherryyard-core/src/beats.rs
@@ -6,6 +6,7 @@
 use crate::peers::PeerState;
 use crate::tenancy::{Tenancy, TenancyEvent};
 use cherryyard_wire::peer::{Beat, PartReport};
+use std::collections::BTreeMap;
 
 impl Node {
     /// Whether every other controller says lately that the state service does
@@ -71,6 +72,22 @@
         });
     }
 
+    /// How many workers of others' parts report here and hear, by part. Not all are
+    /// asked, as they may come by the hundred at once: those that were stand for them.
+    fn strays_out(&mut self, now: Millis) -> Vec<(u32, u32)> {
+        self.strays.retain(|_, stray| now - stray.at < 4000.0);
+        let mut counts: BTreeMap<usize, (u32, u32, u32)> = BTreeMap::new();
+        for (&(p, _), stray) in &self.strays {
+            let (all, asked, hear) = counts.entry(p).or_default();
+            *all += 1;
+            *asked += u32::from(stray.asked_at.is_finite() && !stray.asking);
+            *hear += u32::from(stray.hears);
+        }
+        let told = counts.into_iter().filter(|c| c.1.1 > 0);
+        told.map(|(p, (all, asked, hear))| (p as u32, all * hear / asked))
+            .collect()
+    }
+
     /// What this controller tells the others now.
     pub fn beat_out(&mut self, now: Millis) -> Beat {
         self.notice(now);
@@ -89,14 +106,7 @@
                 self.leader.hear(report.clone(), now);
             }
         }
-        self.strays.retain(|_, stray| now - stray.at < 4000.0);
-        let mut strays: Vec<(u32, u32)> = Vec::new();
-        for ((p, _), _) in self.strays.iter().filter(|s| s.1.hears) {
-            match strays.last_mut() {
-                Some(last) if last.0 == *p as u32 => last.1 += 1,
-                _ => strays.push((*p as u32, 1)),
-            }
-        }
+        let strays = self.strays_out(now);
         let demand = self.demand_out();
         let (cancelled, reach_ms) = self.cancelled.tell(self.mirror.new_cancels(), now);
         let silent = now - self.state_ok_at;
