--- a/crates/cherryyard-io/src/worker.rs
+++ b/crates/cherryyard-io/src/worker.rs
@@ -21,7 +21,10 @@
             tracing::warn!(addr, "bad answer of a worker: {e}");
             Failure::Unknown
         }),
-        _ => Err(Failure::Unknown),
+        _ => {
+            tracing::warn!(addr, status, "a worker refuses a question");
+            Err(Failure::Unknown)
+        }
     }
 }
 
--- a/crates/cherryyard/src/app/mod.rs
+++ b/crates/cherryyard/src/app/mod.rs
@@ -118,7 +118,11 @@
             }
             Effect::Ask { host, addr } => {
                 tokio::spawn(async move {
-                    let answer = worker::ask(&app.workers, &addr).await.ok();
+                    let answer = worker::ask(&app.workers, &addr).await;
+                    if let Err(e) = &answer {
+                        tracing::debug!(addr, "a machine does not answer a question: {e}");
+                    }
+                    let answer = answer.ok();
                     app.with(|n, now| n.asked(host, answer.as_ref(), now));
                 });
             }
