--- a/crates/cherryyard-core/src/beats.rs
+++ b/crates/cherryyard-core/src/beats.rs
@@ -8,6 +8,10 @@
 use cherryyard_wire::peer::{Beat, PartReport};
 use std::collections::BTreeMap;
 
+/// How long a report counts that came to one who does not own its machine: a worker that
+/// cannot reach its owner waits 4 s there, 1 s more, and is sent there again.
+const STRAY_MS: f64 = 6000.0;
+
 impl Node {
     /// Whether every other controller says lately that the state service does
     /// not answer it either.
@@ -75,7 +79,7 @@
     /// How many workers of others' parts report here and hear, by part. Not all are
     /// asked, as they may come by the hundred at once: those that were stand for them.
     fn strays_out(&mut self, now: Millis) -> Vec<(u32, u32)> {
-        self.strays.retain(|_, stray| now - stray.at < 4000.0);
+        self.strays.retain(|_, stray| now - stray.at < STRAY_MS);
         let mut counts: BTreeMap<usize, (u32, u32, u32)> = BTreeMap::new();
         for (&(p, _), stray) in &self.strays {
             let (all, asked, hear) = counts.entry(p).or_default();
--- a/crates/cherryyard-core/src/claims.rs
+++ b/crates/cherryyard-core/src/claims.rs
@@ -94,9 +94,9 @@
                 .filter(|s| now - s.heard_at < 2000.0 && !s.beat.cut_off)
                 .flat_map(|s| &s.beat.strays)
                 .filter(|x| x.0 as usize == p)
+                // Each goes from one controller to the next: none hears them all.
                 .map(|x| x.1)
-                .max()
-                .unwrap_or(0);
+                .sum::<u32>();
             if all < 2 || silent * 2 < all || elsewhere < 2 || elsewhere * 3 < all {
                 continue;
             }
