--- a/crates/cherryyard-core/src/beats.rs
+++ b/crates/cherryyard-core/src/beats.rs
@@ -8,6 +8,8 @@
 use cherryyard_wire::peer::{Beat, PartReport};
 use std::collections::BTreeMap;
 
+/// How long nothing of what we send a controller may be named by it.
+const DEAF_MS: f64 = 3000.0;
 /// How long a report counts that came to one who does not own its machine: a worker that
 /// cannot reach its owner waits 4 s there, 1 s more, and is sent there again.
 const STRAY_MS: f64 = 6000.0;
@@ -25,6 +27,25 @@
             })
     }
 
+    /// Controllers that have for long named no message of ours, though we send them one
+    /// twice a second: the connection to each is to be made anew. One that was down, or
+    /// behind a cut, may be back and know nothing of the old connection, which tells us
+    /// nothing for a minute or more. Each is told of again after the same time.
+    pub fn deaf_peers(&mut self, now: Millis) -> Vec<&str> {
+        let me = self.config.me;
+        let mut deaf = Vec::new();
+        for i in (0..self.peers.len()).filter(|&i| i != me) {
+            let named = self.named_at(i).unwrap_or(self.started_at);
+            let since = self.reconnected_at[i].max(named);
+            if now - since > DEAF_MS {
+                self.reconnected_at[i] = now;
+                deaf.push(i);
+            }
+        }
+        let labels = &self.config.labels;
+        deaf.into_iter().map(|i| labels[i].as_str()).collect()
+    }
+
     /// Takes another controller's beat.
     pub fn beat_in(&mut self, beat: Beat, now: Millis) {
         self.notice(now);
--- a/crates/cherryyard-core/src/claims.rs
+++ b/crates/cherryyard-core/src/claims.rs
@@ -97,6 +97,15 @@
                 // Each goes from one controller to the next: none hears them all.
                 .map(|x| x.1)
                 .sum::<u32>();
+            if silent * 2 >= all && all > 0 {
+                tracing::debug!(
+                    part = p,
+                    all,
+                    silent,
+                    elsewhere,
+                    "most workers of a part are silent"
+                );
+            }
             if all < 2 || silent * 2 < all || elsewhere < 2 || elsewhere * 3 < all {
                 continue;
             }
--- a/crates/cherryyard-core/src/node.rs
+++ b/crates/cherryyard-core/src/node.rs
@@ -38,6 +38,8 @@
     pub(crate) machines: BTreeMap<u32, Machine>,
     pub(crate) leader: Leader,
     pub(crate) peers: Vec<Option<PeerState>>,
+    /// When the connection to each other controller was last to be made anew.
+    pub(crate) reconnected_at: Vec<Millis>,
     pub(crate) hold: Option<u64>,
     pub(crate) effects: Vec<Effect>,
     pub(crate) rng: StdRng,
@@ -96,6 +98,7 @@
             mirror,
             parts,
             machines: BTreeMap::new(),
+            reconnected_at: vec![now; peers.len()],
             peers,
             hold: None,
             effects: Vec::new(),
--- a/crates/cherryyard-rehearsal/tests/reach.rs
+++ b/crates/cherryyard-rehearsal/tests/reach.rs
@@ -298,3 +298,30 @@
     let from = number("FROM", 40);
     (from..from + number("SEEDS", 1000)).for_each(day);
 }
+
+/// Whoever names none of our messages for three seconds is connected to anew, and again
+/// after three more; whoever names them is not. Guards against a connection to one that
+/// was down and is back: it took a minute's beats without a word, while the part's
+/// workers were told to go where nobody answered.
+#[test]
+fn who_names_nothing_is_connected_to_anew() {
+    let mut w = settled(Setup::default());
+    let deaf = |w: &mut World| -> Vec<String> {
+        let now = w.now;
+        let node = w.nodes[0].as_mut().expect("running");
+        node.deaf_peers(now).into_iter().map(Into::into).collect()
+    };
+    assert!(deaf(&mut w).is_empty());
+    w.kill(2);
+    w.run(2.0);
+    assert!(deaf(&mut w).is_empty());
+    let mut told = Vec::new();
+    for _ in 0..16 {
+        w.run(0.5);
+        told.extend(deaf(&mut w));
+    }
+    assert_eq!(told, ["node-2", "node-2"]);
+    w.start(2);
+    w.run(3.5);
+    assert!(deaf(&mut w).is_empty());
+}
--- a/crates/cherryyard/src/app/loops.rs
+++ b/crates/cherryyard/src/app/loops.rs
@@ -70,7 +70,15 @@
                 () = wait => {}
                 () = self.beat_wanted.notified() => {}
             }
-            let beat = self.with(|n, now| n.beat_out(now));
+            let beat = self.with(|n, now| {
+                for label in n.deaf_peers(now) {
+                    if let Some(anew) = self.anew.get(label) {
+                        tracing::debug!(label, "connect to a controller anew");
+                        anew.notify_one();
+                    }
+                }
+                n.beat_out(now)
+            });
             let _ = out.send(Bytes::from(encode(&Message::Beat(Box::new(beat)))));
             tokio::time::sleep(Duration::from_millis(50)).await;
         }
--- a/crates/cherryyard/src/app/mod.rs
+++ b/crates/cherryyard/src/app/mod.rs
@@ -39,6 +39,8 @@
     pub(crate) beat_wanted: Notify,
     /// Ways to the other controllers, by name.
     pub(crate) peers: HashMap<String, mpsc::Sender<Bytes>>,
+    /// Tells that the connection to one of them is to be made anew.
+    pub(crate) anew: HashMap<String, Arc<Notify>>,
     /// Submissions passed on that wait for an answer.
     pub(crate) asked: Mutex<HashMap<u64, oneshot::Sender<Told>>>,
     pub(crate) tickets: AtomicU64,
--- a/crates/cherryyard/src/run.rs
+++ b/crates/cherryyard/src/run.rs
@@ -37,12 +37,14 @@
     let list_every = Duration::from_secs_f64((controllers * 4.0 / c.cloud.rps).clamp(3.0, 30.0));
     let seed = rand::random();
     let (out, beats) = watch::channel(Bytes::new());
-    let (mut peers, mut ways) = (HashMap::new(), Vec::new());
+    let (mut peers, mut anew, mut ways) = (HashMap::new(), HashMap::new(), Vec::new());
     for other in &settings.known {
         if let Ok(addr) = other.endpoint.parse() {
             let (to, others) = mpsc::channel(PEER_QUEUE);
             peers.insert(other.label.clone(), to);
-            ways.push((addr, others));
+            let notify = Arc::new(Notify::new());
+            anew.insert(other.label.clone(), notify.clone());
+            ways.push((addr, others, notify));
         }
     }
     let app = Arc::new(App {
@@ -58,6 +60,7 @@
         barrier_wanted: Notify::new(),
         beat_wanted: Notify::new(),
         peers,
+        anew,
         asked: Mutex::new(HashMap::new()),
         // A late answer to a process before this one must find nobody waiting.
         tickets: AtomicU64::new(rand::random()),
@@ -80,8 +83,8 @@
     tokio::spawn(peer::take(listener, move |message| {
         taker.take_message(message);
     }));
-    for (addr, others) in ways {
-        tokio::spawn(peer::send(addr, beats.clone(), others));
+    for (addr, others, anew) in ways {
+        tokio::spawn(peer::send(addr, beats.clone(), others, anew));
     }
     tokio::spawn(app.clone().beats(out));
     tokio::spawn(app.clone().clock());
