A session's lease runs from when it began; what was given up is not started again

A mark of a session yet to come, older than our token, is of a life before: it counted as running for ever.

--- a/crates/cherryyard-core/src/machine.rs
+++ b/crates/cherryyard-core/src/machine.rs
@@ -142,6 +142,9 @@
     pub answered_at: Millis,
     /// Whether what we send it arrives.
     pub reach: Reach,
+    /// When it became unreachable: its session, and the last attempt up to then. Whatever
+    /// was marked here before and is not there is given up, also if it hears again.
+    pub(crate) given_up: (u64, u64),
     /// When it was last asked directly, and what was the newest message then.
     pub(crate) asked: (Millis, (u64, u64)),
     /// Whether a question is under way.
@@ -200,6 +203,7 @@
             heard_at: now,
             answered_at: now,
             reach: Reach::Hears(0),
+            given_up: (0, 0),
             asked: (f64::NEG_INFINITY, (0, 0)),
             asking: false,
             old_in_a_row: 0,
@@ -299,6 +303,12 @@
         } else if report.tenure > self.newest.0 && self.newest.0 > 0 {
             self.reached(ReachEvent::NewSession, now);
         }
+        if report.tenure > self.newest.0 {
+            // A session has its whole lease from when it began, which was at the latest
+            // now: a direct answer told of it though no report was answered for long, and
+            // what was then started there was taken for lost at once, by the lease before.
+            self.answered_at = now;
+        }
         self.newest = order;
         self.take(report, own_token, now);
         Heard::New
@@ -388,6 +398,7 @@
         self.runs.clear();
         self.images.clear();
         self.born_after = last;
+        self.answered_at = now;
         self.newest = order;
         self.old_in_a_row = 0;
         self.change(HostEvent::TokenChanged);
@@ -478,8 +489,11 @@
             HostState::Ready | HostState::Returning => {
                 // Returning may follow Unconfirmed; only a report that carries
                 // our token counts.
+                // A mark older than our token in a session that has yet to come is of a
+                // life before of the worker: it was there before it showed the token.
                 self.token_ours()
                     && (session < self.newest.0
+                        || (session > self.newest.0 && attempt <= self.token)
                         || (session == self.newest.0
                             && !self.start_pending(task, attempt)
                             && self
@@ -490,6 +504,12 @@
         }
     }
 
+    /// Whether a start of this attempt is not sent any more. It stays so: the round that
+    /// takes the mark back may be applied at any later time.
+    pub(crate) fn gave_up(&self, session: u64, attempt: u64) -> bool {
+        session == self.given_up.0 && attempt <= self.given_up.1
+    }
+
     /// Whether an attempt was of the worker's life before, and nothing of it is left.
     /// The worker shows our token: of older owners nothing can arrive any more.
     fn of_life_before(&self, task: Task, session: u64, attempt: u64) -> bool {
--- a/crates/cherryyard-core/src/owner/orders.rs
+++ b/crates/cherryyard-core/src/owner/orders.rs
@@ -80,12 +80,12 @@
                 }
             }
         }
-        // To one that does not hear us no start is sent: only then a report without the
-        // task proves that it is not there.
-        let hears = !matches!(m.reach, Reach::Unreachable(_));
-        if fresh && owned && hears && m.recall_at.is_none_or(|at| at - now > 60_000.0) {
+        if fresh && owned && m.recall_at.is_none_or(|at| at - now > 60_000.0) {
             for (task, mark) in self.mirror.on_host(host) {
+                // Of what was given up no start is sent: only then a report without the
+                // task proves that it is not there.
                 if mark.session == m.newest.0
+                    && !m.gave_up(mark.session, mark.attempt)
                     && !m.seen.contains_key(&task)
                     && self.mirror.open.contains_key(&task.0)
                 {
--- a/crates/cherryyard-core/src/owner/round.rs
+++ b/crates/cherryyard-core/src/owner/round.rs
@@ -208,7 +208,7 @@
         let may_start = m.state == HostState::Ready
             && m.newest.0 == mark.session
             && !m.lease_over
-            && !matches!(m.reach, Reach::Unreachable(_))
+            && !m.gave_up(mark.session, mark.attempt)
             && m.recall_at.is_none_or(|at| at - now > 60_000.0);
         if open && may_start {
             Fate::Keep
--- a/crates/cherryyard-core/src/reports.rs
+++ b/crates/cherryyard-core/src/reports.rs
@@ -5,7 +5,7 @@
 use crate::machine::{Heard, HostState, Machine};
 use crate::node::Node;
 use crate::peers::Stray;
-use crate::reach::ReachEvent;
+use crate::reach::{Reach, ReachEvent};
 use crate::tenancy::Tenancy;
 use cherryyard_wire::worker::{DoRequest, Order, Report, ReportAnswer};
 
@@ -240,7 +240,11 @@
             return;
         };
         let Some(report) = answer else {
+            let before = m.reach;
             m.reached(ReachEvent::NoAnswer, now);
+            if m.reach != before && matches!(m.reach, Reach::Unreachable(_)) {
+                m.given_up = (m.newest.0, last);
+            }
             self.parts[p].touched.insert(host);
             return;
         };
--- a/crates/cherryyard-rehearsal/src/world.rs
+++ b/crates/cherryyard-rehearsal/src/world.rs
@@ -153,6 +153,8 @@
     /// What a rented machine takes to be up, in milliseconds; none: there are none to
     /// rent.
     pub boot_ms: Option<f64>,
+    /// How long tasks run on rented machines.
+    pub rented_run_ms: f64,
     /// Machines on their way: when up, when rented.
     pub booting: BTreeMap<String, (f64, f64, String)>,
     /// The time.
@@ -200,6 +202,7 @@
             tickets: 0,
             hires: Vec::new(),
             boot_ms: None,
+            rented_run_ms: f64::INFINITY,
             booting: BTreeMap::new(),
             now: 0.0,
             trace: Vec::new(),
@@ -830,10 +833,12 @@
         }
     }
 
-    /// A machine ends with all that is on it and is back at once, its worker new.
+    /// A machine ends with all that is on it and is back at once, its worker new. What
+    /// was held back on connections to it is lost with them.
     pub fn reborn(&mut self, name: &str) {
         self.say(format!("{name} begins anew"));
         self.waiting.remove(name);
+        self.held_direct.retain(|held| held.0 != name);
         let now = self.now;
         if let Some(worker) = self.workers.get_mut(name) {
             worker.begin_anew(now);
@@ -885,7 +890,8 @@
         let now = self.now;
         let up = self.booting.extract_if(.., |_, b| b.0 <= now);
         for (name, (_, _, zone)) in up.collect::<Vec<_>>() {
-            let worker = WorkerStandIn::new(&name, &zone, 0, 10_000.0, now);
+            let mut worker = WorkerStandIn::new(&name, &zone, 0, 10_000.0, now);
+            worker.run_ms = self.rented_run_ms;
             self.workers.insert(name, worker);
         }
     }
--- a/crates/cherryyard-rehearsal/tests/end_of_day.rs
+++ b/crates/cherryyard-rehearsal/tests/end_of_day.rs
@@ -198,6 +198,7 @@
 fn day(seed: u64) {
     let mut draw = draws(seed);
     let mut w = cluster(|_| {});
+    (w.boot_ms, w.rented_run_ms) = (Some(5000.0), 4000.0);
     let mut users = Users::default();
     let mut job = 100;
     for _ in 0..25 {
@@ -209,7 +210,8 @@
             users.submit(&mut w, &spec);
         }
         let hosts: Vec<String> = w.workers.keys().cloned().collect();
-        let host = hosts[draw(hosts.len() as u64) as usize].clone();
+        let host = hosts.get(draw(hosts.len().max(1) as u64) as usize);
+        let host = host.cloned().unwrap_or_default();
         let i = draw(3) as usize;
         match draw(10) {
             0 => drop(w.one_way.insert(host)),
@@ -235,13 +237,17 @@
             }
         }
         users.run(&mut w, 1.0 + draw(16) as f64 / 2.0);
+        w.list_machines();
     }
     w.one_way.clear();
     w.frozen.clear();
     w.alone.clear();
     w.refused.clear();
     let over = w.now;
-    users.run(&mut w, 250.0);
+    for _ in 0..50 {
+        users.run(&mut w, 5.0);
+        w.list_machines();
+    }
     assert!(w.broken.is_empty(), "seed {seed}: {:?}", w.broken);
     let wrong = users.judge(&w, over);
     assert!(wrong.is_empty(), "seed {seed}: {wrong:?}");
--- a/crates/cherryyard-rehearsal/tests/reach.rs
+++ b/crates/cherryyard-rehearsal/tests/reach.rs
@@ -178,7 +178,9 @@
     w.submit(&World::spec("j-000001", "service", 1));
     w.run_until(5.0, |w| !w.held_direct.is_empty());
     let host = w.held_direct[0].0.clone();
+    let held = std::mem::take(&mut w.held_direct);
     w.reborn(&host);
+    w.held_direct = held;
     w.run(15.0);
     w.slow_direct.clear();
     w.deliver_direct();
@@ -187,6 +189,33 @@
     assert!(w.broken.is_empty(), "{:?}", w.broken);
 }
 
+/// The same when its part has a new owner, who knows of no session: a mark of a session
+/// that is yet to come is of the life before. Guards against a task that counted as
+/// running for ever (found by seed 1930 of the overlaps below).
+#[test]
+fn a_worker_that_begins_anew_under_a_new_owner() {
+    let mut w = settled(Setup {
+        machines: vec![("a", 2)],
+        ..Setup::default()
+    });
+    let host = "host-000000".to_string();
+    // Its second session.
+    w.unreachable.insert(host.clone());
+    w.run(12.0);
+    w.unreachable.clear();
+    w.run(5.0);
+    w.submit(&World::spec("j-000001", "service", 4));
+    w.run_until(5.0, |w| w.running() == 4);
+    w.kill(0);
+    w.run(1.0);
+    w.reborn(&host);
+    w.start(0);
+    w.run_until(25.0, |w| w.running() == 4);
+    w.run(30.0);
+    assert_eq!(w.running(), 4);
+    assert!(w.broken.is_empty(), "{:?}", w.broken);
+}
+
 /// Questions follow what is in doubt, not reports: a calm cluster asks nobody, and one
 /// with copies of all reports only now and then.
 #[test]
@@ -270,7 +299,10 @@
     w.unreachable.clear();
     w.slow_direct.clear();
     w.deliver_direct();
-    w.run(100.0);
+    for _ in 0..20 {
+        w.run(5.0);
+        w.list_machines();
+    }
     assert!(w.broken.is_empty(), "seed {seed}: {:?}", w.broken);
     for job in 1..=jobs - cancelled {
         let piece = format!("j-00000{job}/0");
