--- a/crates/cherryyard-core/src/machine.rs
+++ b/crates/cherryyard-core/src/machine.rs
@@ -315,7 +315,7 @@
     }
 
     /// Takes over what a message tells.
-    fn take(&mut self, report: &Report, own_token: u64, now: Millis) {
+    pub(crate) fn take(&mut self, report: &Report, own_token: u64, now: Millis) {
         self.token = report.baton;
         self.confirmed_token = own_token;
         self.heard_at = now;
@@ -343,85 +343,6 @@
         }
     }
 
-    /// The one place through which its reach changes.
-    pub(crate) fn reached(&mut self, event: ReachEvent, now: Millis) {
-        let after = self.reach.after(event, now);
-        match (self.reach, after) {
-            (Reach::Doubted(_), Reach::Unreachable(_)) => {
-                tracing::info!(machine = %self.addr, "a machine reports, but what we send it does not arrive");
-            }
-            (Reach::Unreachable(since), Reach::Hears(_)) => {
-                tracing::info!(machine = %self.addr, after_ms = now - since, "a machine hears us again");
-            }
-            _ => {}
-        }
-        self.reach = after;
-    }
-
-    /// Takes a newer report's word for what the last answer brought about.
-    pub(crate) fn check_offered(&mut self, now: Millis) {
-        let offered = std::mem::take(&mut self.offered);
-        if offered.is_empty() {
-            return;
-        }
-        let shown = |(task, attempt): &(Task, u64)| {
-            self.seen.get(task).is_some_and(|s| s.attempt == *attempt)
-        };
-        let event = if offered.iter().all(shown) {
-            ReachEvent::Reflected
-        } else {
-            ReachEvent::Missed
-        };
-        self.reached(event, now);
-    }
-
-    /// Takes the answer to a direct question, which no late copy can be: the connection
-    /// was made for it. The worker numbers it after all that it sent before, so one that
-    /// comes before what was known when it was asked is of a worker that began anew:
-    /// whatever was started there before, up to this attempt, is gone with its
-    /// process. Only starts sent directly may yet arrive, if the sessions' numbers agree.
-    pub(crate) fn answered(
-        &mut self,
-        report: &Report,
-        token: u64,
-        last: u64,
-        now: Millis,
-    ) -> Heard {
-        self.reached(ReachEvent::Reflected, now);
-        let order = (report.tenure, report.tick);
-        if order >= self.asked.1 {
-            return self.hear(report, token, now);
-        }
-        tracing::info!(machine = %self.addr, session = report.tenure, before = self.newest.0, "a worker began anew");
-        self.pushed.retain(|p| p.session >= report.tenure);
-        self.offered.clear();
-        self.runs.clear();
-        self.images.clear();
-        self.born_after = last;
-        self.answered_at = now;
-        self.newest = order;
-        self.old_in_a_row = 0;
-        self.change(HostEvent::TokenChanged);
-        self.anew = true;
-        self.take(report, token, now);
-        Heard::New
-    }
-
-    /// Whether it is to be asked directly now.
-    pub(crate) fn ask_due(&self, lost_ms: f64, now: Millis) -> bool {
-        let since = now - self.asked.0;
-        let doubt =
-            self.reach.ask_ms().is_some_and(|ms| since >= ms) && now - self.heard_at < lost_ms;
-        // A copy that came late, or a worker that began anew: only it can tell.
-        let old = self.old_in_a_row >= 2 && since >= if self.anew { 300.0 } else { 1000.0 };
-        !self.asking
-            && (doubt || old)
-            && matches!(
-                self.state,
-                HostState::Unconfirmed | HostState::Ready | HostState::Expired
-            )
-    }
-
     /// Keeps the times of tasks that go on running, or have just ended.
     fn note_runs(&mut self, now: Millis) {
         let seen = &self.seen;
@@ -504,25 +425,6 @@
         }
     }
 
-    /// Whether a start of this attempt is not sent any more. It stays so: the round that
-    /// takes the mark back may be applied at any later time.
-    pub(crate) fn gave_up(&self, session: u64, attempt: u64) -> bool {
-        session == self.given_up.0 && attempt <= self.given_up.1
-    }
-
-    /// Whether an attempt was of the worker's life before, and nothing of it is left.
-    /// The worker shows our token: of older owners nothing can arrive any more.
-    fn of_life_before(&self, task: Task, session: u64, attempt: u64) -> bool {
-        matches!(self.state, HostState::Ready | HostState::Returning)
-            && self.token_ours()
-            && (session > self.newest.0 || attempt <= self.born_after)
-            && !self.start_pending(task, attempt)
-            && self
-                .seen
-                .get(&task)
-                .is_none_or(|s| s.attempt != attempt || s.ended())
-    }
-
     /// Whether the newest message carried the token that is ours now.
     pub fn token_ours(&self) -> bool {
         self.confirmed_token != 0 && self.token == self.confirmed_token
