--- a/crates/cherryyard-core/src/beats.rs
+++ b/crates/cherryyard-core/src/beats.rs
@@ -6,6 +6,13 @@
 use crate::peers::PeerState;
 use crate::tenancy::{Tenancy, TenancyEvent};
 use cherryyard_wire::peer::{Beat, PartReport};
+use std::collections::BTreeMap;
+
+/// How long nothing of what we send a controller may be named by it.
+const DEAF_MS: f64 = 3000.0;
+/// How long a report counts that came to one who does not own its machine: a worker that
+/// cannot reach its owner waits 4 s there, 1 s more, and is sent there again.
+const STRAY_MS: f64 = 6000.0;
 
 impl Node {
     /// Whether every other controller says lately that the state service does
@@ -20,6 +27,25 @@
             })
     }
 
+    /// Controllers that have for long named no message of ours, though we send them one
+    /// twice a second: the connection to each is to be made anew. One that was down, or
+    /// behind a cut, may be back and know nothing of the old connection, which tells us
+    /// nothing for a minute or more. Each is told of again after the same time.
+    pub fn deaf_peers(&mut self, now: Millis) -> Vec<&str> {
+        let me = self.config.me;
+        let mut deaf = Vec::new();
+        for i in (0..self.peers.len()).filter(|&i| i != me) {
+            let named = self.named_at(i).unwrap_or(self.started_at);
+            let since = self.reconnected_at[i].max(named);
+            if now - since > DEAF_MS {
+                self.reconnected_at[i] = now;
+                deaf.push(i);
+            }
+        }
+        let labels = &self.config.labels;
+        deaf.into_iter().map(|i| labels[i].as_str()).collect()
+    }
+
     /// Takes another controller's beat.
     pub fn beat_in(&mut self, beat: Beat, now: Millis) {
         self.notice(now);
@@ -71,6 +97,22 @@
         });
     }
 
+    /// How many workers of others' parts report here and hear, by part. Not all are
+    /// asked, as they may come by the hundred at once: those that were stand for them.
+    fn strays_out(&mut self, now: Millis) -> Vec<(u32, u32)> {
+        self.strays.retain(|_, stray| now - stray.at < STRAY_MS);
+        let mut counts: BTreeMap<usize, (u32, u32, u32)> = BTreeMap::new();
+        for (&(p, _), stray) in &self.strays {
+            let (all, asked, hear) = counts.entry(p).or_default();
+            *all += 1;
+            *asked += u32::from(stray.asked_at.is_finite() && !stray.asking);
+            *hear += u32::from(stray.hears);
+        }
+        let told = counts.into_iter().filter(|c| c.1.1 > 0);
+        told.map(|(p, (all, asked, hear))| (p as u32, all * hear / asked))
+            .collect()
+    }
+
     /// What this controller tells the others now.
     pub fn beat_out(&mut self, now: Millis) -> Beat {
         self.notice(now);
@@ -89,14 +131,7 @@
                 self.leader.hear(report.clone(), now);
             }
         }
-        self.strays.retain(|_, at| now - *at < 4000.0);
-        let mut strays: Vec<(u32, u32)> = Vec::new();
-        for (p, _) in self.strays.keys() {
-            match strays.last_mut() {
-                Some(last) if last.0 == *p as u32 => last.1 += 1,
-                _ => strays.push((*p as u32, 1)),
-            }
-        }
+        let strays = self.strays_out(now);
         let demand = self.demand_out();
         let (cancelled, reach_ms) = self.cancelled.tell(self.mirror.new_cancels(), now);
         let silent = now - self.state_ok_at;
--- a/crates/cherryyard-core/src/machine.rs
+++ b/crates/cherryyard-core/src/machine.rs
@@ -1,9 +1,10 @@
 //! One machine as its part's owner sees it.
 
 use crate::Millis;
+use crate::reach::{Reach, ReachEvent};
 use cherryyard_wire::cloud::HostEntry;
 use cherryyard_wire::worker::{Cause, PieceReport, PieceStatus, Report, piece_numbers};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// How long after the time it was told a recalled machine counts as taken.
 const TAKEN_MS: f64 = 1000.0;
@@ -139,6 +140,22 @@
     pub heard_at: Millis,
     /// When a report of it was last answered 200.
     pub answered_at: Millis,
+    /// Whether what we send it arrives.
+    pub reach: Reach,
+    /// When it became unreachable: its session, and the last attempt up to then. Whatever
+    /// was marked here before and is not there is given up, also if it hears again.
+    pub(crate) given_up: (u64, u64),
+    /// When it was last asked directly, and what was the newest message then.
+    pub(crate) asked: (Millis, (u64, u64)),
+    /// Whether a question is under way.
+    pub(crate) asking: bool,
+    /// Reports in a row that were older than one before them.
+    pub(crate) old_in_a_row: u32,
+    /// Attempts up to this one are of a life before: the worker began anew.
+    pub(crate) born_after: u64,
+    /// It began anew under our present token. Copies of reports of its life before may
+    /// still come, and would look newer than its own: only its direct answers count.
+    pub(crate) anew: bool,
     /// Starts sent directly whose fate is not known.
     pub pushed: Vec<PushedStart>,
     /// Starts in the answer to the newest report.
@@ -151,8 +168,11 @@
     pub images: Vec<Image>,
     /// Not used for new tasks before this time, after failures.
     pub avoid_until: Millis,
-    /// Failures without a completion in between.
+    /// Failures without a completion in between of jobs that complete elsewhere.
     pub failures: u32,
+    /// Jobs that have failed here and have yet to complete anything: they or the
+    /// machine may be at fault.
+    pub(crate) suspected: BTreeSet<u64>,
     /// When it last had a task.
     pub busy_at: Millis,
     /// When it may be released again after a failed try.
@@ -182,6 +202,13 @@
             recall_at: None,
             heard_at: now,
             answered_at: now,
+            reach: Reach::Hears(0),
+            given_up: (0, 0),
+            asked: (f64::NEG_INFINITY, (0, 0)),
+            asking: false,
+            old_in_a_row: 0,
+            born_after: 0,
+            anew: false,
             pushed: Vec::new(),
             offered: Vec::new(),
             pushing: false,
@@ -189,6 +216,7 @@
             images: Vec::new(),
             avoid_until: 0.0,
             failures: 0,
+            suspected: BTreeSet::new(),
             busy_at: now,
             release_after: now,
             since: now,
@@ -223,6 +251,8 @@
         }
         if event == TokenChanged {
             self.confirmed_token = 0;
+            // No copy shows the new one.
+            self.anew = false;
         }
         self.state = match (self.state, event) {
             (Gone, _) | (_, Released) => Gone,
@@ -247,8 +277,10 @@
     pub fn hear(&mut self, report: &Report, own_token: u64, now: Millis) -> Heard {
         let order = (report.tenure, report.tick);
         if order <= self.newest {
+            self.old_in_a_row += 1;
             return Heard::Old;
         }
+        self.old_in_a_row = 0;
         if self.tells_the_same(report, own_token) {
             self.newest = order;
             self.heard_at = now;
@@ -263,7 +295,27 @@
             let (session, token_rose) = (report.tenure, report.baton > self.token);
             self.pushed.retain(|p| p.session >= session && !token_rose);
         }
+        if report.baton == own_token && self.token < own_token {
+            self.reached(ReachEvent::Reflected, now);
+        } else if report.baton < own_token && self.confirmed_token == own_token {
+            // The last one was answered with our token.
+            self.reached(ReachEvent::Missed, now);
+        } else if report.tenure > self.newest.0 && self.newest.0 > 0 {
+            self.reached(ReachEvent::NewSession, now);
+        }
+        if report.tenure > self.newest.0 {
+            // A session has its whole lease from when it began, which was at the latest
+            // now: a direct answer told of it though no report was answered for long, and
+            // what was then started there was taken for lost at once, by the lease before.
+            self.answered_at = now;
+        }
         self.newest = order;
+        self.take(report, own_token, now);
+        Heard::New
+    }
+
+    /// Takes over what a message tells.
+    pub(crate) fn take(&mut self, report: &Report, own_token: u64, now: Millis) {
         self.token = report.baton;
         self.confirmed_token = own_token;
         self.heard_at = now;
@@ -289,7 +341,6 @@
         if report.baton == own_token {
             self.change(HostEvent::Confirmed);
         }
-        Heard::New
     }
 
     /// Keeps the times of tasks that go on running, or have just ended.
@@ -350,14 +401,20 @@
         if self.lease_over && session <= self.newest.0 {
             return true;
         }
+        if self.born_after > 0 && self.of_life_before(task, session, attempt) {
+            return true;
+        }
         match self.state {
             HostState::Gone => true,
             HostState::Unconfirmed | HostState::Expired => false,
             HostState::Ready | HostState::Returning => {
                 // Returning may follow Unconfirmed; only a report that carries
                 // our token counts.
+                // A mark older than our token in a session that has yet to come is of a
+                // life before of the worker: it was there before it showed the token.
                 self.token_ours()
                     && (session < self.newest.0
+                        || (session > self.newest.0 && attempt <= self.token)
                         || (session == self.newest.0
                             && !self.start_pending(task, attempt)
                             && self
@@ -405,6 +462,7 @@
     /// Whether new tasks may be placed here.
     pub fn usable(&self, now: Millis, silence_ms: f64) -> bool {
         self.state == HostState::Ready
+            && self.reach.hears()
             && self.recall_at.is_none()
             && now - self.heard_at <= silence_ms
             && now >= self.avoid_until
--- a/crates/cherryyard-core/src/node.rs
+++ b/crates/cherryyard-core/src/node.rs
@@ -10,7 +10,7 @@
 use crate::machine::{HostEvent, HostState, Machine};
 use crate::owner::state::Part;
 use crate::pace::Pace;
-use crate::peers::PeerState;
+use crate::peers::{PeerState, Stray};
 use crate::tenancy::{Tenancy, TenancyEvent};
 use crate::{Config, Millis, Mirror};
 use cherryyard_wire::cloud::{HostEntry, HostKind};
@@ -38,6 +38,8 @@
     pub(crate) machines: BTreeMap<u32, Machine>,
     pub(crate) leader: Leader,
     pub(crate) peers: Vec<Option<PeerState>>,
+    /// When the connection to each other controller was last to be made anew.
+    pub(crate) reconnected_at: Vec<Millis>,
     pub(crate) hold: Option<u64>,
     pub(crate) effects: Vec<Effect>,
     pub(crate) rng: StdRng,
@@ -59,8 +61,8 @@
     pub(crate) clock: Millis,
     /// When this controller last started, or went on after it had stood still.
     pub(crate) woke_at: Millis,
-    /// Workers of others' parts that reported here: by part and name, when.
-    pub(crate) strays: BTreeMap<(usize, String), Millis>,
+    /// Workers of others' parts that reported here, by part and machine.
+    pub(crate) strays: BTreeMap<(usize, u32), Stray>,
     /// Users' writes that this controller may make.
     pub(crate) user_pace: Pace,
     /// Machines whose marks rounds have looked at so far: what rounds cost.
@@ -96,6 +98,7 @@
             mirror,
             parts,
             machines: BTreeMap::new(),
+            reconnected_at: vec![now; peers.len()],
             peers,
             hold: None,
             effects: Vec::new(),
@@ -378,6 +381,7 @@
     /// Takes a reading of the cloud's machine list.
     pub fn listed(&mut self, hosts: Vec<HostEntry>, now: Millis) {
         self.notice(now);
+        self.learn_boots(&hosts);
         self.listed = hosts.into_iter().map(|h| (h.id.clone(), h)).collect();
         self.listed_at = now;
         // Machines long gone are forgotten, unless something still names them:
--- a/crates/cherryyard-core/src/owner/orders.rs
+++ b/crates/cherryyard-core/src/owner/orders.rs
@@ -82,7 +82,10 @@
         }
         if fresh && owned && m.recall_at.is_none_or(|at| at - now > 60_000.0) {
             for (task, mark) in self.mirror.on_host(host) {
+                // Of what was given up no start is sent: only then a report without the
+                // task proves that it is not there.
                 if mark.session == m.newest.0
+                    && !m.gave_up(mark.session, mark.attempt)
                     && !m.seen.contains_key(&task)
                     && self.mirror.open.contains_key(&task.0)
                 {
@@ -105,7 +108,11 @@
         let Tenancy::Owned(token) = self.parts[m.part].tenancy else {
             return;
         };
-        if m.pushing || now < m.push_after || now - m.heard_at > self.silence_ms() {
+        if m.pushing
+            || now < m.push_after
+            || now - m.heard_at > self.silence_ms()
+            || matches!(m.reach, Reach::Unreachable(_))
+        {
             return;
         }
         let orders = self.orders(host, now, false);
--- a/crates/cherryyard-core/src/owner/place.rs
+++ b/crates/cherryyard-core/src/owner/place.rs
@@ -1,5 +1,6 @@
 //! Placement: which waiting number goes to which machine.
 
+use super::blame::Trouble;
 use super::search::{Looks, Search};
 use super::*;
 use crate::admission::flows::Flow;
@@ -105,6 +106,7 @@
         for job in turns {
             self.requeue(p, job, now);
         }
+        self.give_turns(p, now);
         let part = &mut self.parts[p];
         // Back in its place at the end: nothing in between looks there.
         let mut queues = std::mem::take(&mut part.queues);
@@ -173,10 +175,21 @@
                 continue;
             }
             let team = open.team as usize;
-            let trouble = self.parts[p].trouble.get(job).copied().unwrap_or_default();
-            if trouble.until > now {
+            let trouble = self.parts[p].trouble.get(job);
+            if trouble.is_some_and(|t| t.held_off(now)) {
                 continue;
             }
+            // Of a job that fails everywhere one task at a time is tried.
+            let blamed = trouble.is_some_and(Trouble::blamed);
+            let tried = || {
+                let marks = self.mirror.marks.get(&(p, *job));
+                marks.is_some_and(|m| m.marks.len() > round.gone_of(*job))
+            };
+            if blamed && tried() {
+                continue;
+            }
+            // Elsewhere than where it failed, while that may tell whose fault it is.
+            let failed_on = trouble.filter(|t| !t.blamed()).map(|t| t.hosts.clone());
             let limited = self.config.teams[team].limited().then_some(team as u32);
             if self.beyond_grant(p, team as u32, &used, &needs) {
                 continue;
@@ -217,6 +230,7 @@
                                 .reserved
                                 .get(host)
                                 .is_none_or(|(task, _)| *task == (*job, number))
+                            && !self.kept_from(p, *host, open)
                             && self.zone_open(p, open, &m.zone, &zones)
                     })
                     .max_by(|(_, a), (_, b)| {
@@ -229,7 +243,8 @@
                             // A spot machine may be taken with its work: only for
                             // what finds no other room.
                             let tier = open.tier(&m.kind, &m.zone, m.spot);
-                            (Reverse(tier), image, !m.spot)
+                            let failed = failed_on.as_ref().is_some_and(|f| f.contains(&r.0));
+                            (!failed, Reverse(tier), image, !m.spot)
                         };
                         key(a)
                             .cmp(&key(b))
@@ -322,6 +337,12 @@
                         continue 'jobs;
                     }
                 }
+                if blamed {
+                    continue 'jobs;
+                }
+            }
+            if let Some(&first) = unplaced.first() {
+                self.keep_machine(p, flow, (*job, first), queues, &zones, now);
             }
             if !unplaced.is_empty() && self.may_preempt(&self.mirror.open[job], &preemptible) {
                 let job = *job;
--- a/crates/cherryyard-core/src/owner/state.rs
+++ b/crates/cherryyard-core/src/owner/state.rs
@@ -1,7 +1,9 @@
 //! What an owner remembers of a part.
 
+use super::blame::Trouble;
 use crate::Millis;
 use crate::account::Account;
+use crate::admission::flows::Flow;
 use crate::admission::queue::Queues;
 use crate::machine::Task;
 use crate::pace::Pace;
@@ -16,13 +18,6 @@
     pub(crate) until: Millis,
 }
 
-/// A job's failures in a part.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct JobTrouble {
-    pub(crate) fails: u32,
-    pub(crate) until: Millis,
-}
-
 /// What a round will do once its transaction is durable.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Pending {
@@ -60,7 +55,9 @@
     pub(crate) preempted: HashMap<Task, Preempted>,
     /// Machines kept for a task that others were stopped for.
     pub(crate) reserved: BTreeMap<u32, (Task, Millis)>,
-    pub(crate) trouble: HashMap<u64, JobTrouble>,
+    /// Machines kept for the oldest jobs that have not begun, by flow.
+    pub(crate) kept: BTreeMap<Flow, (Task, u32)>,
+    pub(crate) trouble: HashMap<u64, Trouble>,
     /// Services kept back for a moment, for the leader to move.
     pub(crate) handing: BTreeSet<u64>,
     /// What waits, in the order of service.
@@ -97,6 +94,7 @@
             retry_after: now,
             preempted: HashMap::new(),
             reserved: BTreeMap::new(),
+            kept: BTreeMap::new(),
             trouble: HashMap::new(),
             handing: BTreeSet::new(),
             queues: Queues::default(),
@@ -116,6 +114,7 @@
         self.reserved.clear();
         self.queues.clear();
         self.handing.clear();
+        self.kept.clear();
         self.trouble.clear();
         self.bump = false;
         self.ran.clear();
--- a/crates/cherryyard-rehearsal/src/world.rs
+++ b/crates/cherryyard-rehearsal/src/world.rs
@@ -116,6 +116,14 @@
     waiting: BTreeMap<String, f64>,
     /// Machines that nobody reaches.
     pub unreachable: BTreeSet<String>,
+    /// Machines whose reports arrive, but neither answers nor commands reach them.
+    pub one_way: BTreeSet<String>,
+    /// Copies of all reports come once more, this late, to the same controller and the
+    /// one after it.
+    pub copies_ms: Option<f64>,
+    copies: Vec<(f64, usize, Report)>,
+    /// Direct questions to machines so far.
+    pub questions: usize,
     /// Machines to which direct commands are held back.
     pub slow_direct: BTreeSet<String>,
     /// Direct commands held back.
@@ -140,8 +148,15 @@
     /// What has become of submissions, by ticket.
     pub verdicts: BTreeMap<u64, Verdict>,
     tickets: u64,
-    /// Machines that were to be rented; there are none.
+    /// Machines that were to be rented.
     pub hires: Vec<HireRequest>,
+    /// What a rented machine takes to be up, in milliseconds; none: there are none to
+    /// rent.
+    pub boot_ms: Option<f64>,
+    /// How long tasks run on rented machines.
+    pub rented_run_ms: f64,
+    /// Machines on their way: when up, when rented.
+    pub booting: BTreeMap<String, (f64, f64, String)>,
     /// The time.
     pub now: f64,
     /// What happened.
@@ -169,6 +184,10 @@
             inbox: Vec::new(),
             waiting: BTreeMap::new(),
             unreachable: BTreeSet::new(),
+            one_way: BTreeSet::new(),
+            copies_ms: None,
+            copies: Vec::new(),
+            questions: 0,
             slow_direct: BTreeSet::new(),
             held_direct: Vec::new(),
             hold_commits: BTreeSet::new(),
@@ -182,6 +201,9 @@
             verdicts: BTreeMap::new(),
             tickets: 0,
             hires: Vec::new(),
+            boot_ms: None,
+            rented_run_ms: f64::INFINITY,
+            booting: BTreeMap::new(),
             now: 0.0,
             trace: Vec::new(),
             broken: Vec::new(),
@@ -522,6 +544,7 @@
     fn step(&mut self) {
         let now = self.now;
         self.state.expire(now);
+        self.boot();
         for i in 0..self.nodes.len() {
             let Some(node) = self.nodes[i].as_mut().filter(|_| !self.frozen.contains(&i)) else {
                 continue;
@@ -555,6 +578,14 @@
                 self.inbox.push((turn, sent_at, i, report));
             }
         }
+        let (due, later) = std::mem::take(&mut self.copies)
+            .into_iter()
+            .partition(|copy| copy.0 <= now);
+        self.copies = later;
+        for (_, i, report) in due {
+            // Its answer finds nobody waiting.
+            self.reported(i, &report, f64::NAN);
+        }
         let names: Vec<String> = self.workers.keys().cloned().collect();
         for name in names {
             self.worker_step(&name);
@@ -604,6 +635,11 @@
         } else if now >= worker.report_at && !self.unreachable.contains(name) {
             worker.report_at = now + 2000.0;
             let (i, report) = (worker.node, worker.report(now));
+            if let Some(ms) = self.copies_ms {
+                for k in [i, (i + 1) % self.nodes.len()] {
+                    self.copies.push((now + ms, k, report.clone()));
+                }
+            }
             self.waiting.insert(name.to_string(), now);
             match self.late.get(&i) {
                 Some(late) => self.inbox.push((now + late, now, i, report)),
@@ -626,6 +662,7 @@
         // A worker that has given up drops the answer.
         if let Some(worker) = self.workers.get_mut(name)
             && self.waiting.get(name) == Some(&sent_at)
+            && !self.one_way.contains(name)
         {
             self.waiting.remove(name);
             match reply {
@@ -666,10 +703,12 @@
                         addr,
                         request,
                     } => self.push(i, host, &addr, request),
+                    Effect::Ask { host, addr } => self.ask(i, host, &addr),
                     Effect::Release(hosts) => {
                         for name in &hosts {
                             self.say(format!("node-{i} releases {name}"));
                             self.workers.remove(name);
+                            self.booting.remove(name);
                         }
                         if let Some(n) = &mut self.nodes[i] {
                             n.released(&hosts, true, now);
@@ -677,8 +716,9 @@
                     }
                     Effect::Hire(request) => {
                         self.hires.push(request.clone());
+                        let hosts = self.hire(&request).ok_or(true);
                         if let Some(n) = &mut self.nodes[i] {
-                            n.hired(&request, Err(true), now);
+                            n.hired(&request, hosts, now);
                         }
                     }
                     Effect::ReadLeaf(level, job) => {
@@ -761,7 +801,8 @@
         let now = self.now;
         let name = addr.trim_end_matches(":9000").to_string();
         let mut log = Vec::new();
-        let outcome = if self.slow_direct.contains(&name) || self.unreachable.contains(&name) {
+        let cut = self.unreachable.contains(&name) || self.one_way.contains(&name);
+        let outcome = if self.slow_direct.contains(&name) || cut {
             self.held_direct.push((name, request.clone()));
             PushOutcome::Unknown
         } else if let Some(worker) = self.workers.get_mut(&name) {
@@ -778,6 +819,32 @@
         }
     }
 
+    /// A controller asks a machine for its report.
+    fn ask(&mut self, i: usize, host: u32, addr: &str) {
+        let now = self.now;
+        self.questions += 1;
+        let name = addr.trim_end_matches(":9000");
+        let cut = self.unreachable.contains(name) || self.one_way.contains(name);
+        let cut = cut || self.deaf.contains(&i);
+        let worker = self.workers.get_mut(name).filter(|_| !cut);
+        let report = worker.map(|w| w.report(now));
+        if let Some(node) = &mut self.nodes[i] {
+            node.asked(host, report.as_ref(), now);
+        }
+    }
+
+    /// A machine ends with all that is on it and is back at once, its worker new. What
+    /// was held back on connections to it is lost with them.
+    pub fn reborn(&mut self, name: &str) {
+        self.say(format!("{name} begins anew"));
+        self.waiting.remove(name);
+        self.held_direct.retain(|held| held.0 != name);
+        let now = self.now;
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.begin_anew(now);
+        }
+    }
+
     /// Delivers the direct commands that were held back; says how many of them
     /// a worker executed.
     pub fn deliver_direct(&mut self) -> usize {
@@ -804,9 +871,44 @@
             .collect()
     }
 
+    /// The cloud rents machines, if it has any.
+    fn hire(&mut self, request: &HireRequest) -> Option<Vec<String>> {
+        let boot_ms = self.boot_ms?;
+        let first = 100_000 + self.booting.len() + self.workers.len() + self.hires.len() * 100;
+        let names = (0..request.number as usize).map(|k| format!("host-{:06}", first + k));
+        let names: Vec<String> = names.collect();
+        let on_the_way = (self.now + boot_ms, self.now, request.yard.clone());
+        for name in &names {
+            self.booting.insert(name.clone(), on_the_way.clone());
+        }
+        self.say(format!("{} rented", names.len()));
+        Some(names)
+    }
+
+    /// Rented machines come up.
+    fn boot(&mut self) {
+        let now = self.now;
+        let up = self.booting.extract_if(.., |_, b| b.0 <= now);
+        for (name, (_, _, zone)) in up.collect::<Vec<_>>() {
+            let mut worker = WorkerStandIn::new(&name, &zone, 0, 10_000.0, now);
+            worker.run_ms = self.rented_run_ms;
+            self.workers.insert(name, worker);
+        }
+    }
+
     /// Every controller reads the cloud's list of machines.
     pub fn list_machines(&mut self) {
         let now = self.now;
+        let starting = self.booting.iter().map(|(name, b)| HostEntry {
+            id: name.clone(),
+            addr: format!("{name}:9000"),
+            host_kind: "m4".into(),
+            yard: b.2.clone(),
+            borrowed: false,
+            status: HostStatus::Starting,
+            held_s: (now - b.1) / 1000.0,
+        });
+        let starting: Vec<HostEntry> = starting.collect();
         let hosts: Vec<HostEntry> = self
             .workers
             .values()
@@ -819,6 +921,7 @@
                 status: HostStatus::Running,
                 held_s: 10.0,
             })
+            .chain(starting)
             .collect();
         for i in 0..self.nodes.len() {
             if let Some(node) = &mut self.nodes[i] {
--- a/crates/cherryyard/src/app/mod.rs
+++ b/crates/cherryyard/src/app/mod.rs
@@ -2,6 +2,7 @@
 
 mod asks;
 mod history;
+mod line;
 mod loops;
 mod reads;
 mod repeats;
@@ -39,6 +40,8 @@
     pub(crate) beat_wanted: Notify,
     /// Ways to the other controllers, by name.
     pub(crate) peers: HashMap<String, mpsc::Sender<Bytes>>,
+    /// Tells that the connection to one of them is to be made anew.
+    pub(crate) anew: HashMap<String, Arc<Notify>>,
     /// Submissions passed on that wait for an answer.
     pub(crate) asked: Mutex<HashMap<u64, oneshot::Sender<Told>>>,
     pub(crate) tickets: AtomicU64,
@@ -116,6 +119,16 @@
                     app.with(|n, now| n.pushed(host, &request, outcome, now));
                 });
             }
+            Effect::Ask { host, addr } => {
+                tokio::spawn(async move {
+                    let answer = worker::ask(&app.workers, &addr).await;
+                    if let Err(e) = &answer {
+                        tracing::debug!(addr, "a machine does not answer a question: {e}");
+                    }
+                    let answer = answer.ok();
+                    app.with(|n, now| n.asked(host, answer.as_ref(), now));
+                });
+            }
             Effect::ReadLeaf(level, job) => {
                 tokio::spawn(async move {
                     let leaf = app.state.read_leaf(level, job).await;
