--- a/crates/cherryyard-rehearsal/tests/largest.rs
+++ b/crates/cherryyard-rehearsal/tests/largest.rs
@@ -107,3 +107,55 @@
         assert!(w.trace.iter().any(|l| l.contains(&needle)), "{job}");
     }
 }
+
+/// A guest's swarm of single tiny tasks: what rounds write and look at follows rounds,
+/// not tasks, and the job of a team with a guarantee begins at once in the middle of it.
+#[test]
+fn a_swarm_costs_rounds_not_tasks() {
+    let mut w = World::new(Setup {
+        machines: vec![("a", 6), ("b", 6), ("c", 6)],
+        teams: vec![("portal", 24.0, 0.0), ("guest", 0.0, 0.0)],
+        write_rps: 60.0,
+        ..Setup::default()
+    });
+    for worker in w.workers.values_mut() {
+        worker.run_ms = 15_000.0;
+    }
+    w.run(5.0);
+    let (mut job, mut waited) = (100, None);
+    let before = w.state.epoch();
+    for second in 0..60 {
+        for _ in 0..40 {
+            job += 1;
+            let mut ping = spec(job, 1, 0.25);
+            ping.owner = "guest".into();
+            ping.rank = cherryyard_wire::job::Rank::BestEffort;
+            w.submit(&ping);
+        }
+        if second == 40 {
+            let mut portal = spec(1, 4, 4.0);
+            portal.owner = "portal".into();
+            portal.rank = cherryyard_wire::job::Rank::High;
+            w.submit(&portal);
+            waited = Some(w.now);
+        }
+        w.run(1.0);
+        if let Some(at) = waited
+            && w.copies("j-000001/0") == 1
+        {
+            assert!(w.now - at <= 5000.0, "{}", w.now - at);
+            waited = None;
+        }
+    }
+    assert_eq!(waited, None, "the portal began");
+    w.run(30.0);
+    let starts = w.trace.iter().filter(|l| l.contains(" starts ")).count();
+    let writes = w.state.epoch() - before - (job as u64 - 100);
+    // Three owners with at most ten rounds a second each, for 90 s.
+    assert!(starts > 1500, "{starts}");
+    assert!(
+        writes * 2 < starts as u64,
+        "{writes} writes for {starts} starts"
+    );
+    assert!(w.broken.is_empty(), "{:?}", w.broken);
+}
