Late transactions of one's own: absence is never required twice

Cause: a transaction without an answer may be carried out after newer ones of the same controller, under the same claim, which the claim does not stop.

Change, one rule for rows of pages: what is absent is required together with the stamp of the page before it, that page changes whenever the one after it comes or goes, and page 0 stays. Lowering a grant depends on there being no newer mark, as the leader's moves do. A machine's recall only comes nearer, so that a mark taken back for it is not started again meanwhile. No further writes but one when a page of new jobs goes before the one before it.

--- a/crates/cherryyard-core/src/leader/overflow.rs
+++ b/crates/cherryyard-core/src/leader/overflow.rs
@@ -45,11 +45,7 @@
             more.push((job, new.record()));
             let mut attempt = Commit::default();
             // A number that its owner marks meanwhile is in one of these.
-            let last = self.mirror.last_page(p);
-            for page in last.into_iter().chain([last.map_or(0, |n| n + 1)]) {
-                self.mirror
-                    .require(&mut attempt, Key::Mark { part: p, page });
-            }
+            self.mirror.require_last_page(&mut attempt, p);
             if !self
                 .mirror
                 .write_jobs(&mut attempt, more.clone(), &self.config)
--- a/crates/cherryyard-core/src/machine.rs
+++ b/crates/cherryyard-core/src/machine.rs
@@ -320,7 +320,13 @@
         self.confirmed_token = own_token;
         self.heard_at = now;
         self.addr.clone_from(&report.addr);
-        self.recall_at = report.recall_s.map(|s| now + s.max(0.0) * 1000.0);
+        // Only ever nearer: a mark that a late transaction takes back for it must not be
+        // started again meanwhile.
+        let recall_at = report.recall_s.map(|s| now + s.max(0.0) * 1000.0);
+        self.recall_at = match (recall_at, self.recall_at) {
+            (Some(new), Some(old)) => Some(new.min(old)),
+            (new, _) => new,
+        };
         self.seen.clear();
         self.told.clear();
         for piece in &report.pieces {
--- a/crates/cherryyard-core/src/mirror/arrivals.rs
+++ b/crates/cherryyard-core/src/mirror/arrivals.rs
@@ -5,7 +5,11 @@
 //! page's stamp and on there being none after it, and on the absence of a record of the
 //! job's own. So whoever adds a job has seen all that were added by pages before, and
 //! that it was not added otherwise: no job comes twice. One put can carry many, and
-//! records do not get into each other's way. The last page is never deleted.
+//! records do not get into each other's way.
+//!
+//! A transaction without an answer may be carried out after later ones. So that what it
+//! took for absent is not absent once more, the last page and page 0 are never deleted,
+//! and who deletes another changes the page before it, if that is still there.
 //!
 //! What is stored of a job elsewhere, in a record of its own or in a bucket, counts
 //! instead of its page: its end, or a division that has changed. A job without such a
@@ -253,22 +257,49 @@
         true
     }
 
+    /// Adds to a transaction what deletes a page. One that was to make this page, and is
+    /// carried out late, depends on the page before: that is changed, if it is there.
+    fn delete_page(&self, commit: &mut Commit, page: u64, config: &Config) -> bool {
+        let changed = |at: u64| {
+            let key = arrivals_key(at);
+            commit.apply.iter().any(|a| a.key() == key)
+        };
+        let before = page.checked_sub(1);
+        let before = before.filter(|at| self.arrivals.contains_key(at) && !changed(*at));
+        if let Some(before) = before {
+            let Some(draft) = self.draft(before, page_bytes(config)) else {
+                return false;
+            };
+            self.require(commit, Key::Arrivals(before));
+            commit.apply.push(draft.apply(before));
+        }
+        self.require(commit, Key::Arrivals(page));
+        commit.apply.push(Apply::delete(arrivals_key(page)));
+        true
+    }
+
     /// The transaction that tidies the pages, if there is something to tidy: pages of
     /// which no job depends any more are deleted, and what little is left of two goes
-    /// into one. Never the last: it shows what has been added.
+    /// into one. Never the last: it shows what has been added. The first is emptied.
     pub(crate) fn tidy_pages(&self, config: &Config) -> Option<Commit> {
         let mut commit = Commit::default();
         let last = *self.arrivals.last_key_value()?.0;
         let mut left: Option<(u64, usize)> = None;
         for (&page, known) in self.arrivals.range(..last).filter(|(_, a)| !a.foreign) {
-            if commit.apply.len() + 2 > config.txn_ops.max(2) {
+            if commit.apply.len() + 3 > config.txn_ops {
                 break;
             }
             let here = known.jobs.iter().filter(|job| self.in_page(**job)).count();
-            if here == 0 {
-                self.require(&mut commit, Key::Arrivals(page));
-                commit.apply.push(Apply::delete(arrivals_key(page)));
-            } else if here <= MOST_ROWS / 4 && config.txn_ops >= 2 {
+            if page == 0 {
+                if here == 0 && !known.jobs.is_empty() {
+                    self.require(&mut commit, Key::Arrivals(0));
+                    commit.apply.push(Draft::default().apply(0));
+                }
+            } else if here == 0 {
+                // One that is written for this is not joined in the same transaction.
+                left = left.filter(|l| l.0 + 1 != page);
+                self.delete_page(&mut commit, page, config);
+            } else if here <= MOST_ROWS / 4 {
                 // Into the later of the two: one who reads page by page meanwhile
                 // finds its jobs in one or the other.
                 match left.take() {
@@ -294,11 +325,13 @@
             let open = self.open.get(&job);
             open.is_some_and(|open| draft.push(job, open, most))
         });
+        // First what comes, then what goes: a reader of the changes loses no job.
+        let mut joined = commit.clone();
+        self.require(&mut joined, Key::Arrivals(into));
+        joined.apply.push(draft.apply(into));
+        let fits = fits && self.delete_page(&mut joined, from, config);
         if fits {
-            self.require(commit, Key::Arrivals(from));
-            self.require(commit, Key::Arrivals(into));
-            commit.apply.push(draft.apply(into));
-            commit.apply.push(Apply::delete(arrivals_key(from)));
+            *commit = joined;
         }
         fits
     }
--- a/crates/cherryyard-core/src/mirror/marks.rs
+++ b/crates/cherryyard-core/src/mirror/marks.rs
@@ -4,6 +4,8 @@
 use crate::needs::Needs;
 use crate::pages::{JobMarks, Mark, Page, PageJob};
 use cherryyard_wire::RangeSet;
+use cherryyard_wire::record::Key;
+use cherryyard_wire::state::Commit;
 use std::collections::BTreeMap;
 
 impl Mirror {
@@ -97,6 +99,18 @@
             .map(|(&n, _)| n)
     }
 
+    /// Adds the conditions that the part has got no mark that is not known here.
+    ///
+    /// Page 0 is never deleted once it is there, and a new page is made by a transaction
+    /// that writes the last one anew: so that "absent" never holds again for one that is
+    /// carried out late.
+    pub(crate) fn require_last_page(&self, commit: &mut Commit, part: usize) {
+        let last = self.last_page(part);
+        for page in last.into_iter().chain([last.map_or(0, |n| n + 1)]) {
+            self.require(commit, Key::Mark { part, page });
+        }
+    }
+
     /// The part that a mark on a machine belongs to.
     pub fn part_of_mark(&self, host: u32) -> Option<usize> {
         let (job, number) = *self.on_host.get(host as usize)?.keys().next()?;
--- a/crates/cherryyard-core/src/owner/room.rs
+++ b/crates/cherryyard-core/src/owner/room.rs
@@ -181,6 +181,10 @@
             }
             commit.apply.truncate(self.config.txn_ops);
             if !commit.apply.is_empty() {
+                // On no mark having been made since, as the leader's moves are: where the
+                // answer is lost this may be carried out after later rounds, which count
+                // on the grant as it was and do not change it.
+                self.mirror.require_last_page(&mut commit, p);
                 // In the owner's turn, so that no mark is under way meanwhile.
                 self.parts[p].pending = Some(Pending::default());
                 self.effects.push(Effect::Commit(Ticket::Owner(p), commit));
--- a/crates/cherryyard-core/src/owner/round.rs
+++ b/crates/cherryyard-core/src/owner/round.rs
@@ -342,6 +342,12 @@
             let Some((page, bytes)) = round.edit(&self.mirror, number) else {
                 return;
             };
+            let stored = self.mirror.pages[p].get(&number);
+            if number == 0 && stored.is_some_and(|page| page.jobs.is_empty()) {
+                // The first page stays, empty.
+                round.edits.clear();
+                continue;
+            }
             if page.jobs.is_empty() {
                 return;
             }
@@ -390,7 +396,7 @@
             self.mirror
                 .require(&mut commit, Key::Mark { part: p, page });
             let key = record::mark_key(p, page);
-            if !new.jobs.is_empty() {
+            if !new.jobs.is_empty() || page == 0 {
                 let record = new.record(&self.mirror.hosts);
                 commit.apply.push(Apply::set(key, &record));
             } else if self.mirror.pages[p].contains_key(&page) {
