Cancelled tasks on machines being returned, and cancelled starts on their way

Cause: the owner of a machine that is being returned answered its reports and sent it no orders. While the cloud did not release it, a cancelled task's lease went on for ever. And a direct start of a task on its way, its job cancelled just before an outage, could arrive after the time of the cancellation: the token that would stop it cannot be had in an outage. Change: such machines are told to stop tasks, and start none; in an outage a machine to which a start of a cancelled job may be on its way is not answered, so that its session ends.

--- a/crates/cherryyard-core/src/owner/orders.rs
+++ b/crates/cherryyard-core/src/owner/orders.rs
@@ -9,7 +9,9 @@
         let Some(m) = self.machines.get(&host) else {
             return orders;
         };
-        if !m.token_ours() || !matches!(m.state, HostState::Ready) {
+        // A machine that is being returned is answered for as long as the cloud does not
+        // release it: what is cancelled there must be stopped all the same.
+        if !m.token_ours() || !matches!(m.state, HostState::Ready | HostState::Returning) {
             return orders;
         }
         let p = m.part;
@@ -80,7 +82,8 @@
                 }
             }
         }
-        if fresh && owned && m.recall_at.is_none_or(|at| at - now > 60_000.0) {
+        let ready = m.state == HostState::Ready;
+        if ready && fresh && owned && m.recall_at.is_none_or(|at| at - now > 60_000.0) {
             for (task, mark) in self.mirror.on_host(host) {
                 // Of what was given up no start is sent: only then a report without the
                 // task proves that it is not there.
--- a/crates/cherryyard-core/src/reports.rs
+++ b/crates/cherryyard-core/src/reports.rs
@@ -7,6 +7,7 @@
 use crate::peers::Stray;
 use crate::reach::{Reach, ReachEvent};
 use crate::tenancy::Tenancy;
+use cherryyard_wire::record::End;
 use cherryyard_wire::worker::{DoRequest, Order, Report, ReportAnswer};
 
 /// Questions to machines under way at once.
@@ -113,6 +114,15 @@
         if machine.state == HostState::Gone {
             return Reply::Unavailable;
         }
+        let blind = now - self.seen_at > self.config.cut_off_bound_ms() / 2.0;
+        let cancelled =
+            |job: u64| self.cancelled.is_told(job) || self.mirror.end(job) == Some(End::Cancelled);
+        if blind && machine.pushed.iter().any(|s| cancelled(s.task.0)) {
+            // A start of a cancelled job may yet arrive there, and while the state service
+            // does not answer nobody can get the token that would stop it: its session
+            // has to end.
+            return Reply::Unavailable;
+        }
         if machine.anew {
             // It, or a copy of what it said in the life before: it is asked. Starts are
             // sent directly only, as a report without the task would not tell that one
