Starts on their way are told apart by token; commands and lost tasks say more in the logs

Each start keeps the token it was sent under. The debug log says how each command came out and what is known of a machine whose task is lost.

--- a/crates/cherryyard-core/src/machine.rs
+++ b/crates/cherryyard-core/src/machine.rs
@@ -88,8 +88,10 @@
     pub task: Task,
     /// The attempt.
     pub attempt: u64,
-    /// The session it was sent to.
+    /// The session it was sent to, and under which token.
     pub session: u64,
+    /// See `session`.
+    pub token: u64,
     /// Whether its answer was lost. It may arrive at any later time, also after the same
     /// start was sent again and answered.
     pub lost: bool,
@@ -295,8 +297,10 @@
         if report.tenure > self.newest.0 || report.baton > self.token {
             // Direct commands to an older session, or under a lower token than
             // the worker has seen, can no longer take effect.
-            let (session, token_rose) = (report.tenure, report.baton > self.token);
-            self.pushed.retain(|p| p.session >= session && !token_rose);
+            // (One that began anew comes from token 0 to the one that they were sent under.)
+            let (session, token) = (report.tenure, report.baton);
+            self.pushed
+                .retain(|p| p.session >= session && p.token >= token);
         }
         if report.baton == own_token && self.token < own_token {
             self.reached(ReachEvent::Reflected, now);
--- a/crates/cherryyard-core/src/owner/orders.rs
+++ b/crates/cherryyard-core/src/owner/orders.rs
@@ -136,6 +136,7 @@
                     task,
                     attempt: *attempt,
                     session,
+                    token,
                     lost: false,
                 });
             }
--- a/crates/cherryyard-core/src/owner/round.rs
+++ b/crates/cherryyard-core/src/owner/round.rs
@@ -262,7 +262,23 @@
                     let seen = self.machines.get(&host).and_then(|m| m.seen.get(&task));
                     let cause = seen.and_then(|s| s.cause);
                     let machine = self.mirror.hosts.name(host);
-                    tracing::debug!(job, number, machine, ?cause, "a task is lost");
+                    let m = self.machines.get(&host);
+                    let newest = m.map_or((0, 0), |m| m.newest);
+                    let over = m.is_some_and(|m| m.lease_over);
+                    let state = m.map(|m| m.state);
+                    let (attempt, session) = (mark.attempt, mark.session);
+                    tracing::debug!(
+                        job,
+                        number,
+                        machine,
+                        attempt,
+                        session,
+                        ?newest,
+                        over,
+                        ?state,
+                        ?cause,
+                        "a task is lost"
+                    );
                 }
                 if done {
                     let m = self.machines.get(&host);
--- a/crates/cherryyard-core/src/reports.rs
+++ b/crates/cherryyard-core/src/reports.rs
@@ -221,6 +221,12 @@
         };
         let p = machine.part;
         machine.pushing = false;
+        let how = match &outcome {
+            PushOutcome::Answered(report) => format!("answered in session {}", report.tenure),
+            PushOutcome::Unsent => "not sent".into(),
+            PushOutcome::Unknown => "no answer".into(),
+        };
+        tracing::debug!(machine = %machine.addr, session = request.tenure, how, "direct commands came out");
         match outcome {
             PushOutcome::Answered(report) => {
                 machine.settle_push(request, false);
