The end of a lease is no proof while a start may be on its way to the machine

It waits longer only where a start's answer was lost. Test: a_start_to_a_machine_that_hangs_beyond_its_lease, first seen to fail.

--- a/crates/cherryyard-core/src/machine.rs
+++ b/crates/cherryyard-core/src/machine.rs
@@ -411,7 +411,9 @@
     /// Whether a task with this mark is proven not to be on the machine, nor
     /// able to come back there.
     pub fn proven_gone(&self, task: Task, session: u64, attempt: u64) -> bool {
-        if self.lease_over && session <= self.newest.0 {
+        // A machine that hung beyond its lease may carry out what was sent to it before it
+        // sees that its session is over: then only its release, or a newer session, is proof.
+        if self.lease_over && session <= self.newest.0 && !self.start_pending(task, attempt) {
             return true;
         }
         if self.born_after > 0 && self.of_life_before(task, session, attempt) {
--- a/crates/cherryyard-rehearsal/src/world.rs
+++ b/crates/cherryyard-rehearsal/src/world.rs
@@ -120,6 +120,8 @@
     waiting: BTreeMap<String, f64>,
     /// Machines that nobody reaches.
     pub unreachable: BTreeSet<String>,
+    /// Machines that stand still: what is sent to them directly waits.
+    pub hung: BTreeSet<String>,
     /// Machines whose reports arrive, but neither answers nor commands reach them.
     pub one_way: BTreeSet<String>,
     /// Copies of all reports come once more, this late, to the same controller and the
@@ -217,6 +219,7 @@
             inbox: Vec::new(),
             waiting: BTreeMap::new(),
             unreachable: BTreeSet::new(),
+            hung: BTreeSet::new(),
             one_way: BTreeSet::new(),
             copies_ms: None,
             copies: Vec::new(),
@@ -689,7 +692,8 @@
 
     fn worker_step(&mut self, name: &str) {
         let now = self.now;
-        let Some(worker) = self.workers.get_mut(name) else {
+        let hung = self.hung.contains(name);
+        let Some(worker) = self.workers.get_mut(name).filter(|_| !hung) else {
             return;
         };
         if worker.recall_at.is_some_and(|at| now >= at) {
@@ -887,6 +891,7 @@
         let name = addr.trim_end_matches(":9000").to_string();
         let mut log = Vec::new();
         let cut = self.unreachable.contains(&name) || self.one_way.contains(&name);
+        let cut = cut || self.hung.contains(&name);
         let outcome = if self.slow_direct.contains(&name) || cut {
             self.held_direct.push((name, request.clone()));
             PushOutcome::Unknown
@@ -910,7 +915,7 @@
         self.questions += 1;
         let name = addr.trim_end_matches(":9000");
         let cut = self.unreachable.contains(name) || self.one_way.contains(name);
-        let cut = cut || self.deaf.contains(&i);
+        let cut = cut || self.deaf.contains(&i) || self.hung.contains(name);
         let worker = self.workers.get_mut(name).filter(|_| !cut);
         let report = worker.map(|w| w.report(now));
         if let Some(node) = &mut self.nodes[i] {
--- a/crates/cherryyard-rehearsal/tests/two_troubles.rs
+++ b/crates/cherryyard-rehearsal/tests/two_troubles.rs
@@ -315,6 +315,31 @@
     }
 }
 
+/// Machines hang with a start on its way to them, for longer than a lease, and carry it
+/// out before they see that their session is over. It must not run elsewhere by then.
+/// (Found by a hunted day, rahbar-lahore-hunt hunt-bc60-5.)
+#[test]
+fn a_start_to_a_machine_that_hangs_beyond_its_lease() {
+    for hangs_s in [4.0, 12.0, 16.0, 24.0] {
+        let mut w = cluster(f64::INFINITY);
+        let mut users = Users::default();
+        let hosts: Vec<String> = w.workers.keys().cloned().collect();
+        w.slow_direct.extend(hosts);
+        users.submit(&mut w, &World::spec("j-000001", "service", 20));
+        w.run_until(2.0, |w| !w.held_direct.is_empty());
+        let held = w.held_direct.iter().take(4).map(|h| h.0.clone());
+        w.hung = held.collect();
+        w.slow_direct.clear();
+        users.run(&mut w, hangs_s);
+        w.deliver_direct();
+        w.hung.clear();
+        let state = format!("{hangs_s} s");
+        users.run(&mut w, 30.0);
+        end(&mut w, &mut users, &state);
+        assert_eq!(w.running(), 20, "{state}");
+    }
+}
+
 /// Reports come again after newer ones, from earlier sessions and attempts, at the owner,
 /// at the controller after it and at a new owner, at every delay around a lease.
 #[test]
