--- a/crates/cherryyard-rehearsal/src/worker.rs
+++ b/crates/cherryyard-rehearsal/src/worker.rs
@@ -65,7 +65,8 @@
         }
     }
 
-    /// Lets time pass: tasks end, but for those of services, and the lease may run out.
+    /// Lets time pass: tasks end, those of services only where they fail, and the lease
+    /// may run out.
     pub fn advance(&mut self, now: f64, services: &BTreeSet<String>) -> Vec<String> {
         let mut log = Vec::new();
         if now - self.renewed_at > self.lease_ms {
@@ -88,7 +89,7 @@
             let bad = self.bad_jobs.contains(job);
             let run_ms = match (bad, services.contains(job)) {
                 (true, _) => BAD_MS,
-                (_, true) => f64::INFINITY,
+                (_, true) if !self.faulty => f64::INFINITY,
                 _ => self.run_ms,
             };
             if piece.2.is_none() && now - piece.1 >= run_ms {
