Machines are rented where bound jobs wait, though other zones have room

Cause: renting counted all free room against all that waits. A job bound to a zone whose machines had died waited for ever while other zones were half empty: nothing was rented there (found by writing the test for 'jobs bound to one zone lose machines'). The same for jobs bound to a type. Mend: what waiting bound jobs lack on machines that they may use, beyond what is on its way to them, counts as need of its own, and sorts that they allow come first; jobs with rules went by a weaker form of it, which this takes the place of. Before: jobs_bound_to_a_zone_lose_machines fails with the other zones empty. After: it holds; renting, cells and both_ways as before.

--- a/crates/cherryyard-core/src/leader/boots.rs
+++ b/crates/cherryyard-core/src/leader/boots.rs
@@ -115,6 +115,26 @@
         boots.stands(&host.host_kind, &host.yard, ready_s, host.held_s)
     }
 
+    /// Cores of rented machines that should be up at any time and that a job may use.
+    pub(crate) fn cores_coming_for(&self, open: &OpenJob) -> f64 {
+        let kinds = &self.mirror.kinds;
+        let cores_of = |sku: &str| kinds.iter().find(|k| k.sku == sku).map_or(0.0, |k| k.cores);
+        let starting = |h: &&HostEntry| {
+            h.status == HostStatus::Starting
+                && open.allows(&h.host_kind, &h.yard, h.borrowed).is_some()
+                && self.boot(h) == Boot::Expected
+        };
+        let listed = self.listed.values().filter(starting);
+        let listed: f64 = listed.map(|h| cores_of(&h.host_kind)).sum();
+        let hired = self.leader.hired.iter();
+        let hired = hired.filter(|h| open.allows(&h.kind, &h.zone, h.spot).is_some());
+        let unlisted = hired.map(|h| {
+            let unlisted = h.hosts.iter().filter(|n| !self.listed.contains_key(*n));
+            cores_of(&h.kind) * unlisted.count() as f64
+        });
+        listed + unlisted.sum::<f64>()
+    }
+
     /// Cores of rented machines that will come up, as far as is known.
     pub(crate) fn cores_coming(&self, total: f64) -> f64 {
         let kinds = &self.mirror.kinds;
--- a/crates/cherryyard-core/src/leader/mod.rs
+++ b/crates/cherryyard-core/src/leader/mod.rs
@@ -21,7 +21,7 @@
 use crate::node::Node;
 use crate::{Millis, admit};
 use cherryyard_wire::RangeSet;
-use cherryyard_wire::cloud::{HireRequest, HostEntry, HostStatus};
+use cherryyard_wire::cloud::{HireRequest, HostEntry, HostKind, HostStatus};
 use cherryyard_wire::job::{Rank, Shape};
 use cherryyard_wire::peer::{MachineRoom, MachineSort, PartReport};
 use cherryyard_wire::record::{self, Claim, End, Grant, Key};
--- a/crates/cherryyard-core/src/leader/rent.rs
+++ b/crates/cherryyard-core/src/leader/rent.rs
@@ -6,8 +6,8 @@
 /// are in its zone, type, zone, and how long it takes to be up.
 type Choice<'a> = (bool, f64, u32, &'a str, &'a str, f64);
 
-/// Waiting jobs with rules of which renting takes account.
-const RULED_JOBS: usize = 50;
+/// Waiting jobs that may use only some sorts of machine of which renting takes account.
+const BOUND_JOBS: usize = 50;
 
 impl Node {
     /// Rents ahead of need.
@@ -48,7 +48,10 @@
             }
         }
         let headroom = total * self.config.tuning.headroom_share;
-        let need = waiting + headroom - free - self.cores_coming(total);
+        // Room that a waiting job may not use is none for it, however much there is.
+        let (bound, lacking) = self.lacking_for_bound(now);
+        let ahead = waiting + headroom - free - self.cores_coming(total);
+        let need = ahead.max(lacking);
         if need <= 0.5 {
             return;
         }
@@ -68,7 +71,7 @@
             }
         }
         options.sort_by(|a, b| a.0.cmp(&b.0).then(a.2.cmp(&b.2)).then(a.4.cmp(b.4)));
-        self.for_rules(&mut options, need > waiting, now);
+        self.for_bound(&mut options, &bound, ahead <= waiting, ahead <= 0.5);
         let Some(&(spot, cores, _, sku, zone, _)) = options.first() else {
             return;
         };
@@ -91,23 +94,52 @@
         self.effects.push(Effect::Hire(request));
     }
 
-    /// Jobs with rules may be able to use few sorts of machine. Where one waits that
-    /// no machine here is for, a sort that it allows comes first; and where only such
-    /// jobs wait, nothing is rented that is of use to none of them.
-    fn for_rules(&self, options: &mut Vec<Choice<'_>>, ahead: bool, now: Millis) {
-        let waiting = self.mirror.open.iter().filter(|(job, open)| {
-            let gone = self.mirror.done(**job) + self.mirror.marked(**job);
-            open.spec.pieces > gone
-        });
-        let (mut ruled, mut others) = (Vec::new(), false);
-        for (_, open) in waiting {
-            if open.rules.is_none() {
-                others = true;
-            } else if ruled.len() < RULED_JOBS {
-                ruled.push(open);
+    /// Whether a job may use only some sorts of machine.
+    fn is_bound(&self, open: &OpenJob) -> bool {
+        let excluded = |k: &HostKind| !admit::allows_kind(&open.spec, &k.sku);
+        open.rules.is_some()
+            || open.spec.yard.is_some()
+            || open.zone.is_some()
+            || self.mirror.kinds.iter().any(excluded)
+    }
+
+    /// Waiting jobs that may use only some sorts of machine, each with whether it lacks
+    /// room on these; and how many cores all of them lack, beyond what is on its way.
+    fn lacking_for_bound(&self, now: Millis) -> (Vec<(&OpenJob, bool)>, f64) {
+        let (mut bound, mut all) = (Vec::new(), 0.0);
+        for (job, open) in self.mirror.open.iter().filter(|o| self.is_bound(o.1)) {
+            let gone = self.mirror.done(*job) + self.mirror.marked(*job);
+            let left = f64::from(open.spec.pieces.saturating_sub(gone));
+            if left == 0.0 {
+                continue;
+            }
+            let room: f64 = self
+                .fits(open, now, false, division::ANY, false)
+                .iter()
+                .sum();
+            let lacks = ((left - room) * open.spec.cores).max(0.0);
+            let coming = self.cores_coming_for(open);
+            bound.push((open, lacks > coming));
+            all += (lacks - coming).max(0.0);
+            if bound.len() >= BOUND_JOBS {
+                break;
             }
         }
-        if ruled.is_empty() {
+        (bound, all)
+    }
+
+    /// Where a waiting job that may use only some sorts of machine lacks room on them, a
+    /// sort that it allows comes first; and where only such jobs wait, nothing is rented
+    /// that is of use to none of them. `due`: nothing is rented ahead of need; `alone`: for
+    /// all others there is room.
+    fn for_bound(
+        &self,
+        options: &mut Vec<Choice<'_>>,
+        bound: &[(&OpenJob, bool)],
+        due: bool,
+        alone: bool,
+    ) {
+        if bound.is_empty() {
             return;
         }
         let takes = |open: &OpenJob, o: &Choice<'_>| {
@@ -115,12 +147,14 @@
             kind.is_some_and(|k| admit::fits_kind(&open.spec, k))
                 && open.allows(o.3, o.4, o.0).is_some()
         };
-        if !others && !ahead {
-            options.retain(|o| ruled.iter().any(|open| takes(open, o)));
+        let others = self.mirror.open.iter().any(|(job, open)| {
+            let gone = self.mirror.done(*job) + self.mirror.marked(*job);
+            open.spec.pieces > gone && !self.is_bound(open)
+        });
+        if alone || due && !others {
+            options.retain(|o| bound.iter().any(|b| takes(b.0, o)));
         }
-        let stuck = |open: &&&OpenJob| self.counts(open, now).iter().all(|&n| n == 0.0);
-        let stuck: Vec<&OpenJob> = ruled.iter().filter(stuck).copied().collect();
-        options.sort_by_key(|o| !stuck.iter().any(|open| takes(open, o)));
+        options.sort_by_key(|o| !bound.iter().any(|b| b.1 && takes(b.0, o)));
     }
 
     /// Takes the answer to a rental: the machines, a refusal, or neither.
@@ -144,6 +178,8 @@
                 self.leader.hired.push(Hired {
                     at: now,
                     kind: request.host_kind.clone(),
+                    zone: request.yard.clone(),
+                    spot: request.borrowed,
                     hosts,
                 });
                 if known {
--- a/crates/cherryyard-core/src/leader/state.rs
+++ b/crates/cherryyard-core/src/leader/state.rs
@@ -70,6 +70,8 @@
 pub(crate) struct Hired {
     pub(crate) at: Millis,
     pub(crate) kind: String,
+    pub(crate) zone: String,
+    pub(crate) spot: bool,
     /// Machine names, once answered.
     pub(crate) hosts: Vec<String>,
 }
