--- a/crates/cherryyard-core/src/owner/returns.rs
+++ b/crates/cherryyard-core/src/owner/returns.rs
@@ -6,8 +6,10 @@
 /// How much longer than its lease a machine may fail to hear us before it is returned.
 const UNREACHABLE_MS: f64 = 30_000.0;
 /// Which part of the time that a cancelled job's tasks have may pass before a machine is
-/// returned that may have one and is silent.
+/// returned that may have one and is silent, and from which part on a new owner waits no
+/// longer for it than for one that it has heard.
 const CANCELLED_PART: f64 = 0.7;
+const CANCELLED_LATE: f64 = 0.8;
 
 impl Node {
     /// Machines to return: dead, never up, silent, or of no use.
@@ -196,6 +198,24 @@
         self.config.report_ms * 1.25 + 8000.0
     }
 
+    /// For how long a machine has to be silent to be returned for a task of this job, if
+    /// it is cancelled and its time is running out.
+    fn cancelled_wait(&self, job: u64, now: Millis) -> Option<Millis> {
+        if self.mirror.end(job) != Some(End::Cancelled) || self.mirror.is_new_cancel(job) {
+            return None;
+        }
+        // Where that is no longer known it is long ago, or nobody knows.
+        let part = self
+            .cancelled
+            .learnt_at(job)
+            .map(|at| (now - at) / self.config.cancel_ms);
+        match part {
+            Some(part) if part <= CANCELLED_PART => None,
+            Some(part) if part > CANCELLED_LATE => Some(self.silence_ms()),
+            _ => Some(self.finding_ms()),
+        }
+    }
+
     /// A machine that hangs may carry out, when it goes on and before it sees that its
     /// session is over, a start that was sent to it before, by an owner before us too. If
     /// its job has been cancelled meanwhile only the machine's release stops that, as no
@@ -203,31 +223,24 @@
     /// proven gone is returned before that job's time is over. (Where the owner stays the
     /// same the end of the lease proves it, but for such a start.)
     pub(crate) fn return_cancelled(&mut self, p: usize, now: Millis) {
-        let limit = self.finding_ms();
-        let owned_since = self.parts[p].owned_since;
-        if now - owned_since < limit
-            || self.lateness.punctual_for(now) < limit
-            || !self.state_fresh(now)
-        {
+        if !self.state_fresh(now) {
             return;
         }
-        let due = |job: u64| {
-            let cancelled = self.mirror.end(job) == Some(End::Cancelled);
-            let learnt_at = self.cancelled.learnt_at(job);
-            let passed =
-                learnt_at.is_none_or(|at| now - at > CANCELLED_PART * self.config.cancel_ms);
-            cancelled && passed && !self.mirror.is_new_cancel(job)
+        let owned_since = self.parts[p].owned_since;
+        let punctual_since = now - self.lateness.punctual_for(now);
+        // Since when nothing has been heard of a machine that should have been.
+        let silent_since = |host: u32| match self.machines.get(&host) {
+            Some(m) if m.state == HostState::Gone || now < m.release_after => now,
+            Some(m) => m.heard_at.max(owned_since).max(punctual_since),
+            None => owned_since.max(punctual_since),
         };
-        let silent = |host: u32| match self.machines.get(&host) {
-            Some(m) => {
-                m.state != HostState::Gone
-                    && now >= m.release_after
-                    && now - m.heard_at.max(owned_since) > limit
-            }
-            None => true,
+        let due = |host: u32| {
+            let silent = now - silent_since(host);
+            let waits = |task: Task| self.cancelled_wait(task.0, now);
+            let mut waits = self.mirror.on_host(host).filter_map(|m| waits(m.0));
+            silent > 0.0 && waits.any(|wait| silent > wait)
         };
-        let hosts = self.mirror.marked_hosts().filter(|&host| silent(host));
-        let hosts = hosts.filter(|&host| self.mirror.on_host(host).any(|(task, _)| due(task.0)));
+        let hosts = self.mirror.marked_hosts().filter(|&host| due(host));
         let hosts = hosts.filter(|&host| self.mirror.part_of_mark(host) == Some(p));
         let hosts: Vec<u32> = hosts.take(90).collect();
         if hosts.is_empty() {
