Divisions by records depend on the page too: a late one divided a running job again

Cause: new jobs whose page has no room for their divisions are divided by records of their own, on those records' absence and the lead alone. Mend: the transaction depends on the page as well, which every other division of these jobs changes.

--- a/crates/cherryyard-core/src/leader/arrivals.rs
+++ b/crates/cherryyard-core/src/leader/arrivals.rs
@@ -76,6 +76,9 @@
                 for n in (1..=records.len()).rev() {
                     let some = records[..n].to_vec();
                     if self.mirror.write_jobs(&mut commit, some, &self.config) {
+                        // On the page too: carried out late, after they have been divided
+                        // there, it would find no records of them and divide them again.
+                        self.mirror.require(&mut commit, Key::Arrivals(page));
                         break;
                     }
                 }
--- a/crates/cherryyard-rehearsal/tests/late_writes.rs
+++ b/crates/cherryyard-rehearsal/tests/late_writes.rs
@@ -307,6 +307,9 @@
     users.run(&mut w, 13.0);
     let over = w.now;
     users.run(&mut w, 240.0);
+    if std::env::var("DEBUG").is_ok() && !w.broken.is_empty() {
+        println!("{}", w.trace.join("\n"));
+    }
     assert!(w.broken.is_empty(), "seed {seed}: {:?}", w.broken);
     assert!(
         limit == 0.0 || w.most_cores <= limit,
@@ -336,3 +339,58 @@
     let from = number("FROM", 12);
     (from..from + number("SEEDS", 200)).for_each(day);
 }
+
+/// New jobs stand undivided in a page that has no room for their divisions, so the leader
+/// divides them by records of their own, and gets no answer. The page has room then, and
+/// they are divided in it, another way, and marked; then the first division is carried out.
+/// It depended on the jobs' having no records alone, which still held: a running task was
+/// given to another part (found by seed 5091).
+#[test]
+fn a_division_by_records_carried_out_after_one_in_the_page() {
+    let mut w = settled(Setup {
+        machines: vec![("a", 8), ("b", 8), ("c", 8)],
+        value_kb: 1.0,
+        write_rps: 100.0,
+        ..Setup::default()
+    });
+    let ids: Vec<String> = (1..=14).map(|n| format!("j-{n:06}")).collect();
+    let lead = leader(&w);
+    // None is divided, and no answer comes to the leader's transactions.
+    w.hold_lead = true;
+    for id in &ids {
+        let mut spec = World::spec(id, "service", 4);
+        spec.bundle = format!("img-{id}");
+        w.submit(&spec);
+    }
+    let by_records = |c: &Commit| c.apply.iter().any(|a| a.key().starts_with("c/job/"));
+    w.run_until(10.0, |w| w.held_commits.iter().any(by_records));
+    let held = w
+        .held_commits
+        .iter()
+        .find(|c| by_records(c))
+        .expect("it was held");
+    let held = held.clone();
+    let divided: Vec<String> = held
+        .apply
+        .iter()
+        .map(|a| a.key().replace("c/job/", ""))
+        .collect();
+    // The page gets room: of those that were not among them some are cancelled.
+    for id in ids.iter().filter(|id| !divided.contains(id)) {
+        w.ask_cancel(lead, id);
+    }
+    w.hold_lead = false;
+    w.held_commits.clear();
+    w.run_until(20.0, |w| w.copies(&format!("{}/0", divided[0])) == 1);
+    w.run(5.0);
+    let in_page = |w: &World| {
+        let node = w.nodes[leader(w)].as_ref().expect("it runs");
+        let job = cherryyard_wire::job::job_number(&divided[0]).expect("a job");
+        node.mirror.in_page(job)
+    };
+    assert!(in_page(&w), "it was divided in its page");
+    w.held_commits.push(held);
+    nothing_applied(&mut w);
+    w.run(20.0);
+    assert!(w.broken.is_empty(), "{:?}", w.broken);
+}
