--- a/crates/cherryyard-core/src/owner/place.rs
+++ b/crates/cherryyard-core/src/owner/place.rs
@@ -139,7 +139,6 @@
                 u.take(&needs);
             }
         }
-        let none = vec![Needs::default(); used.len()];
         let totals = self.team_totals();
         let preemptible = self.preemptible(p, &totals);
         let mut search = Search::default();
@@ -199,8 +198,11 @@
             }
             if self.beyond_grant(p, team as u32, &used, &needs) {
                 // Smaller tasks would take what comes free, each before it is enough.
-                let within = !self.beyond_grant(p, team as u32, &none, &needs);
-                if queues.turn(flow) == Some(*job) && within && !self.begun(*job) {
+                if queues.turn(flow) == Some(*job)
+                    && !self.begun(*job)
+                    && !self.beyond_grant(p, team as u32, &self.held_by_services(p), &needs)
+                    && self.parts[p].kept_rests.keep(team, *job, now)
+                {
                     kept_for.insert(team, *job);
                 }
                 continue;
--- a/crates/cherryyard-core/src/owner/state.rs
+++ b/crates/cherryyard-core/src/owner/state.rs
@@ -1,6 +1,7 @@
 //! What an owner remembers of a part.
 
 use super::blame::Trouble;
+use super::turns::KeptRests;
 use crate::Millis;
 use crate::account::Account;
 use crate::admission::flows::Flow;
@@ -65,6 +66,8 @@
     /// Teams with waiting tasks here of which none can use what is left of the grant, and
     /// since when.
     pub(crate) stuck_grants: HashMap<usize, Millis>,
+    /// Teams whose rest of the limit is kept for a job whose turn it is.
+    pub(crate) kept_rests: KeptRests,
     /// Since when it is ours under this token, and under any.
     pub(crate) owned_since: Millis,
     pub(crate) held_since: Millis,
@@ -106,6 +109,7 @@
             handing: BTreeSet::new(),
             queues: Queues::default(),
             stuck_grants: HashMap::new(),
+            kept_rests: KeptRests::default(),
             owned_since: now,
             held_since: now,
             images_at: now,
@@ -127,6 +131,7 @@
         self.kept.clear();
         self.trouble.clear();
         self.stuck_grants.clear();
+        self.kept_rests = KeptRests::default();
         self.bump = false;
         self.ran.clear();
         self.account.clear();
--- a/crates/cherryyard-core/src/owner/turns.rs
+++ b/crates/cherryyard-core/src/owner/turns.rs
@@ -11,7 +11,40 @@
 use crate::admission::flows::Flow;
 use crate::admission::queue::Queues;
 
+/// Longest that a part's rest of a team's limit is kept for a task, and then for so long
+/// not: whoever else waits for it must not wait for minutes.
+const REST_MS: f64 = 45_000.0;
+
+/// Teams whose rest of the limit in a part is kept for a job whose turn it is.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct KeptRests(HashMap<usize, (u64, Millis)>);
+
+impl KeptRests {
+    /// Whether a team's rest is kept for a job now.
+    pub(crate) fn keep(&mut self, team: usize, job: u64, now: Millis) -> bool {
+        let kept = self.0.entry(team).or_insert((job, now));
+        if kept.0 != job || now - kept.1 > 2.0 * REST_MS {
+            *kept = (job, now);
+        }
+        now - kept.1 < REST_MS
+    }
+}
+
 impl Node {
+    /// What each team's services use of the part, which does not come free by itself.
+    pub(crate) fn held_by_services(&self, p: usize) -> Vec<Needs> {
+        let mut held = vec![Needs::default(); self.config.teams.len()];
+        for (&(_, job), marks) in self.mirror.marks.range((p, 0)..=(p, u64::MAX)) {
+            if let Some(open) = self.mirror.open.get(&job)
+                && open.spec.shape == Shape::Service
+                && let Some(held) = held.get_mut(open.team as usize)
+            {
+                (0..marks.marks.len()).for_each(|_| held.give(&open.needs()));
+            }
+        }
+        held
+    }
+
     /// Whether any task of a job has been started, anywhere.
     pub(crate) fn begun(&self, job: u64) -> bool {
         self.mirror.marked(job) + self.mirror.done(job) > 0
--- a/crates/cherryyard-rehearsal/tests/largest.rs
+++ b/crates/cherryyard-rehearsal/tests/largest.rs
@@ -199,3 +199,53 @@
     assert!(w.broken.is_empty(), "{:?}", w.broken);
     assert!(w.most_cores <= 24.0, "{}", w.most_cores);
 }
+
+/// Where a team's services hold so much of its limit that a large task never fits in the
+/// part, or what runs there runs for long, its small tasks go on all the same.
+#[test]
+fn small_tasks_go_on_beside_a_turn_that_finds_no_room() {
+    for long in [false, true] {
+        let mut w = World::new(Setup {
+            zones: vec!["a"],
+            machines: vec![("a", 6)],
+            limit: 8.0,
+            write_rps: 60.0,
+            ..Setup::default()
+        });
+        w.run(6.0);
+        let mut users = Users::default();
+        let shape = if long { "sweep" } else { "service" };
+        let mut first = World::spec("j-000001", shape, 5);
+        first.cores = 1.0;
+        for worker in w.workers.values_mut() {
+            worker.run_ms = if long { 600_000.0 } else { 4000.0 };
+        }
+        users.submit(&mut w, &first);
+        users.run(&mut w, 3.0);
+        assert_eq!(w.running(), 5);
+        for worker in w.workers.values_mut().filter(|_| long) {
+            // What runs there goes on; what comes is short.
+            let now = w.now;
+            worker
+                .pieces
+                .values_mut()
+                .for_each(|p| p.1 = now + 600_000.0);
+            worker.run_ms = 4000.0;
+        }
+        users.submit(&mut w, &spec(2, 4, 4.0));
+        for second in 0..200 {
+            users.submit(&mut w, &spec(100 + second, 1, 1.0));
+            users.run(&mut w, 1.0);
+        }
+        let started = |n: usize| {
+            let of = format!(" starts j-{n:06}/");
+            w.trace.iter().any(|l| l.contains(&of))
+        };
+        let small = (100..200).filter(|&n| started(n)).count();
+        assert!(small > 70, "long {long}: {small} of 100 small ones");
+        let over = w.now - 200_000.0;
+        let wrong = users.judge(&w, over);
+        let waits = wrong.iter().filter(|x| x.contains("though there is room"));
+        assert_eq!(waits.count(), 0, "long {long}: {wrong:?}");
+    }
+}
