--- a/crates/cherryyard-rehearsal/src/users.rs
+++ b/crates/cherryyard-rehearsal/src/users.rs
@@ -31,8 +31,8 @@
     begun: Option<f64>,
     done: bool,
     cancelled: bool,
-    /// Of its tasks, how many have been on a machine or completed; since when no other
-    /// has followed though there was room; the longest such time, from and until when.
+    /// Its tasks that have been seen on a machine or completed; since when no other has
+    /// followed though there was room; such times that were too long, from and until when.
     started: BTreeSet<String>,
     room_since: Option<f64>,
     waited: Vec<(f64, f64)>,
