--- a/crates/cherryyard-condor/src/job.rs
+++ b/crates/cherryyard-condor/src/job.rs
@@ -229,6 +229,7 @@
             snapshot_every_s: amount("CheckpointSeconds")?.unwrap_or(0.0),
             snapshot_cost_s: amount("CheckpointCostSeconds")?.unwrap_or(0.0),
             due_s: amount("DueSeconds")?,
+            waits_on: Vec::new(),
         };
         spec.check().map_err(|e| self.place.error(e))?;
         let mut set = |name: &str, value: Value| {
--- a/crates/cherryyard-core/src/account.rs
+++ b/crates/cherryyard-core/src/account.rs
@@ -208,7 +208,7 @@
             .filter_map(|job| Some((*job, self.mirror.open.get(job)?)))
             .take(JOBS)
             .collect();
-        let undivided = self.mirror.open.values().any(|o| !o.divided());
+        let undivided = !self.mirror.undivided.is_empty();
         // Room is idle while something waits only as far as that could fill it.
         let mut wanted = self.wanted(p);
         let others = (0..self.parts.len()).filter(|&q| q != p);
--- a/crates/cherryyard-core/src/admission/intake.rs
+++ b/crates/cherryyard-core/src/admission/intake.rs
@@ -369,8 +369,7 @@
             return commit;
         }
         self.divide_offers(&mut next, &mut commit);
-        if next.iter().any(|w| w.offer.moved > 0) {
-            // What was not found may have come into the history since.
+        if next.iter().any(|w| self.depends_on_history(w)) {
             self.mirror.require(&mut commit, Key::Packed);
         }
         let jobs = next.iter().map(|w| (w.offer.job, &w.offer.open));
@@ -388,6 +387,13 @@
         commit
     }
 
+    /// Whether a submission depends on what is in the history: the job was not found
+    /// there and may have come into it since, or ends of jobs that it waits for might.
+    fn depends_on_history(&self, waiting: &Waiting) -> bool {
+        let waits = !waiting.offer.open.after.jobs.is_empty();
+        waiting.offer.moved > 0 || (waits && self.mirror.format >= BUCKETS)
+    }
+
     fn divide_offers(&mut self, next: &mut [Waiting], commit: &mut Commit) {
         let now = self.clock;
         let Some(stamp) = self.lead_stamp().filter(|_| self.state_fresh(now)) else {
@@ -397,7 +403,8 @@
             }
             return;
         };
-        for waiting in next {
+        let waits_for_none = |w: &&mut Waiting| w.offer.open.after.is_none();
+        for waiting in next.iter_mut().filter(waits_for_none) {
             // Not again for another try: it would be counted twice against the room.
             if waiting.divided != Some(stamp) {
                 waiting.offer.open.div = Vec::new();
@@ -418,7 +425,7 @@
             return commit;
         }
         self.divide_offers(&mut next, &mut commit);
-        let moved = next.iter().any(|w| w.offer.moved > 0);
+        let moved = next.iter().any(|w| self.depends_on_history(w));
         let mut records = Vec::new();
         let mut written = Commit::default();
         for waiting in &next {
@@ -477,10 +484,10 @@
                 self.leader.dirty = true;
             }
             // What was refused was not executed: it waits on, as long as any may.
-            Outcome::Conflict(_) | Outcome::Refused => {
-                let conflict = matches!(outcome, Outcome::Conflict(_));
+            Outcome::Conflict(_) | Outcome::Refused | Outcome::Malformed => {
+                let again = !matches!(outcome, Outcome::Refused);
                 for waiting in sent.into_iter().rev() {
-                    let tries = waiting.tries + u32::from(conflict);
+                    let tries = waiting.tries + u32::from(again);
                     if tries >= TRIES {
                         self.answer(waiting.offer.ticket, Verdict::Failed);
                     } else {
--- a/crates/cherryyard-core/src/admit.rs
+++ b/crates/cherryyard-core/src/admit.rs
@@ -98,10 +98,11 @@
         return never("accelerators: more than the team's limit".into());
     }
     let size = |v: serde_json::Result<Vec<u8>>| v.map_or(usize::MAX / 4, |v| v.len());
+    // Ids are stored as numbers, which are shorter.
     let size = size(serde_json::to_vec(&spec)) + rules.map_or(0, |r| size(serde_json::to_vec(r)));
     if size + 300 > config.value_bytes {
         return Err(Reject::Malformed(
-            "bundle: the job's names are too long to keep".into(),
+            "bundle, waits_on: the job's names are too long, or too many, to keep".into(),
         ));
     }
     Ok(())
--- a/crates/cherryyard-core/src/beats.rs
+++ b/crates/cherryyard-core/src/beats.rs
@@ -3,9 +3,9 @@
 use crate::Millis;
 use crate::effects::Effect;
 use crate::node::Node;
-use crate::peers::PeerState;
+use crate::peers::{PeerFormat, PeerState};
 use crate::tenancy::{Tenancy, TenancyEvent};
-use cherryyard_wire::peer::{Beat, PartReport};
+use cherryyard_wire::peer::{Beat, PartReport, Sender};
 use std::collections::BTreeMap;
 
 /// How long nothing of what we send a controller may be named by it.
@@ -49,6 +49,19 @@
         deaf.into_iter().map(|i| labels[i].as_str()).collect()
     }
 
+    /// Takes what another controller says of its build.
+    pub fn peer_runs(&mut self, sender: &Sender, now: Millis) {
+        let Some(i) = self.config.labels.iter().position(|l| *l == sender.label) else {
+            return;
+        };
+        let format = sender.format;
+        if self.peer_formats[i].is_none_or(|known| known.format != format) {
+            let (label, build) = (&sender.label, &sender.build);
+            tracing::info!(label, build, format, "a controller names its build");
+        }
+        self.peer_formats[i] = Some(PeerFormat { format, at: now });
+    }
+
     /// Takes another controller's beat.
     pub fn beat_in(&mut self, beat: Beat, now: Millis) {
         self.notice(now);
--- a/crates/cherryyard-core/src/claims.rs
+++ b/crates/cherryyard-core/src/claims.rs
@@ -93,7 +93,7 @@
             }
             let mut commit = Commit::default();
             self.mirror.require(&mut commit, Key::Part(p));
-            let claim = Claim::of(&self.config.labels[me], self.process);
+            let claim = Claim::of(&self.config.labels[me], self.process, self.config.format);
             commit.apply.push(Apply::Set {
                 set: record::part_key(p),
                 v: Json::of(&claim),
--- a/crates/cherryyard-core/src/config.rs
+++ b/crates/cherryyard-core/src/config.rs
@@ -2,6 +2,7 @@
 
 use crate::names::Names;
 use crate::parting::Parting;
+use cherryyard_wire::record::NEWEST_FORMAT;
 use cherryyard_wire::rules::Attributes;
 use cherryyard_wire::settings::Settings;
 use std::collections::HashMap;
@@ -11,6 +12,13 @@
 /// to all controllers.
 const MAX_PAGE: usize = 12 * 1024;
 
+/// Shares of the write budget: all owners' rounds together, users' writes, and the
+/// history of jobs that are over. They may add up to more than 1, as seldom all are
+/// spent at once.
+const ROUNDS_SHARE: f64 = 0.7;
+const USERS_SHARE: f64 = 0.35;
+const HISTORY_SHARE: f64 = 0.1;
+
 /// Operators' own settings, each with a default.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Tuning {
@@ -143,6 +151,8 @@
     pub team_names: Names,
     /// Teams by index.
     pub teams: Vec<Team>,
+    /// The newest format of stored records that this build can work with.
+    pub format: u32,
     /// Workers' lease.
     pub lease_ms: f64,
     /// Time between reports.
@@ -151,6 +161,10 @@
     pub cancel_ms: f64,
     /// Most changes in a transaction.
     pub txn_ops: usize,
+    /// Puts and deletes a second that all controllers together may make.
+    pub writes_per_s: f64,
+    /// The same after an announced change of the state service's limits.
+    pub next_writes_per_s: f64,
     /// Changes a second that one part's rounds may write: the rest of the
     /// budget is for users, claims and the leader.
     pub round_writes_per_s: f64,
@@ -191,8 +205,7 @@
         for times in deadline_times.values_mut() {
             times.sort_by(f64::total_cmp);
         }
-        let value_bytes = (c.state.value_kb * 1024.0) as usize;
-        Self {
+        let mut config = Self {
             me: controllers
                 .iter()
                 .position(|(l, _)| *l == settings.label)
@@ -211,23 +224,43 @@
                     acc_max: most(t.gpus_max),
                 })
                 .collect(),
+            format: NEWEST_FORMAT,
             lease_ms: c.workers.lease_s * 1000.0,
             report_ms: c.workers.report_s * 1000.0,
             cancel_ms: c.workers.cancel_s * 1000.0,
-            txn_ops: c.state.txn_ops,
-            round_writes_per_s: c.state.write_rps * 0.7 / controllers.len() as f64,
-            user_writes_per_s: c.state.write_rps * 0.35,
-            history_writes_per_s: c.state.write_rps * 0.1,
+            txn_ops: c.state.safe_txn_ops(),
+            writes_per_s: c.state.write_rps,
+            next_writes_per_s: c.state.safe_write_rps(),
+            round_writes_per_s: 0.0,
+            user_writes_per_s: 0.0,
+            history_writes_per_s: 0.0,
             history_reads_per_s: c.state.rps * 0.1,
-            value_bytes,
+            value_bytes: 0,
             list_lag_ms: c.cloud.list_lag_s * 1000.0,
-            page_bytes: value_bytes.saturating_sub(64).clamp(256, MAX_PAGE),
+            page_bytes: 0,
             deadline_times,
             // Some 64 bytes each: a sixty-fourth of the memory.
             recent_ends: NonZeroUsize::new(c.limits.memory_bytes() / 64 / 64)
                 .unwrap_or(NonZeroUsize::MIN),
             tuning,
-        }
+        };
+        config.set_value_bytes((c.state.safe_value_kb() * 1024.0) as usize);
+        config.set_writes_per_s(c.state.write_rps);
+        config
+    }
+
+    /// Sets the largest value, and the largest page of marks by it.
+    pub(crate) fn set_value_bytes(&mut self, bytes: usize) {
+        self.value_bytes = bytes;
+        self.page_bytes = bytes.saturating_sub(64).clamp(256, MAX_PAGE);
+    }
+
+    /// Sets the rate of puts and deletes, and divides it among those who write.
+    pub(crate) fn set_writes_per_s(&mut self, rate: f64) {
+        self.writes_per_s = rate;
+        self.round_writes_per_s = rate * ROUNDS_SHARE / self.parts() as f64;
+        self.user_writes_per_s = rate * USERS_SHARE;
+        self.history_writes_per_s = rate * HISTORY_SHARE;
     }
 
     /// How many parts there are.
--- a/crates/cherryyard-core/src/effects.rs
+++ b/crates/cherryyard-core/src/effects.rs
@@ -39,6 +39,9 @@
     NoLease,
     /// Not executed.
     Refused,
+    /// Not executed, and it never will be as it is: it is too large, or has too many
+    /// changes.
+    Malformed,
     /// No answer: it may have been applied, or may yet be.
     Unknown,
 }
--- a/crates/cherryyard-core/src/leader/arrivals.rs
+++ b/crates/cherryyard-core/src/leader/arrivals.rs
@@ -6,20 +6,28 @@
 
 /// Least time between two looks for pages to tidy.
 const TIDY_MS: f64 = 1000.0;
+/// For how long what a controller has said of its build counts.
+const SAID_MS: f64 = 3000.0;
 /// Pages that are left alone.
 const FEW: usize = 3;
 
 impl Node {
-    /// Whether every controller has claimed its own part with a build that can work
-    /// with a format. An earlier one would not see the jobs in it.
+    /// Whether every controller runs a build that can work with a format. An earlier one
+    /// would not see the jobs in it.
     pub(crate) fn all_able(&self, format: u32) -> bool {
-        let claims = self.mirror.parts.iter().zip(&self.config.labels);
-        let able = |(claim, label): (&Option<crate::mirror::ClaimState>, &String)| {
-            claim
-                .as_ref()
-                .is_some_and(|c| c.label == *label && c.format >= format)
-        };
-        claims.into_iter().all(able)
+        (0..self.config.labels.len()).all(|i| self.is_able(i, format))
+    }
+
+    /// Whether a controller runs a build that can work with a format, by the claim on its
+    /// own part, or by what it has lately said in frames.
+    fn is_able(&self, i: usize, format: u32) -> bool {
+        if i == self.config.me {
+            return self.config.format >= format;
+        }
+        let claim = self.mirror.parts[i].as_ref();
+        let claimed = claim.filter(|c| c.label == self.config.labels[i]);
+        let said = self.peer_formats[i].filter(|said| self.clock - said.at <= SAID_MS);
+        claimed.is_some_and(|c| c.format >= format) || said.is_some_and(|s| s.format >= format)
     }
 
     /// New jobs come by pages from now on, once every controller can read them.
@@ -33,6 +41,7 @@
         let record = FormatRecord {
             jobs: self.mirror.format.max(1),
             new: true,
+            dependencies: self.mirror.dependencies,
         };
         commit.apply.push(Apply::set(FORMAT, &record));
         Some(commit)
--- a/crates/cherryyard-core/src/leader/creating.rs
+++ b/crates/cherryyard-core/src/leader/creating.rs
@@ -111,6 +111,12 @@
     }
 }
 
+impl Creating {
+    pub(crate) fn set_write_rate(&mut self, config: &crate::Config, now: Millis) {
+        self.pace.set_rate(config.user_writes_per_s * SHARE, now);
+    }
+}
+
 impl Node {
     /// One step for the submissions: at most one read or transaction at once.
     pub(crate) fn create(&mut self, now: Millis) {
--- a/crates/cherryyard-core/src/leader/division.rs
+++ b/crates/cherryyard-core/src/leader/division.rs
@@ -1,6 +1,7 @@
 //! Division of a job's numbers among the parts.
 
 use super::*;
+use cherryyard_wire::dependencies::Dependencies;
 
 /// Any tier of preference.
 pub(crate) const ANY: u16 = u16::MAX;
@@ -272,7 +273,7 @@
             .filter(|job| !self.mirror.in_page(**job))
             .map(|j| {
                 (
-                    std::cmp::Reverse(self.mirror.open[j].spec.rank),
+                    std::cmp::Reverse(self.mirror.open[j].rank()),
                     self.mirror.open[j].at,
                     *j,
                 )
@@ -341,6 +342,14 @@
         let shares: Vec<u32> = sets.iter().map(RangeSet::len).collect();
         self.give(&shares, &open.needs(), now);
         open.div = sets;
+        if !open.after.jobs.is_empty() {
+            // All that it waited for is done: what it needed is of no use any more.
+            let ready_at = (now + self.wall_offset).max(open.at as f64) as u64;
+            open.after = Dependencies {
+                ready_at: Some(ready_at),
+                ..Dependencies::default()
+            };
+        }
         true
     }
 }
--- a/crates/cherryyard-core/src/leader/limits.rs
+++ b/crates/cherryyard-core/src/leader/limits.rs
@@ -49,6 +49,10 @@
             if !team.limited() {
                 continue;
             }
+            // All of the team's grants, and the lead.
+            if commit.when.len() + n + 1 > self.config.max_conditions() {
+                break;
+            }
             let grants = &self.mirror.grants[t];
             let fresh = grants.iter().all(|g| g.1 == 0);
             let held: Grant = grants.iter().fold(Grant::default(), |a, g| Grant {
@@ -103,9 +107,6 @@
                     .apply
                     .push(Apply::set(record::grant_key(t, p), &grant));
             }
-            if commit.when.len() + n + 1 > self.config.txn_ops * 4 {
-                break;
-            }
         }
         (!commit.apply.is_empty()).then_some(commit)
     }
--- a/crates/cherryyard-core/src/leader/mod.rs
+++ b/crates/cherryyard-core/src/leader/mod.rs
@@ -5,6 +5,7 @@
 mod assumed;
 pub(crate) mod boots;
 mod creating;
+mod dependents;
 mod division;
 mod limits;
 mod overflow;
@@ -79,7 +80,7 @@
         }
         let mut commit = Commit::default();
         self.mirror.require(&mut commit, Key::Lead);
-        let claim = Claim::of(&self.config.labels[me], self.process);
+        let claim = Claim::of(&self.config.labels[me], self.process, self.config.format);
         commit.apply.push(Apply::Set {
             set: record::LEAD.into(),
             v: Json::of(&claim),
@@ -142,7 +143,10 @@
     pub(crate) fn leader_committed(&mut self, outcome: Outcome, now: Millis) {
         self.leader.pending = false;
         self.leader.dirty = true;
-        if matches!(outcome, Outcome::Conflict(_) | Outcome::Refused) {
+        if matches!(
+            outcome,
+            Outcome::Conflict(_) | Outcome::Refused | Outcome::Malformed
+        ) {
             // What it gave out was not given: the next try would find less room.
             let sent_at = self.leader.sent_at;
             for room in self.leader.rooms.iter_mut().flatten() {
@@ -188,9 +192,11 @@
             .store_kinds()
             .or_else(|| self.store_attributes())
             .or_else(|| self.begin_pages())
+            .or_else(|| self.begin_dependencies(now))
             .or_else(|| self.divide_new(now))
             .or_else(|| self.hand_out_grants(now))
             .or_else(|| self.move_waiting(now))
+            .or_else(|| self.end_dependents(now))
             .or_else(|| self.tidy_pages(now));
         if let Some(mut commit) = commit {
             self.mirror.require(&mut commit, Key::Lead);
--- a/crates/cherryyard-core/src/leader/packing.rs
+++ b/crates/cherryyard-core/src/leader/packing.rs
@@ -63,6 +63,10 @@
         }
     }
 
+    pub(crate) fn set_write_rate(&mut self, config: &crate::Config, now: Millis) {
+        self.pace.set_rate(config.history_writes_per_s, now);
+    }
+
     /// Whether the budgets have room for another read or transaction.
     fn may_step(&mut self, now: Millis) -> bool {
         now >= self.retry_after && self.pace.left(now) >= 1.0 && self.reads.left(now) >= 1.0
@@ -110,7 +114,10 @@
             return;
         }
         let record = self.mirror.packed;
-        self.leader.packing.packer.resume(record);
+        let (leaf_bytes, txn_ops) = (self.config.page_bytes, self.config.txn_ops);
+        let packer = &mut self.leader.packing.packer;
+        packer.set_limits(leaf_bytes, txn_ops);
+        packer.resume(record);
         if self.leader.packing.packer.is_idle() {
             self.leader.packing.looked_at = now;
             self.next_batch(now);
@@ -140,7 +147,7 @@
         let overdue =
             self.mirror.ended_count() > OVERDUE_BATCHES * self.config.tuning.history_batch;
         let waits = self.mirror.waiting.iter().any(|w| !w.is_empty());
-        overdue || !waits && self.mirror.open.values().all(|o| o.divided())
+        overdue || !waits && self.mirror.undivided.is_empty()
     }
 
     /// Closes a generation that has enough ends, or folds one that is closed.
@@ -221,10 +228,15 @@
     /// what earlier builds left.
     fn sweep(&mut self) {
         let own = self.mirror.packed.own;
+        if self.mirror.epoch < self.mirror.packed_stamp {
+            // Jobs may have come that wait for one of them.
+            return;
+        }
         let gone: Vec<(u64, u64)> = self
             .mirror
             .own_ends()
             .filter(|(job, e)| e.stamp <= own && !self.mirror.named_in_pages(*job))
+            .filter(|(job, _)| !self.mirror.has_dependents(*job))
             .map(|(job, e)| (job, e.stamp))
             .take(self.config.txn_ops)
             .collect();
--- a/crates/cherryyard-core/src/leader/rent.rs
+++ b/crates/cherryyard-core/src/leader/rent.rs
@@ -36,7 +36,8 @@
         let mut service_waiting = 0.0;
         // Spot machines are rented ahead too, while there are jobs for them.
         let borrowable = self.mirror.open.values().any(|o| o.spec.borrowed);
-        for (&job, open) in &self.mirror.open {
+        let asks = |job: &u64| !self.mirror.waits_for_others(*job);
+        for (&job, open) in self.mirror.open.iter().filter(|o| asks(o.0)) {
             let left = open
                 .spec
                 .pieces
@@ -107,7 +108,8 @@
     /// room on these; and how many cores all of them lack, beyond what is on its way.
     fn lacking_for_bound(&self, now: Millis) -> (Vec<(&OpenJob, bool)>, f64) {
         let (mut bound, mut all) = (Vec::new(), 0.0);
-        for (job, open) in self.mirror.open.iter().filter(|o| self.is_bound(o.1)) {
+        let asks = |o: &(&u64, &OpenJob)| self.is_bound(o.1) && !self.mirror.waits_for_others(*o.0);
+        for (job, open) in self.mirror.open.iter().filter(asks) {
             let gone = self.mirror.done(*job) + self.mirror.marked(*job);
             let left = f64::from(open.spec.pieces.saturating_sub(gone));
             if left == 0.0 {
@@ -149,7 +151,7 @@
         };
         let others = self.mirror.open.iter().any(|(job, open)| {
             let gone = self.mirror.done(*job) + self.mirror.marked(*job);
-            open.spec.pieces > gone && !self.is_bound(open)
+            open.spec.pieces > gone && !self.is_bound(open) && !self.mirror.waits_for_others(*job)
         });
         if alone || due && !others {
             options.retain(|o| bound.iter().any(|b| takes(b.0, o)));
--- a/crates/cherryyard-core/src/leader/state.rs
+++ b/crates/cherryyard-core/src/leader/state.rs
@@ -114,11 +114,19 @@
     pub(crate) warned: bool,
     /// The history's packer.
     pub(crate) packing: Packing,
+    /// Since when every controller has been able to work with dependencies.
+    pub(crate) able_since: Option<Millis>,
     /// The creator of submissions' jobs.
     pub(crate) creating: Creating,
 }
 
 impl Leader {
+    /// Takes over the shares of the write budget from a changed configuration.
+    pub(crate) fn set_write_rates(&mut self, config: &Config, now: Millis) {
+        self.packing.set_write_rate(config, now);
+        self.creating.set_write_rate(config, now);
+    }
+
     pub(crate) fn new(config: &Config, now: Millis) -> Self {
         Self {
             phase: LeadPhase::Follower,
@@ -146,6 +154,7 @@
             handed: HashMap::new(),
             warned: false,
             packing: Packing::new(config, now),
+            able_since: None,
             creating: Creating::new(config, now),
         }
     }
--- a/crates/cherryyard-core/src/lib.rs
+++ b/crates/cherryyard-core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod cells;
 mod claims;
 pub mod config;
+pub mod dependencies;
 pub mod divide;
 pub mod effects;
 pub mod lateness;
@@ -29,6 +30,7 @@
 mod peers;
 pub mod reach;
 mod reports;
+pub mod state_limits;
 pub mod tenancy;
 pub mod users;
 
--- a/crates/cherryyard-core/src/mirror/arrivals.rs
+++ b/crates/cherryyard-core/src/mirror/arrivals.rs
@@ -29,6 +29,10 @@
 /// Most jobs of a page.
 pub const MOST_ROWS: usize = 64;
 
+/// Changes that the deletion of a page takes, and that its joining with another takes.
+const DELETE_CHANGES: usize = 2;
+const JOIN_CHANGES: usize = 3;
+
 /// A page of new jobs as the mirror knows it.
 #[derive(Clone, Debug, Default)]
 pub struct Arrivals {
@@ -56,6 +60,7 @@
                 zone: open.zone.clone(),
                 caps: open.caps.clone(),
                 rules: open.rules.as_ref().map(|r| r.0.clone()),
+                after: open.after.clone(),
             };
             record.push(job, &open.spec, open.at, &open.div, rest);
         };
@@ -91,6 +96,12 @@
         self.by_pages && self.epoch >= self.format_stamp
     }
 
+    /// Whether jobs may wait for others, and all that came before that was decided is
+    /// known.
+    pub fn takes_dependencies(&self) -> bool {
+        self.dependencies && self.epoch >= self.format_stamp
+    }
+
     /// Whether an open job is as its page says.
     pub fn in_page(&self, job: u64) -> bool {
         let open = self.open.get(&job);
@@ -141,9 +152,10 @@
                 div: arrival.div,
                 zone: arrival.rest.zone,
                 caps: arrival.rest.caps,
+                after: arrival.rest.after,
                 ..new
             };
-            self.open.insert(job, open);
+            self.insert_open(job, open);
             self.refresh_job(job);
         }
     }
@@ -195,7 +207,7 @@
         let mut added = 0;
         for (job, open) in jobs {
             // Its own condition, and the two on pages.
-            if self.format < BUCKETS && commit.when.len() + 3 > config.txn_ops * 4 {
+            if self.format < BUCKETS && commit.when.len() + 3 > config.max_conditions() {
                 break;
             }
             if !draft.push(job, open, most) {
@@ -286,7 +298,8 @@
         let last = *self.arrivals.last_key_value()?.0;
         let mut left: Option<(u64, usize)> = None;
         for (&page, known) in self.arrivals.range(..last).filter(|(_, a)| !a.foreign) {
-            if commit.apply.len() + 3 > config.txn_ops {
+            let room = config.txn_ops.saturating_sub(commit.apply.len());
+            if room < DELETE_CHANGES {
                 break;
             }
             let here = known.jobs.iter().filter(|job| self.in_page(**job)).count();
@@ -303,7 +316,7 @@
                 // Into the later of the two: one who reads page by page meanwhile
                 // finds its jobs in one or the other.
                 match left.take() {
-                    Some((earlier, n)) if n + here <= MOST_ROWS / 2 => {
+                    Some((earlier, n)) if n + here <= MOST_ROWS / 2 && room >= JOIN_CHANGES => {
                         if self.join_pages(&mut commit, earlier, page, config) {
                             break;
                         }
--- a/crates/cherryyard-core/src/mirror/buckets.rs
+++ b/crates/cherryyard-core/src/mirror/buckets.rs
@@ -98,6 +98,7 @@
                 n,
                 generation,
                 stamp: 0,
+                cancelled_by: None,
             };
             self.put_end(job, ended, uses);
         }
@@ -126,9 +127,14 @@
         }
     }
 
-    /// Whether a job that is over may leave its bucket: it is in the history, and
-    /// no page names it, so nothing asks what its tasks take.
+    /// Whether a job that is over may leave its bucket: it is in the history, no page
+    /// names it, so nothing asks what its tasks take, and no open job waits for its end.
+    /// Jobs that wait depend on the history's record as it was when its end was not in
+    /// there, so they are known once all up to that record has been read.
     fn may_leave(&self, job: u64) -> bool {
+        if self.epoch < self.packed_stamp || self.has_dependents(job) {
+            return false;
+        }
         self.ended
             .get(&job)
             .is_some_and(|e| e.generation <= self.packed.gen_done)
@@ -266,6 +272,7 @@
         let format = record::FormatRecord {
             jobs: BUCKETS,
             new: self.by_pages,
+            dependencies: self.dependencies,
         };
         commit.apply.push(Apply::set(record::FORMAT, &format));
         let count = txn_ops.saturating_sub(1).clamp(1, 16) as u64;
--- /dev/null
+++ b/crates/cherryyard-core/src/mirror/dependencies.rs
@@ -0,0 +1,263 @@
+//! Jobs that wait for others: which are ready, which are cancelled with what they need,
+//! and what a job inherits from those that need it.
+//!
+//! All of it follows from the stored records and is never stored itself. A job is *ready*
+//! when every job that it needs is done, and it is *cancelled with* one of them as soon
+//! as that one is cancelled, or cancelled with another in turn. Ends are final, so
+//! neither is ever taken back, and controllers that have read different amounts of the
+//! same state differ only in how much they know.
+
+use super::{Mirror, OpenJob};
+use crate::admission::flows::Flow;
+use cherryyard_wire::job::{Rank, Shape};
+use cherryyard_wire::record::{End, JobRecord};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// Time that a stage takes beside its tasks' run time, in milliseconds: until its end is
+/// known, the next one is divided and started, and images have been fetched.
+const STAGE_OVERHEAD_MS: f64 = 5000.0;
+/// The longest of several tasks takes this much longer than the estimate of one.
+const LONGEST_TASK: f64 = 1.5;
+
+/// A deadline as it bears on a job: its own, or that of a job that needs it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Deadline {
+    /// When it begins to count, in milliseconds of the day's clock.
+    pub from: f64,
+    /// Milliseconds until it is over.
+    pub allowed: f64,
+    /// Milliseconds that what comes after the job takes.
+    pub after: f64,
+    /// The flow of the job that has it.
+    pub flow: Flow,
+}
+
+impl Deadline {
+    /// When the job has to be complete for a multiple of the deadline to be kept, in
+    /// milliseconds of the day's clock.
+    pub fn complete_by(&self, multiple: f64) -> f64 {
+        self.from + self.allowed * multiple - self.after
+    }
+}
+
+/// What a job has of its own and from the jobs that need it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Urgency {
+    /// The highest priority among them.
+    pub rank: Rank,
+    /// The earliest deadline among them.
+    pub deadline: Option<Deadline>,
+}
+
+impl Urgency {
+    /// Takes over what is more urgent of what a job has that needs this one and takes
+    /// `takes_ms` itself.
+    fn inherit(&mut self, other: &Self, takes_ms: f64) {
+        self.rank = self.rank.max(other.rank);
+        let inherited = other.deadline.map(|d| Deadline {
+            after: d.after + takes_ms,
+            ..d
+        });
+        let by = |d: &Option<Deadline>| d.map_or(f64::INFINITY, |d| d.complete_by(1.0));
+        if by(&inherited) < by(&self.deadline) {
+            self.deadline = inherited;
+        }
+    }
+}
+
+/// Which jobs wait for which.
+#[derive(Clone, Debug, Default)]
+pub(super) struct DependencyGraph {
+    /// Open jobs by each job that they wait for.
+    dependents: HashMap<u64, BTreeSet<u64>>,
+    /// Open jobs that are cancelled with a job that they need, and with which.
+    cancelled: BTreeMap<u64, u64>,
+}
+
+impl DependencyGraph {
+    fn dependents(&self, job: u64) -> Vec<u64> {
+        let all = self.dependents.get(&job).into_iter().flatten();
+        all.copied().collect()
+    }
+
+    fn link(&mut self, job: u64, needs: &[u64]) {
+        for &need in needs {
+            self.dependents.entry(need).or_default().insert(job);
+        }
+    }
+
+    fn unlink(&mut self, job: u64, needs: &[u64]) {
+        for need in needs {
+            if let Some(all) = self.dependents.get_mut(need) {
+                all.remove(&job);
+                if all.is_empty() {
+                    self.dependents.remove(need);
+                }
+            }
+        }
+    }
+}
+
+impl OpenJob {
+    /// Estimate of how long the job takes once it is ready, in milliseconds.
+    fn takes_ms(&self) -> f64 {
+        self.spec.expected_s * 1000.0 * LONGEST_TASK + STAGE_OVERHEAD_MS
+    }
+
+    /// What the job has by itself.
+    pub(super) fn own_urgency(&self) -> Urgency {
+        Urgency {
+            rank: self.spec.rank,
+            deadline: self.spec.due_s.map(|due_s| Deadline {
+                from: self.at as f64,
+                allowed: due_s * 1000.0,
+                after: 0.0,
+                flow: self.flow,
+            }),
+        }
+    }
+}
+
+impl Mirror {
+    /// Puts an open job into the place of an earlier version of it, if there is one;
+    /// gives that back.
+    pub(super) fn insert_open(&mut self, job: u64, open: OpenJob) -> Option<OpenJob> {
+        let needs = open.after.jobs.clone();
+        let before = self.open.insert(job, open);
+        if let Some(before) = &before {
+            self.graph.unlink(job, &before.after.jobs);
+        }
+        self.graph.link(job, &needs);
+        self.cancel_with_needs(job);
+        self.refresh_urgency(job);
+        before
+    }
+
+    /// Takes an open job out; false if it was not there.
+    pub(super) fn remove_open(&mut self, job: u64) -> bool {
+        let Some(before) = self.open.remove(&job) else {
+            return false;
+        };
+        self.graph.unlink(job, &before.after.jobs);
+        self.graph.cancelled.remove(&job);
+        for &need in &before.after.jobs {
+            self.refresh_urgency(need);
+        }
+        true
+    }
+
+    /// After a job's end has become known: jobs that need it may be ready, or are
+    /// cancelled with it.
+    pub(super) fn refresh_dependents(&mut self, job: u64) {
+        for dependent in self.graph.dependents(job) {
+            self.cancel_with_needs(dependent);
+            self.refresh_job(dependent);
+        }
+    }
+
+    /// The cancelled job that an open job needs, if there is one.
+    fn cancelled_need(&self, job: u64) -> Option<u64> {
+        let open = self.open.get(&job)?;
+        let is_cancelled = |need: &&u64| {
+            self.end(**need) == Some(End::Cancelled) || self.graph.cancelled.contains_key(*need)
+        };
+        let needs = &open.after;
+        needs
+            .cancelled_by
+            .or_else(|| needs.jobs.iter().find(is_cancelled).copied())
+    }
+
+    /// Notes that a job is cancelled with one that it needs, if it is, and with it all
+    /// that need it in turn.
+    fn cancel_with_needs(&mut self, job: u64) {
+        let mut pending = vec![job];
+        while let Some(job) = pending.pop() {
+            if self.graph.cancelled.contains_key(&job) {
+                continue;
+            }
+            let Some(need) = self.cancelled_need(job) else {
+                continue;
+            };
+            self.graph.cancelled.insert(job, need);
+            self.undivided.remove(&job);
+            pending.extend(self.graph.dependents(job));
+        }
+    }
+
+    /// The job with which an open job is cancelled; none if it is not.
+    pub fn cancelled_with(&self, job: u64) -> Option<u64> {
+        self.graph.cancelled.get(&job).copied()
+    }
+
+    /// Open jobs that are cancelled with one that they need, and have no record that says
+    /// so.
+    pub fn cancelled_dependents(&self) -> impl Iterator<Item = u64> + '_ {
+        self.graph.cancelled.keys().copied()
+    }
+
+    /// Whether an open job waits for another. One that has been divided was ready.
+    pub fn waits_for_others(&self, job: u64) -> bool {
+        let Some(open) = self.open.get(&job) else {
+            return false;
+        };
+        if open.divided() {
+            return false;
+        }
+        self.graph.cancelled.contains_key(&job) || self.unmet_needs(open).next().is_some()
+    }
+
+    /// Jobs that an open job needs and that are not done.
+    pub fn unmet_needs<'a>(&'a self, open: &'a OpenJob) -> impl Iterator<Item = u64> + 'a {
+        let needs = open.after.jobs.iter().copied();
+        needs.filter(|need| self.end(*need) != Some(End::Done))
+    }
+
+    /// Whether open jobs wait for a job: its end must not be forgotten before theirs.
+    pub fn has_dependents(&self, job: u64) -> bool {
+        self.graph.dependents.contains_key(&job)
+    }
+
+    /// The record of the end of a job that is cancelled with one that it needs.
+    pub fn end_of_dependent(&self, job: u64) -> Option<JobRecord> {
+        let cancelled_with = self.cancelled_with(job)?;
+        let mut record = self.open.get(&job)?.ended(End::Cancelled);
+        if let JobRecord::Ended { by, .. } = &mut record {
+            *by = Some(cancelled_with);
+        }
+        Some(record)
+    }
+
+    /// Works out anew how urgent a job is, and with it those that it needs.
+    fn refresh_urgency(&mut self, job: u64) {
+        let mut pending = vec![job];
+        while let Some(job) = pending.pop() {
+            let Some(open) = self.open.get(&job) else {
+                continue;
+            };
+            let mut urgency = open.own_urgency();
+            for dependent in self.graph.dependents(job) {
+                if let Some(other) = self.open.get(&dependent)
+                    && !self.graph.cancelled.contains_key(&dependent)
+                {
+                    urgency.inherit(&other.urgency, other.takes_ms());
+                }
+            }
+            let needs = open.after.jobs.clone();
+            if let Some(open) = self.open.get_mut(&job) {
+                if open.urgency == urgency {
+                    continue;
+                }
+                open.urgency = urgency;
+            }
+            let parts = (0..self.parts.len()).filter(|&p| self.waiting[p].contains_key(&job));
+            self.waiting_changes.extend(parts.map(|p| (p, job)));
+            pending.extend(needs);
+        }
+    }
+
+    /// Whether a job's tasks run until it is cancelled, as far as is known.
+    pub fn is_service(&self, job: u64) -> bool {
+        let open = self.open.get(&job);
+        open.is_some_and(|open| open.spec.shape == Shape::Service)
+    }
+}
--- a/crates/cherryyard-core/src/mirror/jobs.rs
+++ b/crates/cherryyard-core/src/mirror/jobs.rs
@@ -1,11 +1,12 @@
 //! Jobs in the mirror, open and over.
 
-use super::Mirror;
+use super::{Mirror, Urgency};
 use crate::admission::flows::Flow;
 use crate::admit::allows_kind;
 use crate::cells::CellSet;
 use crate::needs::Needs;
 use cherryyard_wire::RangeSet;
+use cherryyard_wire::dependencies::{Dependencies, dependency_ids};
 use cherryyard_wire::job::{JobSpec, JobStatus, JobView, Rank, Shape, job_id};
 use cherryyard_wire::record::{End, JobRecord, Use};
 use cherryyard_wire::rules::Rules;
@@ -35,6 +36,10 @@
     /// Where it may run, beyond what the submission's fields say, and the cells that
     /// this comes to now.
     pub rules: Option<(Box<Rules>, Arc<CellSet>)>,
+    /// Jobs that it waits for.
+    pub after: Dependencies,
+    /// Its priority and deadline, with what it inherits from jobs that need it.
+    pub urgency: Urgency,
 }
 
 impl OpenJob {
@@ -61,11 +66,32 @@
         }
     }
 
-    /// When it should be complete, in milliseconds of the day's clock.
+    /// When it should be complete, in milliseconds of the day's clock; infinite without
+    /// a deadline.
     pub fn due_ms(&self) -> f64 {
-        self.spec
-            .due_s
-            .map_or(f64::INFINITY, |s| self.at as f64 + s * 1000.0)
+        let deadline = self.urgency.deadline;
+        deadline.map_or(f64::INFINITY, |d| d.complete_by(1.0))
+    }
+
+    /// Its priority: its own, or a higher one of a job that needs it.
+    pub fn rank(&self) -> Rank {
+        self.urgency.rank
+    }
+
+    /// Whether its tasks may stop another job's for their priority. Services go by what
+    /// both have of their own, or an array with a service's priority from a job that
+    /// needs it would keep services out.
+    pub fn goes_before(&self, other: &Self) -> bool {
+        if self.spec.shape == Shape::Service {
+            return other.spec.rank < self.spec.rank;
+        }
+        other.rank() < self.rank()
+    }
+
+    /// When it began to wait for machines, in milliseconds of the day's clock: at its
+    /// submission, or when the last job that it needs was done.
+    pub fn ready_at(&self) -> u64 {
+        self.after.ready_at.unwrap_or(self.at)
     }
 
     /// What one of its tasks takes.
@@ -106,6 +132,7 @@
             zone: self.zone.clone(),
             caps: self.caps.clone(),
             rules: self.rules.as_ref().map(|r| r.0.clone()),
+            after: self.after.clone(),
         }
     }
 
@@ -121,6 +148,7 @@
                 ram: self.spec.ram_gb,
             },
             g: 0,
+            by: None,
         }
     }
 }
@@ -136,18 +164,24 @@
     pub generation: u64,
     /// Stamp of its own record, if it has one.
     pub stamp: u64,
+    /// The cancelled job that it needed, if it is cancelled for that.
+    pub cancelled_by: Option<u64>,
 }
 
 /// A job that is over, as its user sees it.
 pub fn over(job: u64, end: End, done: u32) -> JobView {
+    let status = match end {
+        End::Done => JobStatus::Done,
+        End::Cancelled => JobStatus::Cancelled,
+    };
+    JobView::new(job, status, done, 0)
+}
+
+/// A job that is cancelled with one that it needed, as its user sees it.
+fn cancelled_with(job: u64, need: u64) -> JobView {
     JobView {
-        id: job_id(job),
-        status: match end {
-            End::Done => JobStatus::Done,
-            End::Cancelled => JobStatus::Cancelled,
-        },
-        done,
-        running: 0,
+        cancelled_by: Some(job_id(need)),
+        ..over(job, End::Cancelled, 0)
     }
 }
 
@@ -159,13 +193,20 @@
         stamp: u64,
     ) -> Result<(), String> {
         match record {
-            JobRecord::Ended { end, n, r#use, g } => {
+            JobRecord::Ended {
+                end,
+                n,
+                r#use,
+                g,
+                by,
+            } => {
                 let uses = self.uses_of(&r#use);
                 let ended = EndedJob {
                     end,
                     n,
                     generation: g,
                     stamp,
+                    cancelled_by: by,
                 };
                 self.put_end(job, ended, Some(uses));
             }
@@ -176,6 +217,7 @@
                 zone,
                 caps,
                 rules,
+                after,
             } => {
                 // A job's end is final; nothing may bring it back, so a record
                 // that does is older or bad.
@@ -194,12 +236,14 @@
                     div,
                     zone,
                     caps,
+                    after,
                     ..new
                 };
                 // A bucket tells of jobs that have not changed, too.
-                let before = self.open.insert(job, open);
-                let after = &self.open[&job];
-                if before.is_none_or(|b| b.div != after.div || b.spec != after.spec) {
+                let before = self.insert_open(job, open);
+                let now = &self.open[&job];
+                let same = |b: OpenJob| b.div == now.div && b.spec == now.spec;
+                if !before.is_some_and(same) {
                     self.refresh_job(job);
                 }
             }
@@ -227,7 +271,8 @@
         at: u64,
     ) -> Option<OpenJob> {
         let team = self.teams.get(&spec.owner)?;
-        Some(OpenJob {
+        let rank = spec.rank;
+        let mut open = OpenJob {
             stamp: 0,
             team,
             flow: self.flows.intern(team, &spec.jobclass),
@@ -240,18 +285,29 @@
             div: Vec::new(),
             zone: None,
             caps: Vec::new(),
-        })
+            after: Dependencies::default(),
+            urgency: Urgency {
+                rank,
+                deadline: None,
+            },
+        };
+        open.urgency = open.own_urgency();
+        Some(open)
     }
 
     /// Takes a job's end.
     pub(super) fn put_end(&mut self, job: u64, ended: EndedJob, uses: Option<(u32, Needs)>) {
-        let was_open = self.open.remove(&job).is_some();
+        // One that is cancelled with another has never had a task.
+        let never_ran = ended.cancelled_by.is_some() || self.cancelled_with(job).is_some();
+        let was_open = self.remove_open(job);
         if was_open {
             self.refresh_job(job);
         }
         let known = self.ended.insert(job, ended).is_some() || self.recent.contains(&job);
+        self.refresh_dependents(job);
         // Also one that a full read shows and that came and went since the one before.
-        if ended.end == End::Cancelled && (was_open || (self.loaded && !known)) {
+        let news = was_open || (self.loaded && !known);
+        if ended.end == End::Cancelled && news && !never_ran {
             self.new_cancels.push(job);
         }
         match uses {
@@ -278,7 +334,7 @@
 
     /// A job's record is gone: it is over and in the history, or it never was.
     pub(super) fn drop_job(&mut self, job: u64) {
-        if self.open.remove(&job).is_some() {
+        if self.remove_open(job) {
             // How it ended was not seen.
             self.gap = true;
             self.refresh_job(job);
@@ -317,7 +373,8 @@
 
     /// After a change of the job's own record.
     pub(super) fn refresh_job(&mut self, job: u64) {
-        if self.open.get(&job).is_some_and(|o| !o.divided()) {
+        let divided = self.open.get(&job).is_none_or(OpenJob::divided);
+        if !divided && !self.waits_for_others(job) {
             self.undivided.insert(job);
         } else {
             self.undivided.remove(&job);
@@ -366,24 +423,28 @@
 
     /// The job as its user sees it, if it is known.
     pub fn view(&self, job: u64) -> Option<JobView> {
-        let id = job_id(job);
+        if let Some(need) = self.ended.get(&job).and_then(|e| e.cancelled_by) {
+            return Some(cancelled_with(job, need));
+        }
         let ended = self.ended.get(&job).map(|e| (e.end, e.n));
         if let Some((end, n)) = ended.or_else(|| self.recent.peek(&job).copied()) {
             let done = if end == End::Done { n } else { self.done(job) };
             return Some(over(job, end, done));
         }
-        self.open.get(&job)?;
+        let open = self.open.get(&job)?;
+        if let Some(need) = self.cancelled_with(job) {
+            return Some(cancelled_with(job, need));
+        }
         let running = self.marked(job);
         let status = if running > 0 {
             JobStatus::Running
         } else {
             JobStatus::Queued
         };
+        let unmet: Vec<u64> = self.unmet_needs(open).collect();
         Some(JobView {
-            id,
-            status,
-            done: self.done(job),
-            running,
+            waits_on: dependency_ids(&unmet),
+            ..JobView::new(job, status, self.done(job), running)
         })
     }
 }
--- a/crates/cherryyard-core/src/mirror/mod.rs
+++ b/crates/cherryyard-core/src/mirror/mod.rs
@@ -6,6 +6,7 @@
 
 mod arrivals;
 mod buckets;
+mod dependencies;
 mod jobs;
 mod marks;
 
@@ -25,6 +26,8 @@
 use cherryyard_wire::rules::Attributes;
 use cherryyard_wire::state::{Apply, Commit, Json, News, Pair};
 use cherryyard_wire::{RangeSet, record};
+use dependencies::DependencyGraph;
+pub use dependencies::{Deadline, Urgency};
 pub use jobs::{EndedJob, OpenJob, over};
 use lru::LruCache;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
@@ -100,8 +103,9 @@
     pub marks: BTreeMap<(usize, u64), JobMarks>,
     /// Numbers that are neither done nor marked, by part and job; none empty.
     pub waiting: Vec<BTreeMap<u64, RangeSet>>,
-    /// Open jobs that the leader has not divided yet.
+    /// Open jobs that wait for no other and that the leader has not divided yet.
     pub undivided: BTreeSet<u64>,
+    graph: DependencyGraph,
     /// Classes and teams of jobs.
     pub flows: Flows,
     waiting_changes: Vec<(usize, u64)>,
@@ -116,6 +120,8 @@
     format_stamp: u64,
     /// Whether new jobs come by pages of arrivals.
     pub by_pages: bool,
+    /// Whether jobs may wait for others: all controllers know of that.
+    pub dependencies: bool,
     /// Those pages.
     pub arrivals: BTreeMap<u64, Arrivals>,
     /// The page that names each job.
@@ -169,6 +175,7 @@
             marks: BTreeMap::new(),
             waiting: vec![BTreeMap::new(); parts],
             undivided: BTreeSet::new(),
+            graph: DependencyGraph::default(),
             flows: Flows::new(config.teams.len()),
             waiting_changes: Vec::new(),
             complete: BTreeSet::new(),
@@ -177,6 +184,7 @@
             format: 0,
             format_stamp: 0,
             by_pages: false,
+            dependencies: false,
             arrivals: BTreeMap::new(),
             arrived: HashMap::new(),
             packed: PackedRecord::default(),
@@ -372,7 +380,8 @@
             Key::Bucket(from) => self.drop_bucket(from),
             Key::Arrivals(page) => self.drop_page(page),
             Key::Format => {
-                (self.format, self.format_stamp, self.by_pages) = (0, 0, false);
+                (self.format, self.format_stamp) = (0, 0);
+                (self.by_pages, self.dependencies) = (false, false);
             }
             Key::Packed => (self.packed, self.packed_stamp) = (PackedRecord::default(), 0),
             Key::Mark { part, page } => self.set_page(part, page, None),
@@ -448,6 +457,7 @@
             Key::Format => {
                 let record: FormatRecord = value.read()?;
                 (self.format, self.by_pages) = (record.jobs, record.new);
+                self.dependencies = record.dependencies;
                 self.format_stamp = stamp;
             }
             Key::Packed => {
--- a/crates/cherryyard-core/src/node.rs
+++ b/crates/cherryyard-core/src/node.rs
@@ -10,7 +10,7 @@
 use crate::machine::{HostEvent, HostState, Machine};
 use crate::owner::state::Part;
 use crate::pace::Pace;
-use crate::peers::{PeerState, Stray};
+use crate::peers::{PeerFormat, PeerState, Stray};
 use crate::tenancy::{Tenancy, TenancyEvent};
 use crate::{Config, Millis, Mirror};
 use cherryyard_wire::cloud::{HostEntry, HostKind};
@@ -40,6 +40,9 @@
     pub(crate) machines: BTreeMap<u32, Machine>,
     pub(crate) leader: Leader,
     pub(crate) peers: Vec<Option<PeerState>>,
+    /// What the other controllers' builds can work with, as they say in frames; earlier
+    /// builds say nothing.
+    pub(crate) peer_formats: Vec<Option<PeerFormat>>,
     /// When the connection to each other controller was last to be made anew.
     pub(crate) reconnected_at: Vec<Millis>,
     pub(crate) hold: Option<u64>,
@@ -103,6 +106,7 @@
             parts,
             machines: BTreeMap::new(),
             reconnected_at: vec![now; peers.len()],
+            peer_formats: vec![None; peers.len()],
             peers,
             hold: None,
             effects: Vec::new(),
@@ -296,6 +300,9 @@
             self.newest_epoch = self.newest_epoch.max(epoch);
             self.mirror.committed(commit, epoch);
         } else {
+            if outcome == Outcome::Malformed {
+                self.commit_refused_as_malformed(commit);
+            }
             tracing::debug!(?ticket, ?outcome, "a transaction was not applied");
             self.effects.push(Effect::Refresh);
         }
--- a/crates/cherryyard-core/src/owner/mod.rs
+++ b/crates/cherryyard-core/src/owner/mod.rs
@@ -7,6 +7,7 @@
 mod blame;
 mod images;
 mod orders;
+mod oversize;
 mod place;
 mod preempt;
 mod recall;
@@ -140,6 +141,10 @@
         if !self.state_fresh(now) {
             return;
         }
+        if let Some(commit) = self.divide_oversized_page(p, token) {
+            self.send_round(p, commit, Pending::default());
+            return;
+        }
         let mut round = Round::new(&self.config, &self.mirror, p);
         let mut pending = Pending::default();
         self.collect(p, now, &mut round, &mut pending);
@@ -163,9 +168,7 @@
                 let mut commit = Commit::default();
                 commit.require(record::part_key(p), token);
                 commit.apply.push(images);
-                self.parts[p].budget.spend(1.0);
-                self.parts[p].pending = Some(Pending::default());
-                self.effects.push(Effect::Commit(Ticket::Owner(p), commit));
+                self.send_round(p, commit, Pending::default());
             }
             return;
         }
@@ -177,6 +180,11 @@
         }
         tracing::debug!(part = p, writes = commit.apply.len(), "a round of marks");
         self.tell_ends(&round, now);
+        self.send_round(p, commit, pending);
+    }
+
+    /// Sends a round's transaction; the part's next round waits for its outcome.
+    fn send_round(&mut self, p: usize, commit: Commit, pending: Pending) {
         self.parts[p].budget.spend(commit.apply.len() as f64);
         self.parts[p].pending = Some(pending);
         self.effects.push(Effect::Commit(Ticket::Owner(p), commit));
@@ -226,7 +234,7 @@
                 self.parts[p].retry_after = now + 30.0;
             }
             Outcome::NoLease => self.parts[p].retry_after = now + 100.0,
-            Outcome::Refused => {
+            Outcome::Refused | Outcome::Malformed => {
                 self.parts[p].retry_after = now + self.jitter(150.0, 400.0);
             }
             Outcome::Unknown => {
--- /dev/null
+++ b/crates/cherryyard-core/src/owner/oversize.rs
@@ -0,0 +1,169 @@
+//! Division of pages of assignments that are larger than the state service allows now.
+//!
+//! A page that was written under a larger limit is read as it is, but cannot be written
+//! anew, and to divide it may take more changes than one transaction may have. So it is
+//! divided in steps: first what it holds is copied into new pages, as many at a time as
+//! a transaction may write, and when all of it has a copy the page is deleted.
+//!
+//! While the page is there nothing of the part is assigned or given up, so a copy is as
+//! good as the original whoever owns the part next. Every step depends on the page's
+//! stamp, so none is carried out late, after the page has gone.
+
+use super::*;
+use cherryyard_wire::RangeSet;
+
+impl Node {
+    /// The transaction that brings the division of a part's first page that is too large
+    /// one step further; none if no page is.
+    pub(super) fn divide_oversized_page(&self, p: usize, token: u64) -> Option<Commit> {
+        let (number, page) = self.oversized_page(p)?;
+        let mut commit = Commit::default();
+        commit.require(record::part_key(p), token);
+        let source = Key::Mark {
+            part: p,
+            page: number,
+        };
+        self.mirror.require(&mut commit, source);
+        let copies = self.copies(p, &self.without_copies(p, number, page));
+        if copies.is_empty() {
+            commit.apply.push(delete_page(p, number));
+            tracing::info!(part = p, page = number, "divided a page that was too large");
+            return Some(commit);
+        }
+        let first = self.mirror.last_page(p).map_or(0, |last| last + 1);
+        for (copy, number) in copies.iter().zip(first..) {
+            let key = Key::Mark {
+                part: p,
+                page: number,
+            };
+            self.mirror.require(&mut commit, key);
+            let record = copy.record(&self.mirror.hosts);
+            let key = record::mark_key(p, number);
+            commit.apply.push(Apply::set(key, &record));
+        }
+        Some(commit)
+    }
+
+    /// The part's first page that has too many bytes to be written anew, less what is
+    /// over.
+    fn oversized_page(&self, p: usize) -> Option<(u32, Page)> {
+        let most = self.config.page_bytes;
+        self.mirror.pages[p].iter().find_map(|(&number, page)| {
+            // Most pages are small enough with all that they hold.
+            if page.bytes(&self.mirror.hosts) <= most {
+                return None;
+            }
+            let mut page = page.clone();
+            page.jobs
+                .retain(|&job, j| self.mirror.end(job).is_none() || !j.marks.is_empty());
+            (page.bytes(&self.mirror.hosts) > most).then_some((number, page))
+        })
+    }
+
+    /// What a page holds that none of the part's other pages does.
+    fn without_copies(&self, p: usize, number: u32, mut page: Page) -> Page {
+        let others = || {
+            let all = self.mirror.pages[p].iter();
+            all.filter(|other| *other.0 != number).map(|other| other.1)
+        };
+        for (job, mine) in &mut page.jobs {
+            for copy in others().filter_map(|other| other.jobs.get(job)) {
+                mine.marks.retain(|n, mark| copy.marks.get(n) != Some(mark));
+                mine.done = mine.done.minus(&copy.done);
+            }
+        }
+        page.jobs
+            .retain(|_, j| !(j.marks.is_empty() && j.done.is_empty()));
+        page
+    }
+
+    /// As many pages with a part of this as one transaction may write.
+    fn copies(&self, p: usize, page: &Page) -> Vec<Page> {
+        let most_pages = self.config.txn_ops.min(TXN_BYTES / self.config.page_bytes);
+        let mut packing = Packing {
+            hosts: &self.mirror.hosts,
+            most_bytes: self.config.page_bytes,
+            most_pages: most_pages.max(1),
+            pages: Vec::new(),
+            bytes: 0,
+        };
+        for (&job, j) in &page.jobs {
+            for range in j.done.ranges() {
+                if !packing.push_done(job, *range) {
+                    return packing.pages;
+                }
+            }
+            for (&number, &mark) in &j.marks {
+                if !packing.push_mark(job, number, mark) {
+                    return packing.pages;
+                }
+            }
+        }
+        tracing::debug!(part = p, copies = packing.pages.len(), "copy a page");
+        packing.pages
+    }
+}
+
+/// Deletes a page; the first one stays, empty.
+fn delete_page(p: usize, number: u32) -> Apply {
+    let key = record::mark_key(p, number);
+    if number == 0 {
+        let empty = Page::default().record(&Names::default());
+        return Apply::set(key, &empty);
+    }
+    Apply::delete(key)
+}
+
+/// Pages that are being filled one after the other.
+struct Packing<'a> {
+    hosts: &'a Names,
+    most_bytes: usize,
+    most_pages: usize,
+    pages: Vec<Page>,
+    /// About how many bytes the last page has.
+    bytes: usize,
+}
+
+impl Packing<'_> {
+    /// Bytes of a page that holds nothing.
+    const EMPTY_BYTES: usize = 20;
+    /// Most bytes that a range of completed numbers adds: its job and both ends.
+    const RANGE_BYTES: usize = 60;
+
+    fn push_done(&mut self, job: u64, range: (u32, u32)) -> bool {
+        let Some(page) = self.room_for(Self::RANGE_BYTES) else {
+            return false;
+        };
+        let here = page.jobs.entry(job).or_default();
+        here.done = here.done.union(&RangeSet::span(range.0, range.1));
+        true
+    }
+
+    fn push_mark(&mut self, job: u64, number: u32, mark: Mark) -> bool {
+        let bytes = Page::mark_bytes(job, number, &mark, self.hosts);
+        let Some(page) = self.room_for(bytes) else {
+            return false;
+        };
+        let here = page.jobs.entry(job).or_default();
+        here.marks.insert(number, mark);
+        true
+    }
+
+    /// The page that has room for so many bytes more; none if all are full.
+    fn room_for(&mut self, bytes: usize) -> Option<&mut Page> {
+        if self.pages.is_empty() || self.bytes + bytes > self.most_bytes {
+            let exact = self.pages.last().map(|page| page.bytes(self.hosts));
+            match exact.filter(|exact| exact + bytes <= self.most_bytes) {
+                // Entries of one job or machine take less than was counted.
+                Some(exact) => self.bytes = exact,
+                None if self.pages.len() >= self.most_pages => return None,
+                None => {
+                    self.pages.push(Page::default());
+                    self.bytes = Self::EMPTY_BYTES;
+                }
+            }
+        }
+        self.bytes += bytes;
+        self.pages.last_mut()
+    }
+}
--- a/crates/cherryyard-core/src/owner/place.rs
+++ b/crates/cherryyard-core/src/owner/place.rs
@@ -14,12 +14,13 @@
     /// come after all that can still make an earlier one, so that a job that is late
     /// anyway delays no other.
     pub(crate) fn hope(&self, o: &OpenJob, wall: f64) -> (usize, f64) {
-        let Some(due) = o.spec.due_s else {
+        let Some(deadline) = o.urgency.deadline else {
             return (0, f64::INFINITY);
         };
-        let times = self.config.deadline_times.get(&o.spec.jobclass);
+        let class = self.mirror.flows.class(deadline.flow);
+        let times = self.config.deadline_times.get(class);
         let times = times.map_or(&[1.0][..], Vec::as_slice);
-        let last_start = |t: &f64| o.at as f64 + due * t * 1000.0 - o.spec.expected_s * 800.0;
+        let last_start = |t: &f64| deadline.complete_by(*t) - o.spec.expected_s * 800.0;
         let hope = times.iter().position(|t| wall <= last_start(t));
         let hope = hope.unwrap_or(times.len());
         (hope, times.get(hope).map_or(f64::INFINITY, last_start))
@@ -34,16 +35,16 @@
         };
         let left = o.spec.pieces.saturating_sub(self.mirror.done(job));
         let (hope, turns) = self.hope(o, now + self.wall_offset);
-        if o.spec.due_s.is_some() && turns.is_infinite() {
-            self.parts[p].queues.is_late(o.flow, o.at, job);
+        if o.urgency.deadline.is_some() && turns.is_infinite() {
+            self.parts[p].queues.is_late(o.flow, o.ready_at(), job);
         }
         let place = Place {
-            rank: o.spec.rank,
+            rank: o.rank(),
             sweep: o.spec.shape == Shape::Sweep,
             hope,
             work: f64::from(left) * o.spec.expected_s * o.spec.cores,
             due: o.due_ms(),
-            at: o.at,
+            at: o.ready_at(),
             job,
         };
         self.parts[p].queues.set(o.flow, place, turns, now);
--- a/crates/cherryyard-core/src/owner/preempt.rs
+++ b/crates/cherryyard-core/src/owner/preempt.rs
@@ -23,7 +23,7 @@
             let Some(open) = self.mirror.open.get(&job).filter(|_| !m.marks.is_empty()) else {
                 continue;
             };
-            let rank = open.spec.rank;
+            let rank = open.rank().min(open.spec.rank);
             found.lowest = Some(found.lowest.map_or(rank, |r| r.min(rank)));
             let team = open.team as usize;
             if totals[team].cores > self.config.teams[team].cores + 1e-6 {
@@ -35,7 +35,7 @@
 
     /// Whether anything could make way for a job.
     pub(crate) fn may_preempt(&self, open: &OpenJob, found: &Preemptible) -> bool {
-        found.lowest.is_some_and(|rank| rank < open.spec.rank)
+        found.lowest.is_some_and(|rank| rank < open.rank())
             || found.beyond.iter().any(|&t| t != open.team)
     }
 
@@ -107,14 +107,14 @@
                     .on_host(m.host)
                     .filter_map(|(task, mark)| {
                         let v = self.mirror.open.get(&task.0)?;
-                        let lower = v.spec.rank < open.spec.rank;
+                        let lower = open.goes_before(v);
                         let (vt, t) = (v.team as usize, team);
                         let beyond = vt != t
                             && totals[vt].cores > self.config.teams[vt].cores + 1e-6
                             && totals[t].cores + needs.cores <= self.config.teams[t].cores + 1e-6;
                         // What is marked by a later attempt has lost least.
                         (lower || beyond).then_some((
-                            v.spec.rank,
+                            v.rank(),
                             -(mark.attempt as f64),
                             task,
                             mark.attempt,
--- a/crates/cherryyard-core/src/owner/room.rs
+++ b/crates/cherryyard-core/src/owner/room.rs
@@ -180,6 +180,12 @@
             let mut commit = Commit::default();
             commit.require(record::part_key(p), token);
             for name in short {
+                // The grant, and the last page and the one after it.
+                if commit.apply.len() >= self.config.txn_ops
+                    || commit.when.len() + 3 > self.config.max_conditions()
+                {
+                    break;
+                }
                 let Some(t) = self.config.team_names.get(name).map(|t| t as usize) else {
                     continue;
                 };
@@ -214,7 +220,6 @@
                         .push(Apply::set(record::grant_key(t, p), &keep));
                 }
             }
-            commit.apply.truncate(self.config.txn_ops);
             if !commit.apply.is_empty() {
                 // On no mark having been made since, as the leader's moves are: where the
                 // answer is lost this may be carried out after later rounds, which count
--- a/crates/cherryyard-core/src/owner/round.rs
+++ b/crates/cherryyard-core/src/owner/round.rs
@@ -47,7 +47,7 @@
         Self {
             part,
             max_ops: config.txn_ops,
-            max_conditions: config.txn_ops * 4,
+            max_conditions: config.max_conditions(),
             page_bytes: config.page_bytes,
             edits: BTreeMap::new(),
             last: mirror.last_page(part),
@@ -392,7 +392,7 @@
     pub(crate) fn tell_ends(&self, round: &Round, now: Millis) {
         for job in &round.ends {
             if let Some(open) = self.mirror.open.get(job) {
-                let age_s = (now + self.wall_offset - open.at as f64) / 1000.0;
+                let age_s = (now + self.wall_offset - open.ready_at() as f64) / 1000.0;
                 let late_s = (now + self.wall_offset - open.due_ms()) / 1000.0;
                 tracing::debug!(
                     job,
--- a/crates/cherryyard-core/src/owner/search.rs
+++ b/crates/cherryyard-core/src/owner/search.rs
@@ -30,7 +30,7 @@
 
     /// Whether nothing makes way for such jobs.
     pub(crate) fn is_firm(&self, open: &OpenJob, holding: bool) -> bool {
-        let key = (open.signature(), open.spec.rank, open.team, holding);
+        let key = (open.signature(), open.rank(), open.team, holding);
         self.firm.contains(&key)
     }
 
@@ -38,7 +38,7 @@
     /// room in the wrong zone: that says nothing of others.
     pub(crate) fn firm(&mut self, open: &OpenJob, holding: bool) {
         if !open.spec.apart {
-            let key = (open.signature(), open.spec.rank, open.team, holding);
+            let key = (open.signature(), open.rank(), open.team, holding);
             self.firm.insert(key);
         }
     }
--- a/crates/cherryyard-core/src/owner/turns.rs
+++ b/crates/cherryyard-core/src/owner/turns.rs
@@ -82,7 +82,7 @@
         let mut kept = self.parts[p].kept.values().filter(|k| k.1 == host);
         kept.any(|&((job, _), _)| {
             let other = self.mirror.open.get(&job);
-            other.is_some_and(|o| o.spec.id != open.spec.id && o.spec.rank >= open.spec.rank)
+            other.is_some_and(|o| o.spec.id != open.spec.id && o.rank() >= open.rank())
         })
     }
 
--- a/crates/cherryyard-core/src/peers.rs
+++ b/crates/cherryyard-core/src/peers.rs
@@ -17,6 +17,15 @@
     pub covered: Covered,
 }
 
+/// What another controller has shown that it can work with.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PeerFormat {
+    /// The newest format of stored records.
+    pub(crate) format: u32,
+    /// When it last said so.
+    pub(crate) at: Millis,
+}
+
 /// A worker of another's part that reported here.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Stray {
--- a/crates/cherryyard-core/src/users.rs
+++ b/crates/cherryyard-core/src/users.rs
@@ -39,7 +39,12 @@
         let view = self.mirror.view(job);
         match view.map(|view| (view.status, view)) {
             // Other controllers may count on our having told nobody.
-            Some((JobStatus::Cancelled, _)) if !self.may_tell_cancelled(job, now) => Tell::NotYet,
+            // One that never had a task is in nobody's way.
+            Some((JobStatus::Cancelled, view))
+                if view.cancelled_by.is_none() && !self.may_tell_cancelled(job, now) =>
+            {
+                Tell::NotYet
+            }
             Some((JobStatus::Done | JobStatus::Cancelled, view)) => Tell::View(view),
             _ if !caught_up => Tell::Barrier,
             Some((_, view)) => Tell::View(view),
--- a/crates/cherryyard-history/src/packer.rs
+++ b/crates/cherryyard-history/src/packer.rs
@@ -170,6 +170,12 @@
         }
     }
 
+    /// Sets the bounds of a transaction, which may fall while it works.
+    pub fn set_limits(&mut self, leaf_bytes: usize, txn_ops: usize) {
+        self.limits.leaf_bytes = leaf_bytes;
+        self.limits.txn_ops = txn_ops;
+    }
+
     /// Where it stands.
     pub fn phase(&self) -> &Phase {
         &self.phase
--- a/crates/cherryyard-io/src/state.rs
+++ b/crates/cherryyard-io/src/state.rs
@@ -32,6 +32,9 @@
     /// The answer makes no sense.
     #[error("a bad answer")]
     Bad,
+    /// The request is malformed, or beyond the service's limits: not executed.
+    #[error("a malformed request")]
+    Malformed,
 }
 
 /// How a transaction came out.
@@ -192,8 +195,8 @@
                 if text.contains("no such lease") || text.contains("hold") {
                     return Ok(Committed::NoLease);
                 }
-                tracing::error!(%text, "the state service calls a transaction malformed");
-                Err(StateError::Bad)
+                tracing::debug!(%text, "the state service calls a transaction malformed");
+                Err(StateError::Malformed)
             }
             other => Err(failed(other)),
         }
--- a/crates/cherryyard-rehearsal/src/bin/history.rs
+++ b/crates/cherryyard-rehearsal/src/bin/history.rs
@@ -8,6 +8,7 @@
 use cherryyard_rehearsal::process::{self, Process};
 use cherryyard_rehearsal::{StateStandIn, World, small_kind};
 use cherryyard_wire::RangeSet;
+use cherryyard_wire::dependencies::Dependencies;
 use cherryyard_wire::history::{LAST, PackedRecord};
 use cherryyard_wire::job::job_id;
 use cherryyard_wire::record::{
@@ -91,6 +92,7 @@
         zone: None,
         caps: Vec::new(),
         rules: None,
+        after: Dependencies::default(),
     };
     let mut jobs: Vec<u64> = (0..args.open).collect();
     if args.format < BUCKETS {
@@ -139,6 +141,7 @@
                     ram: 1.7,
                 },
                 g: 0,
+                by: None,
             };
             state.seed(&job_key(id), &record);
         }
@@ -149,6 +152,7 @@
         &FormatRecord {
             jobs: BUCKETS,
             new: false,
+            dependencies: false,
         },
     );
     for i in (0..8u64).filter(|_| args.open == 0) {
--- a/crates/cherryyard-rehearsal/src/http.rs
+++ b/crates/cherryyard-rehearsal/src/http.rs
@@ -232,6 +232,7 @@
             Outcome::Applied(epoch) => (200, json!({ "epoch": epoch })),
             Outcome::Conflict(epoch) => (409, json!({ "failed": [], "epoch": epoch })),
             Outcome::NoLease => (400, json!({ "error": "no such lease" })),
+            Outcome::Malformed => (400, json!({ "error": "too large" })),
             Outcome::Refused | Outcome::Unknown => (503, json!({})),
         }
     }
--- a/crates/cherryyard-rehearsal/src/lib.rs
+++ b/crates/cherryyard-rehearsal/src/lib.rs
@@ -17,6 +17,7 @@
 pub use trouble::Trouble;
 pub use users::Users;
 pub use worker::WorkerStandIn;
+pub use world::pipelines::Pipelines;
 pub use world::{Question, Said, Setup, World, small_kind};
 
 /// Draws below a number, the same for the same seed in every version of every
--- a/crates/cherryyard-rehearsal/src/state.rs
+++ b/crates/cherryyard-rehearsal/src/state.rs
@@ -25,6 +25,32 @@
     pub most_ops: usize,
     /// Most conditions that a transaction has had.
     pub most_conditions: usize,
+    /// Limits in force; none: everything is taken.
+    pub limits: Option<ServiceLimits>,
+    /// Transactions that were refused because they exceed the limits.
+    pub malformed: usize,
+}
+
+/// What the state service takes.
+#[derive(Clone, Copy, Debug)]
+pub struct ServiceLimits {
+    /// Largest value in bytes.
+    pub value_bytes: usize,
+    /// Most puts and deletes in a transaction; four times as many conditions.
+    pub txn_ops: usize,
+}
+
+impl ServiceLimits {
+    fn allow(&self, commit: &Commit) -> bool {
+        let fits = |change: &Apply| match change {
+            Apply::Set { v, .. } => v.text().len() <= self.value_bytes,
+            Apply::Delete { .. } => true,
+        };
+        commit.apply.len() <= self.txn_ops
+            && commit.when.len() <= 4 * self.txn_ops
+            && commit.bytes() <= 64 * 1024
+            && commit.apply.iter().all(fits)
+    }
 }
 
 impl StateStandIn {
@@ -174,6 +200,15 @@
         }
     }
 
+    /// Takes a controller's transaction, if it keeps within the limits.
+    pub fn commit_within_limits(&mut self, commit: &Commit) -> Outcome {
+        if self.limits.is_some_and(|limits| !limits.allow(commit)) {
+            self.malformed += 1;
+            return Outcome::Malformed;
+        }
+        self.commit(commit)
+    }
+
     /// Applies a transaction, if its conditions hold.
     pub fn commit(&mut self, commit: &Commit) -> Outcome {
         // Those that fail cost as much.
--- a/crates/cherryyard-rehearsal/src/users.rs
+++ b/crates/cherryyard-rehearsal/src/users.rs
@@ -121,7 +121,11 @@
             self.accepted(w, &spec);
         }
         for (id, job) in &mut self.jobs {
-            job.cancelled |= w.asked_to_cancel(id);
+            job.cancelled |= w.may_be_cancelled(id);
+            if !w.needs_are_complete(id) {
+                // Its times count from then on.
+                job.came = w.now;
+            }
         }
     }
 
@@ -188,7 +192,11 @@
                     && spec.cores <= m.2 + 1e-6
                     && spec.ram_gb <= m.3 + 1e-6
             };
-            let room = under && !spec.together && !spec.apart && free.iter().any(fits);
+            let room = under
+                && w.needs_are_complete(id)
+                && !spec.together
+                && !spec.apart
+                && free.iter().any(fits);
             let before = job.started.len();
             for n in 0..job.pieces {
                 let piece = format!("{id}/{n}");
--- a/crates/cherryyard-rehearsal/src/world.rs
+++ b/crates/cherryyard-rehearsal/src/world.rs
@@ -1,5 +1,6 @@
 //! A whole cluster: controllers, state service, workers, and what cuts them off.
 
+use crate::state::ServiceLimits;
 use crate::{StateStandIn, WorkerStandIn, draws};
 use cherryyard_core::account::CoreSeconds;
 use cherryyard_core::admission::intake::{Offer, Verdict};
@@ -12,8 +13,9 @@
     Chunk, FIRST_ID, IdsRecord, Phase, PhaseEvent, SubmissionRecord, chunk_key, submission_key,
     submission_number,
 };
+use cherryyard_wire::dependencies::Dependencies;
 use cherryyard_wire::job::{JobSpec, JobView, Shape, job_number};
-use cherryyard_wire::record::{IDS, JobRecord, job_key};
+use cherryyard_wire::record::{ARRIVALS, IDS, JobRecord, job_key};
 use cherryyard_wire::rules::Rules;
 use cherryyard_wire::settings::Settings;
 use cherryyard_wire::state::{Apply, Commit, News};
@@ -23,6 +25,7 @@
 
 mod check;
 mod late;
+pub mod pipelines;
 pub mod requests;
 
 use check::Checker;
@@ -56,12 +59,17 @@
     pub value_kb: f64,
     /// Most changes in a transaction.
     pub txn_ops: usize,
+    /// Announced limits of the state service: its largest value in KiB, and most changes
+    /// in a transaction; in force from [`World::lower_limits`] on.
+    pub next: Option<(f64, usize)>,
     /// Requests a second that the state service allows, as the controllers know it.
     pub rps: f64,
     /// Puts and deletes a second that it allows.
     pub write_rps: f64,
     /// How many ends go into the history at once; none: no history.
     pub history: Option<usize>,
+    /// Controllers of a build that knows of no dependencies, when they start.
+    pub earlier: BTreeSet<usize>,
 }
 
 /// The type of all the stand-ins' machines: 4 cores, 16 GB.
@@ -91,9 +99,11 @@
             teams: Vec::new(),
             value_kb: 4.0,
             txn_ops: 8,
+            next: None,
             rps: 80.0,
             write_rps: 20.0,
             history: None,
+            earlier: BTreeSet::new(),
         }
     }
 }
@@ -318,6 +328,7 @@
             world.nodes.push(Some(node));
             world.lives.push(world.starts);
         }
+        world.enforce_limits(setup.value_kb, setup.txn_ops);
         let mut number = 0;
         let small = setup.machines.iter().map(|m| ("m4", m));
         for (kind, (zone, count)) in small.chain(setup.large.iter().map(|m| ("m8", m))) {
@@ -333,8 +344,36 @@
         world
     }
 
+    fn enforce_limits(&mut self, value_kb: f64, txn_ops: usize) {
+        self.state.limits = Some(ServiceLimits {
+            value_bytes: (value_kb * 1024.0) as usize,
+            txn_ops,
+        });
+    }
+
+    /// A controller starts with a newer build from now on.
+    pub fn upgrade(&mut self, i: usize) {
+        self.setup.earlier.remove(&i);
+    }
+
+    /// Limits of the state service are announced to controllers that start from now on.
+    pub fn announce_limits(&mut self, value_kb: f64, txn_ops: usize) {
+        self.setup.next = Some((value_kb, txn_ops));
+    }
+
+    /// The announced limits of the state service come into force.
+    pub fn lower_limits(&mut self) {
+        if let Some((value_kb, txn_ops)) = self.setup.next {
+            self.say("the state service lowers its limits");
+            self.enforce_limits(value_kb, txn_ops);
+        }
+    }
+
     fn settings(&self, me: usize) -> Settings {
         let setup = &self.setup;
+        let next = setup
+            .next
+            .map(|(kb, ops)| json!({ "value_kb": kb, "txn_ops": ops }));
         let zones: BTreeSet<&str> = setup
             .zones
             .iter()
@@ -360,7 +399,7 @@
                 "teams": teams,
                 "workers": { "report_s": 2.0, "lease_s": 10.0, "cancel_s": 40.0 },
                 "state": { "rps": setup.rps, "write_rps": setup.write_rps, "value_kb": setup.value_kb,
-                           "txn_ops": setup.txn_ops },
+                           "txn_ops": setup.txn_ops, "next": next },
                 "cloud": { "rps": 4.0, "list_lag_s": 6.0 },
                 "limits": { "sockets": 1000 }
             }
@@ -375,7 +414,10 @@
         if let Some(batch) = self.setup.history {
             (tuning.history, tuning.history_batch) = (true, batch);
         }
-        let config = Config::new(&self.settings(i), tuning);
+        let mut config = Config::new(&self.settings(i), tuning);
+        if self.setup.earlier.contains(&i) {
+            config.format = ARRIVALS;
+        }
         let mut node = Node::new(config, self.starts, self.now);
         node.accounting = true;
         let zones: Vec<String> = self
@@ -477,6 +519,7 @@
             zone: None,
             caps: Vec::new(),
             rules: rules.clone().map(Box::new),
+            after: Dependencies::default(),
         };
         let node = able.and_then(|i| self.nodes[i].as_mut());
         if let Some(node) = node.filter(|n| n.mirror.loaded) {
--- a/crates/cherryyard-rehearsal/src/world/late.rs
+++ b/crates/cherryyard-rehearsal/src/world/late.rs
@@ -23,14 +23,14 @@
     /// A transaction comes to the state service, which may be late with it.
     pub(super) fn late_commit(&mut self, commit: &Commit) -> Outcome {
         if self.lost_answers > 0 && (self.late_draw)(100) < self.lost_answers {
-            self.state.commit(commit);
+            self.state.commit_within_limits(commit);
             return Outcome::Unknown;
         }
         if self.late_writes == 0 || (self.late_draw)(100) >= self.late_writes {
-            return self.state.commit(commit);
+            return self.state.commit_within_limits(commit);
         }
         if (self.late_draw)(4) == 0 {
-            self.state.commit(commit);
+            self.state.commit_within_limits(commit);
         } else {
             let at = self.now + 2000.0 + (self.late_draw)(10_000) as f64;
             self.on_the_way.push((at, commit.clone()));
@@ -43,7 +43,7 @@
         let now = self.now;
         let due: Vec<_> = self.on_the_way.extract_if(.., |c| c.0 <= now).collect();
         for (_, commit) in due {
-            self.state.commit(&commit);
+            self.state.commit_within_limits(&commit);
         }
     }
 
--- /dev/null
+++ b/crates/cherryyard-rehearsal/src/world/pipelines.rs
@@ -0,0 +1,112 @@
+//! Jobs that wait for others, as their users and the checker see them.
+
+use super::World;
+use cherryyard_wire::job::{JobSpec, JobStatus};
+use std::collections::BTreeSet;
+
+/// Time within which jobs that need a cancelled one are to be called cancelled.
+const CANCEL_MS: f64 = 40_000.0;
+
+impl World {
+    /// All jobs that a job needs, directly and through others, as they were submitted.
+    pub fn ancestors(&self, id: &str) -> BTreeSet<String> {
+        let mut found = BTreeSet::new();
+        let mut pending = vec![id.to_string()];
+        while let Some(id) = pending.pop() {
+            let needs = self.submitted(&id).map(|spec| spec.waits_on.clone());
+            for need in needs.unwrap_or_default() {
+                if found.insert(need.clone()) {
+                    pending.push(need);
+                }
+            }
+        }
+        found
+    }
+
+    /// Whether all tasks of a job have completed.
+    pub fn is_complete(&self, id: &str) -> bool {
+        let pieces = self.submitted(id).map_or(u32::MAX, |spec| spec.pieces);
+        (0..pieces).all(|n| self.completed.contains(&format!("{id}/{n}")))
+    }
+
+    /// Whether all that a job needs has completed.
+    pub fn needs_are_complete(&self, id: &str) -> bool {
+        let needs = self.submitted(id).map(|spec| spec.waits_on.clone());
+        needs
+            .unwrap_or_default()
+            .iter()
+            .all(|need| self.is_complete(need))
+    }
+
+    /// Whether a job may be called cancelled: its user has asked for that, or the user of
+    /// a job that it needs.
+    pub fn may_be_cancelled(&self, id: &str) -> bool {
+        self.asked_to_cancel(id) || self.ancestors(id).iter().any(|a| self.asked_to_cancel(a))
+    }
+
+    /// Whether a job that needs a cancelled one is called by an older state for too long
+    /// after that one's user was told.
+    pub(super) fn is_orphaned(&self, id: &str, status: JobStatus, sent_at: f64) -> bool {
+        if !matches!(status, JobStatus::Queued | JobStatus::Running) {
+            return false;
+        }
+        let told = |need: &String| {
+            let at = self.cancelled_at.get(need);
+            at.is_some_and(|at| sent_at - at > CANCEL_MS)
+        };
+        self.ancestors(id).iter().any(told)
+    }
+
+    /// Notes a start of a task before all jobs that its job needs are done.
+    pub(super) fn check_needs(&mut self, id: &str, piece: &str) {
+        if !self.needs_are_complete(id) {
+            self.breaks(format!("{piece} starts before all that it needs is done"));
+        }
+    }
+
+    /// Whether a job's user knows that it was accepted.
+    pub fn is_accepted(&self, id: &str) -> bool {
+        self.requests.knows_accepted(id)
+    }
+}
+
+/// Users who submit pipelines: each job as soon as those that it needs are accepted.
+#[derive(Debug, Default)]
+pub struct Pipelines {
+    /// Jobs that are yet to be submitted, and whether only when all that they need is
+    /// complete.
+    pending: Vec<(JobSpec, bool)>,
+    next: usize,
+}
+
+impl Pipelines {
+    /// A job that is to be submitted as soon as those that it needs are accepted.
+    pub fn add(&mut self, spec: JobSpec) {
+        self.pending.push((spec, false));
+    }
+
+    /// A job that is to be submitted only when those that it needs are complete.
+    pub fn add_late(&mut self, spec: JobSpec) {
+        self.pending.push((spec, true));
+    }
+
+    /// Whether all have been submitted.
+    pub fn is_empty(&self) -> bool {
+        self.pending.is_empty()
+    }
+
+    /// Submits what is due, each at the next controller.
+    pub fn step(&mut self, w: &mut World) {
+        let due = |(spec, late): &(JobSpec, bool)| {
+            let accepted = spec.waits_on.iter().all(|need| w.is_accepted(need));
+            let cancelled = spec.waits_on.iter().any(|need| w.may_be_cancelled(need));
+            accepted && (!late || cancelled || spec.waits_on.iter().all(|n| w.is_complete(n)))
+        };
+        let (due, later) = std::mem::take(&mut self.pending).into_iter().partition(due);
+        self.pending = later;
+        for (spec, _) in due {
+            self.next += 1;
+            w.submit_at(self.next % w.nodes.len(), &spec);
+        }
+    }
+}
--- a/crates/cherryyard-wire/src/arrivals.rs
+++ b/crates/cherryyard-wire/src/arrivals.rs
@@ -5,6 +5,7 @@
 //! instead of what the page says of it.
 
 use crate::RangeSet;
+use crate::dependencies::Dependencies;
 use crate::job::{JobSpec, Rank, Shape, job_id};
 use crate::rules::Rules;
 use serde::{Deserialize, Serialize};
@@ -44,7 +45,7 @@
     *x == (0.0, 0.0)
 }
 
-/// What few jobs have: their zone, caps and rules.
+/// What few jobs have: their zone, caps, rules and dependencies.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Rest {
     /// The zone of all tasks, where the user asked for one.
@@ -56,6 +57,9 @@
     /// Where it may run, beyond what the submission's fields say.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub rules: Option<Box<Rules>>,
+    /// Jobs that it waits for.
+    #[serde(default, skip_serializing_if = "Dependencies::is_none")]
+    pub after: Dependencies,
 }
 
 /// One job: its number, the place of what it has in common, the time of day at its
@@ -187,6 +191,7 @@
                 snapshot_every_s: c.p.0,
                 snapshot_cost_s: c.p.1,
                 due_s: row.9,
+                waits_on: Vec::new(),
             };
             Some(Arrival {
                 job,
--- a/crates/cherryyard-wire/src/job.rs
+++ b/crates/cherryyard-wire/src/job.rs
@@ -1,5 +1,6 @@
 //! Users' jobs as they are submitted and shown.
 
+use crate::dependencies::{dependency_numbers, read_ids};
 use serde::{Deserialize, Serialize};
 
 /// Most tasks in a job.
@@ -56,6 +57,12 @@
     pub snapshot_cost_s: f64,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub due_s: Option<f64>,
+    #[serde(
+        default,
+        deserialize_with = "read_ids",
+        skip_serializing_if = "Vec::is_empty"
+    )]
+    pub waits_on: Vec<String>,
 }
 
 /// The number in a job id: `j-` and six or more digits, without needless zeros.
@@ -116,7 +123,7 @@
                 return Err(format!("{name}: must be 0 or more"));
             }
         }
-        Ok(())
+        dependency_numbers(&self.waits_on).map(|_| ())
     }
 }
 
@@ -147,6 +154,26 @@
     /// Tasks running, for display.
     #[serde(default)]
     pub running: u32,
+    /// Jobs that it waits for, while it waits.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub waits_on: Vec<String>,
+    /// The job that it needs and that was cancelled, if it is cancelled for that.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cancelled_by: Option<String>,
+}
+
+impl JobView {
+    /// A job's state and counts, of one that waits for no other.
+    pub fn new(job: u64, status: JobStatus, done: u32, running: u32) -> Self {
+        Self {
+            id: job_id(job),
+            status,
+            done,
+            running,
+            waits_on: Vec::new(),
+            cancelled_by: None,
+        }
+    }
 }
 
 #[cfg(test)]
--- a/crates/cherryyard-wire/src/lib.rs
+++ b/crates/cherryyard-wire/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod arrivals;
 pub mod cloud;
 pub mod condor;
+pub mod dependencies;
 pub mod history;
 pub mod job;
 pub mod peer;
--- a/crates/cherryyard-wire/src/record.rs
+++ b/crates/cherryyard-wire/src/record.rs
@@ -3,6 +3,7 @@
 //! All keys start with [`PREFIX`], so one watch over one prefix sees them all.
 
 use crate::RangeSet;
+use crate::dependencies::Dependencies;
 use crate::job::JobSpec;
 use crate::rules::Rules;
 use serde::{Deserialize, Serialize};
@@ -27,6 +28,10 @@
 
 /// The format in which new jobs stand in pages of arrivals.
 pub const ARRIVALS: u32 = 3;
+/// The format in which jobs may wait for others.
+pub const DEPENDENCIES: u32 = 4;
+/// The newest format of records that this build can work with.
+pub const NEWEST_FORMAT: u32 = DEPENDENCIES;
 
 /// Key of a page of new jobs. Their order is that of the keys.
 pub fn arrivals_key(page: u64) -> String {
@@ -153,11 +158,11 @@
 }
 
 impl Claim {
-    /// A claim of this build, by the process with this number.
-    pub fn of(label: &str, process: u64) -> Self {
+    /// A claim by the process with this number, which can work with this format.
+    pub fn of(label: &str, process: u64, format: u32) -> Self {
         Self {
             label: label.into(),
-            f: Some(ARRIVALS),
+            f: Some(format),
             n: Some(process),
         }
     }
@@ -171,6 +176,9 @@
     /// Whether new jobs come by pages of arrivals, and by these alone.
     #[serde(default, skip_serializing_if = "is_false")]
     pub new: bool,
+    /// Whether jobs may wait for others.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub dependencies: bool,
 }
 
 /// A bucket: the records of some jobs, so that no key need be deleted for each job
@@ -204,6 +212,9 @@
         /// Its generation in the history; 0 where ends have none.
         #[serde(default, skip_serializing_if = "is_zero")]
         g: u64,
+        /// The cancelled job that it needed, if it is cancelled for that.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        by: Option<u64>,
     },
     /// The job is not over.
     Open {
@@ -223,6 +234,9 @@
         /// Where it may run, beyond what the submission's fields say.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         rules: Option<Box<Rules>>,
+        /// Jobs that it waits for.
+        #[serde(default, skip_serializing_if = "Dependencies::is_none")]
+        after: Dependencies,
     },
 }
 
--- a/crates/cherryyard-wire/src/settings.rs
+++ b/crates/cherryyard-wire/src/settings.rs
@@ -125,6 +125,83 @@
     pub value_kb: f64,
     /// Most puts and deletes in a transaction.
     pub txn_ops: usize,
+    /// Limits that come into force at some later moment, without notice.
+    #[serde(default)]
+    pub next: Option<NextLimits>,
+}
+
+/// Announced limits of the state service; what is not named stays as it is.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+pub struct NextLimits {
+    /// Puts and deletes per second, all controllers together.
+    #[serde(default)]
+    pub write_rps: Option<f64>,
+    /// Largest value in KiB.
+    #[serde(default)]
+    pub value_kb: Option<f64>,
+    /// Most puts and deletes in a transaction.
+    #[serde(default)]
+    pub txn_ops: Option<usize>,
+}
+
+impl StateLimits {
+    /// The largest value in KiB that is allowed now and after the announced change.
+    pub fn safe_value_kb(&self) -> f64 {
+        let next = self.next.and_then(|n| n.value_kb);
+        next.map_or(self.value_kb, |kb| kb.min(self.value_kb))
+    }
+
+    /// The most puts and deletes of a transaction now and after the announced change.
+    pub fn safe_txn_ops(&self) -> usize {
+        let next = self.next.and_then(|n| n.txn_ops);
+        next.map_or(self.txn_ops, |ops| ops.min(self.txn_ops))
+    }
+
+    /// Puts and deletes per second that are allowed now and after the announced change.
+    pub fn safe_write_rps(&self) -> f64 {
+        let next = self.next.and_then(|n| n.write_rps);
+        next.map_or(self.write_rps, |rps| rps.min(self.write_rps))
+    }
+
+    /// Checks the fields; the error names one.
+    fn check(&self) -> Result<(), String> {
+        positive("cluster.state.rps", self.rps)?;
+        positive("cluster.state.write_rps", self.write_rps)?;
+        check_value_kb("cluster.state.value_kb", self.value_kb)?;
+        check_txn_ops("cluster.state.txn_ops", self.txn_ops)?;
+        let next = self.next.unwrap_or_default();
+        if let Some(rps) = next.write_rps {
+            positive("cluster.state.next.write_rps", rps)?;
+        }
+        if let Some(kb) = next.value_kb {
+            check_value_kb("cluster.state.next.value_kb", kb)?;
+        }
+        if let Some(ops) = next.txn_ops {
+            check_txn_ops("cluster.state.next.txn_ops", ops)?;
+        }
+        Ok(())
+    }
+}
+
+fn positive(name: &str, x: f64) -> Result<(), String> {
+    if x.is_finite() && x > 0.0 {
+        return Ok(());
+    }
+    Err(format!("{name}: must be above 0"))
+}
+
+fn check_value_kb(name: &str, kb: f64) -> Result<(), String> {
+    if kb.is_finite() && kb >= 1.0 {
+        return Ok(());
+    }
+    Err(format!("{name}: must be 1 or more"))
+}
+
+fn check_txn_ops(name: &str, ops: usize) -> Result<(), String> {
+    if ops >= 2 {
+        return Ok(());
+    }
+    Err(format!("{name}: must be 2 or more"))
 }
 
 /// Limits of the cloud's interface.
@@ -175,11 +252,6 @@
                 .map(|_| ())
                 .map_err(|_| format!("{name}: `{text}` is not an IP address and port"))
         };
-        let positive = |name: &str, x: f64| {
-            (x.is_finite() && x > 0.0)
-                .then_some(())
-                .ok_or(format!("{name}: must be above 0"))
-        };
         if self.label.is_empty() {
             return Err("label: must not be empty".into());
         }
@@ -213,18 +285,11 @@
         positive("cluster.workers.report_s", c.workers.report_s)?;
         positive("cluster.workers.lease_s", c.workers.lease_s)?;
         positive("cluster.workers.cancel_s", c.workers.cancel_s)?;
-        positive("cluster.state.rps", c.state.rps)?;
-        positive("cluster.state.write_rps", c.state.write_rps)?;
+        c.state.check()?;
         positive("cluster.cloud.rps", c.cloud.rps)?;
         if !(c.cloud.list_lag_s.is_finite() && c.cloud.list_lag_s >= 0.0) {
             return Err("cluster.cloud.list_lag_s: must be 0 or more".into());
         }
-        if !(c.state.value_kb.is_finite() && c.state.value_kb >= 1.0) {
-            return Err("cluster.state.value_kb: must be 1 or more".into());
-        }
-        if c.state.txn_ops < 2 {
-            return Err("cluster.state.txn_ops: must be 2 or more".into());
-        }
         if c.limits.sockets < 32 {
             return Err("cluster.limits.sockets: must be 32 or more".into());
         }
--- a/crates/cherryyard/src/app/asks.rs
+++ b/crates/cherryyard/src/app/asks.rs
@@ -1,10 +1,10 @@
 //! Submissions: passed on to another controller, or handed to the core.
 
 use super::App;
-use bytes::Bytes;
 use cherryyard_core::admission::intake::{Offer, Verdict};
 use cherryyard_core::mirror::OpenJob;
-use cherryyard_wire::peer::{Ask, Message, Told, encode};
+use cherryyard_io::peer::Outgoing;
+use cherryyard_wire::peer::{Ask, Message, Told};
 use std::collections::HashMap;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, MutexGuard, PoisonError};
@@ -42,7 +42,7 @@
         };
         let (tell, told) = oneshot::channel();
         self.waiting_for_answers().insert(ticket, tell);
-        let sent = to.try_send(Bytes::from(encode(&Message::Ask(ask))));
+        let sent = to.try_send(Outgoing::new(Message::Ask(ask), self.sender.clone()));
         let told = match sent {
             Ok(()) => tokio::time::timeout(patience, told)
                 .await
--- a/crates/cherryyard/src/app/loops.rs
+++ b/crates/cherryyard/src/app/loops.rs
@@ -2,10 +2,10 @@
 
 use super::repeats::Repeats;
 use super::{App, jittered, wall_ms};
-use bytes::Bytes;
 use cherryyard_core::lateness::QUEUE_CHECK_MS;
+use cherryyard_io::peer::Outgoing;
 use cherryyard_io::state::StateError;
-use cherryyard_wire::peer::{Message, encode};
+use cherryyard_wire::peer::Message;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
@@ -63,7 +63,7 @@
         }
     }
 
-    pub(crate) async fn beats(self: Arc<Self>, out: watch::Sender<Bytes>) {
+    pub(crate) async fn beats(self: Arc<Self>, out: watch::Sender<Option<Arc<Outgoing>>>) {
         loop {
             let wait = tokio::time::sleep(Duration::from_millis(500));
             tokio::select! {
@@ -79,7 +79,8 @@
                 }
                 n.beat_out(now)
             });
-            let _ = out.send(Bytes::from(encode(&Message::Beat(Box::new(beat)))));
+            let beat = Outgoing::new(Message::Beat(Box::new(beat)), self.sender.clone());
+            let _ = out.send(Some(beat));
             tokio::time::sleep(Duration::from_millis(50)).await;
         }
     }
--- a/crates/cherryyard/src/app/mod.rs
+++ b/crates/cherryyard/src/app/mod.rs
@@ -5,23 +5,25 @@
 mod line;
 mod loops;
 mod reads;
+mod refusals;
 mod repeats;
 mod tell;
 
-use bytes::Bytes;
 use cherryyard_core::admission::intake::Verdict;
 use cherryyard_core::{Effect, Node, Outcome, PushOutcome, Ticket};
 use cherryyard_io::cloud::{Cloud, CloudError};
 use cherryyard_io::http::{Failure, Http};
+use cherryyard_io::peer::Outgoing;
 use cherryyard_io::state::{Committed, State, StateError};
 use cherryyard_io::worker;
-use cherryyard_wire::peer::Told;
+use cherryyard_wire::peer::{Sender, Told};
 use cherryyard_wire::state::Commit;
 use hdrhistogram::Histogram;
 pub(crate) use history::{Look, LookUps};
+use refusals::Refusals;
 use std::collections::HashMap;
 use std::sync::atomic::AtomicU64;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::sync::{Notify, Semaphore, mpsc, oneshot};
 
@@ -38,8 +40,10 @@
     pub(crate) latency: Mutex<Histogram<u64>>,
     pub(crate) barrier_wanted: Notify,
     pub(crate) beat_wanted: Notify,
+    /// What this controller says of itself to the others.
+    pub(crate) sender: Arc<Sender>,
     /// Ways to the other controllers, by name.
-    pub(crate) peers: HashMap<String, mpsc::Sender<Bytes>>,
+    pub(crate) peers: HashMap<String, mpsc::Sender<Arc<Outgoing>>>,
     /// Tells that the connection to one of them is to be made anew.
     pub(crate) anew: HashMap<String, Arc<Notify>>,
     /// Submissions passed on that wait for an answer.
@@ -47,6 +51,8 @@
     pub(crate) tickets: AtomicU64,
     /// Submissions that wait for their verdicts.
     pub(crate) offers: Mutex<HashMap<u64, oneshot::Sender<Verdict>>>,
+    /// Transactions that are not sent again.
+    pub(crate) refusals: Mutex<Refusals>,
     /// Look-ups in the history of jobs that are over.
     pub(crate) history: LookUps,
     /// Bytes that all requests' bodies may take at once.
@@ -58,6 +64,9 @@
     pub(crate) follow_ms: u64,
 }
 
+/// Pause before a writer hears that its transaction is not sent.
+const MALFORMED_PAUSE: Duration = Duration::from_millis(250);
+
 fn jittered(ms: u64) -> Duration {
     use rand::RngExt;
     Duration::from_millis(rand::rng().random_range(ms / 2..=ms + ms / 2))
@@ -76,6 +85,10 @@
         self.born.elapsed().as_secs_f64() * 1000.0
     }
 
+    fn refusals(&self) -> MutexGuard<'_, Refusals> {
+        self.refusals.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Works on the core, then does what it wants done.
     pub fn with<T>(self: &Arc<Self>, work: impl FnOnce(&mut Node, f64) -> T) -> T {
         let now = self.now();
@@ -164,15 +177,27 @@
         }
     }
 
-    /// Sends a transaction.
+    /// Sends a transaction, unless it exceeds the limits or has been refused for that.
     pub async fn commit(self: &Arc<Self>, commit: &Commit) -> Outcome {
+        let excess = self.with(|n, _| n.config.check_commit(commit)).err();
+        if self.refusals().forbids(commit, excess) {
+            tokio::time::sleep(MALFORMED_PAUSE).await;
+            return Outcome::Malformed;
+        }
         let sent_at = self.now();
         let outcome = match self.state.commit(commit).await {
             Ok(Committed::Applied(epoch)) => Outcome::Applied(epoch),
             Ok(Committed::Conflict(epoch)) => Outcome::Conflict(epoch),
             Ok(Committed::NoLease) => Outcome::NoLease,
-            Err(StateError::Unknown) => return Outcome::Unknown,
-            Err(StateError::Bad) => return Outcome::Unknown,
+            Err(StateError::Unknown | StateError::Bad) => return Outcome::Unknown,
+            Err(StateError::Malformed) => {
+                self.refusals().note(commit);
+                Outcome::Malformed
+            }
+            Err(StateError::Busy) => {
+                self.with(|n, now| n.state_is_busy(now));
+                return Outcome::Refused;
+            }
             Err(_) => return Outcome::Refused,
         };
         self.with(|n, now| n.state_answered(sent_at, now));
--- a/crates/cherryyard/src/messages.rs
+++ b/crates/cherryyard/src/messages.rs
@@ -2,16 +2,25 @@
 
 use crate::app::{App, wall_ms};
 use crate::routes;
-use bytes::Bytes;
-use cherryyard_wire::peer::{Message, encode};
+use cherryyard_io::peer::Outgoing;
+use cherryyard_wire::peer::{Frame, Message};
 use std::sync::Arc;
 
 /// Age at which a submission passed on is not carried out any more.
 const ASK_STALE_MS: f64 = 5000.0;
 
 impl App {
-    /// Takes another controller's message.
-    pub fn take_message(self: &Arc<Self>, message: Message) {
+    /// Takes another controller's frame.
+    pub fn take_frame(self: &Arc<Self>, frame: Frame) {
+        if let Some(sender) = frame.sender {
+            self.with(|n, now| n.peer_runs(&sender, now));
+        }
+        if let Some(message) = frame.message {
+            self.take_message(message);
+        }
+    }
+
+    fn take_message(self: &Arc<Self>, message: Message) {
         match message {
             Message::Beat(beat) => self.with(|n, now| n.beat_in(*beat, now)),
             Message::Told(told) => {
@@ -31,7 +40,8 @@
                     let told = routes::answer_ask(&app, &ask).await;
                     if let Some(to) = app.peers.get(&ask.label) {
                         // Full: the other side writes it itself.
-                        let _ = to.try_send(Bytes::from(encode(&Message::Told(told))));
+                        let told = Outgoing::new(Message::Told(told), app.sender.clone());
+                        let _ = to.try_send(told);
                     }
                 });
             }
--- a/crates/cherryyard/src/routes/condor.rs
+++ b/crates/cherryyard/src/routes/condor.rs
@@ -57,6 +57,10 @@
         let pieces = uses.map(|r| r.1).max().unwrap_or(1);
         let Template { spec, rules } = &mut post.jobs.t[i];
         spec.pieces = pieces;
+        if !spec.waits_on.is_empty() {
+            let why = format!("t[{i}].waits_on: jobs of a submission cannot wait for others");
+            return Err(Reject::Malformed(why));
+        }
         let rules = rules.as_ref().filter(|r| !r.is_empty());
         let named = |e: Reject| match e {
             Reject::Malformed(e) => Reject::Malformed(format!("t[{i}].{e}")),
@@ -259,7 +263,7 @@
             Outcome::Refused => {
                 tokio::time::sleep(Duration::from_millis(60 + 60 * attempt)).await;
             }
-            Outcome::NoLease | Outcome::Unknown => break,
+            Outcome::NoLease | Outcome::Unknown | Outcome::Malformed => break,
         }
     }
     Answer::later("the state service did not take the chunk")
@@ -337,7 +341,7 @@
             Outcome::Refused => {
                 tokio::time::sleep(Duration::from_millis(60 + 60 * attempt)).await;
             }
-            Outcome::NoLease | Outcome::Unknown => break,
+            Outcome::NoLease | Outcome::Unknown | Outcome::Malformed => break,
         }
     }
     Answer::later("the state service did not take the removal")
--- a/crates/cherryyard/src/routes/jobs.rs
+++ b/crates/cherryyard/src/routes/jobs.rs
@@ -5,9 +5,11 @@
 use cherryyard_core::Outcome;
 use cherryyard_core::admission::intake::Verdict;
 use cherryyard_core::admit::{Reject, admit};
+use cherryyard_core::dependencies::{PastEnds, Resolution, never_accepted};
 use cherryyard_core::mirror::over;
 use cherryyard_core::users::Tell;
 use cherryyard_wire::condor::{FIRST_ID, is_reserved};
+use cherryyard_wire::dependencies::Dependencies;
 use cherryyard_wire::job::{JobSpec, JobStatus, JobView, job_id, job_number};
 use cherryyard_wire::parse_object;
 use cherryyard_wire::peer::{Ask, Told};
@@ -84,9 +86,57 @@
             Err(answer) => answer,
         });
     }
+    if !spec.waits_on.is_empty() && !app.with(|n, _| n.accepts_dependencies()) {
+        let why = "waits_on: not all controllers are of a version that knows it";
+        return Err(Answer::later(why));
+    }
     Ok((spec, job, rules))
 }
 
+/// What is stored of the jobs that a submission names. One that is not known here is
+/// looked for in all that was durable when this was asked for, and in the history:
+/// another controller may have accepted it a moment ago.
+async fn resolve_dependencies(
+    app: &Arc<App>,
+    spec: &JobSpec,
+    job: u64,
+) -> Result<Dependencies, Answer> {
+    let mut past = PastEnds::new();
+    let mut caught_up = false;
+    loop {
+        let unknown = match app.with(|n, _| n.resolve_dependencies(spec, &past)) {
+            Resolution::Accepted(after) => return Ok(after),
+            Resolution::Never(why) => return Err(never(app, job, why).await),
+            Resolution::Unknown(need) => need,
+        };
+        if !caught_up {
+            if !app.caught_up().await {
+                return Err(Answer::later("the state service cannot be reached"));
+            }
+            caught_up = true;
+            continue;
+        }
+        let Some(found) = app.look_in_history(unknown, Look::Submission).await else {
+            let why = "old jobs cannot be looked up now";
+            return Err(Answer::later_in(why, LOOK_RETRY_S));
+        };
+        match found.past {
+            Some(p) => past.insert(unknown, p.end),
+            None => return Err(never(app, job, never_accepted(unknown)).await),
+        };
+    }
+}
+
+/// The answer to a submission that can never run: accepted elsewhere, it must not be
+/// refused here.
+async fn never(app: &Arc<App>, job: u64, why: String) -> Answer {
+    match look_up(app, job).await {
+        Ok(Some(view)) => Answer::view(StatusCode::OK, &view),
+        Ok(None) => Answer::error(StatusCode::UNPROCESSABLE_ENTITY, why),
+        Err(answer) => answer,
+    }
+}
+
 pub(super) async fn submit(app: &Arc<App>, body: &[u8]) -> Answer {
     if app.with(|n, now| n.refuses_submissions(now)) {
         return Answer::later("this controller is behind");
@@ -131,18 +181,13 @@
         Ok(()) => {}
         Err(Reject::NotYet(why)) => return Answer::later(why),
         Err(Reject::Malformed(why)) => return Answer::error(StatusCode::BAD_REQUEST, why),
-        Err(Reject::Never(why)) => {
-            // Accepted elsewhere, it must not be refused here.
-            return match look_up(app, job).await {
-                Ok(Some(view)) => Answer::view(StatusCode::OK, &view),
-                Ok(None) => Answer::error(StatusCode::UNPROCESSABLE_ENTITY, why),
-                Err(answer) => answer,
-            };
-        }
+        Err(Reject::Never(why)) => return never(app, job, why).await,
     }
     let id = spec.id.clone();
+    let named = spec.clone();
+    spec.waits_on.clear();
     let new = app.with(|n, _| n.mirror.new_job(spec, rules.map(Box::new), at));
-    let Some(open) = new else {
+    let Some(mut open) = new else {
         return Answer::error(StatusCode::UNPROCESSABLE_ENTITY, "owner: unknown team");
     };
     for _ in 0..TRIES {
@@ -157,12 +202,19 @@
             let why = format!("id: from {} on they are for submissions", job_id(FIRST_ID));
             return Answer::error(StatusCode::BAD_REQUEST, why);
         }
+        open.after = match resolve_dependencies(app, &named, job).await {
+            Ok(after) => after,
+            Err(answer) => return answer,
+        };
+        let status = if open.after.cancelled_by.is_some() {
+            JobStatus::Cancelled
+        } else {
+            JobStatus::Queued
+        };
         match app.offer(job, open.clone(), found.moved).await {
             Verdict::Taken => {
-                return Answer::of(
-                    StatusCode::CREATED,
-                    &serde_json::json!({ "id": id, "status": "queued" }),
-                );
+                let body = serde_json::json!({ "id": id, "status": status });
+                return Answer::of(StatusCode::CREATED, &body);
             }
             // Another controller may have taken it meanwhile.
             Verdict::Known => {
@@ -218,7 +270,8 @@
         app.with(|n, now| n.spend_user_write(now));
         match app.commit(&commit).await {
             Outcome::Applied(epoch) => app.with(|n, now| n.user_committed(&commit, epoch, now)),
-            Outcome::Conflict(_) => {}
+            // Malformed: it is divided as the limits now are.
+            Outcome::Conflict(_) | Outcome::Malformed => {}
             Outcome::Refused => {
                 tokio::time::sleep(Duration::from_millis(60 + 60 * attempt)).await;
             }
--- a/crates/cherryyard/src/run.rs
+++ b/crates/cherryyard/src/run.rs
@@ -2,13 +2,14 @@
 
 use crate::app::{App, LookUps};
 use crate::routes;
-use bytes::Bytes;
 use cherryyard_core::{Config, Node, Tuning};
 use cherryyard_io::cloud::Cloud;
 use cherryyard_io::http::Http;
 use cherryyard_io::peer;
 use cherryyard_io::state::State;
 use cherryyard_wire::MAX_BODY;
+use cherryyard_wire::peer::Sender;
+use cherryyard_wire::record::NEWEST_FORMAT;
 use cherryyard_wire::settings::{Limits, Settings};
 use hdrhistogram::Histogram;
 use salvo::conn::Listener;
@@ -36,7 +37,12 @@
     let pace = Duration::from_secs_f64((controllers * 3.0 / c.state.rps).clamp(0.02, 2.0));
     let list_every = Duration::from_secs_f64((controllers * 4.0 / c.cloud.rps).clamp(3.0, 30.0));
     let seed = rand::random();
-    let (out, beats) = watch::channel(Bytes::new());
+    let (out, beats) = watch::channel(None);
+    let sender = Arc::new(Sender {
+        label: settings.label.clone(),
+        format: NEWEST_FORMAT,
+        build: env!("CARGO_PKG_VERSION").into(),
+    });
     let (mut peers, mut anew, mut ways) = (HashMap::new(), HashMap::new(), Vec::new());
     for other in &settings.known {
         if let Ok(addr) = other.endpoint.parse() {
@@ -59,12 +65,14 @@
         ),
         barrier_wanted: Notify::new(),
         beat_wanted: Notify::new(),
+        sender: sender.clone(),
         peers,
         anew,
         asked: Mutex::new(HashMap::new()),
         // A late answer to a process before this one must find nobody waiting.
         tickets: AtomicU64::new(rand::random()),
         offers: Mutex::new(HashMap::new()),
+        refusals: Mutex::default(),
         history: LookUps::new(c.state.rps, c.limits.memory_bytes()),
         bodies: Arc::new(Semaphore::new(body_room(&c.limits))),
         pace,
@@ -80,8 +88,8 @@
     // In the order in which a controller that starts needs them.
     tokio::spawn(app.clone().lease());
     tokio::spawn(app.clone().mirror());
-    tokio::spawn(peer::take(listener, move |message| {
-        taker.take_message(message);
+    tokio::spawn(peer::take(listener, sender, move |frame| {
+        taker.take_frame(frame);
     }));
     for (addr, others, anew) in ways {
         tokio::spawn(peer::send(addr, beats.clone(), others, anew));
--- a/crates/cherryyard/tests/history.rs
+++ b/crates/cherryyard/tests/history.rs
@@ -22,6 +22,7 @@
         &FormatRecord {
             jobs: BUCKETS,
             new: false,
+            dependencies: false,
         },
     );
     state.seed(&bucket_key(0), &BucketRecord::default());
