Packed pages of assignments, samples of production, limits tried in the rehearsal

Change: pages are packed as base64 of varints once every controller can read that (the gate of dependencies). An empty page stays plain. Samples that the production version made, read and written again to the byte.

A test of late writes read machines' names in the text of a page; it reads the page now, and is played with plain pages as before and with packed ones on 300 machines.

--- a/crates/cherryyard-core/src/mirror/marks.rs
+++ b/crates/cherryyard-core/src/mirror/marks.rs
@@ -2,7 +2,7 @@
 
 use super::Mirror;
 use crate::needs::Needs;
-use crate::pages::{JobMarks, Mark, Page, PageJob};
+use crate::pages::{JobMarks, Mark, Page, PageFormat, PageJob};
 use cherryyard_wire::RangeSet;
 use cherryyard_wire::record::Key;
 use cherryyard_wire::state::Commit;
@@ -91,6 +91,15 @@
         }
     }
 
+    /// How pages are stored: packed once every controller can read that.
+    pub(crate) fn page_format(&self) -> PageFormat {
+        if self.takes_dependencies() {
+            PageFormat::Packed
+        } else {
+            PageFormat::Plain
+        }
+    }
+
     /// The part's last page, and the one after it: new marks go nowhere else.
     pub fn last_page(&self, part: usize) -> Option<u32> {
         self.pages
--- a/crates/cherryyard-core/src/mirror/mod.rs
+++ b/crates/cherryyard-core/src/mirror/mod.rs
@@ -22,7 +22,7 @@
 use cherryyard_wire::cloud::HostKind;
 use cherryyard_wire::condor::{IdsRecord, SubmissionRecord, submission_key};
 use cherryyard_wire::history::PackedRecord;
-use cherryyard_wire::record::{Claim, End, FormatRecord, Grant, ImagesRecord, Key};
+use cherryyard_wire::record::{Claim, End, FormatRecord, Grant, ImagesRecord, Key, StoredPage};
 use cherryyard_wire::rules::Attributes;
 use cherryyard_wire::state::{Apply, Commit, Json, News, Pair};
 use cherryyard_wire::{RangeSet, record};
@@ -468,7 +468,8 @@
                 if part >= self.parts.len() {
                     return Err("no such part".into());
                 }
-                let new = Page::of_record(value.read()?, stamp, &mut self.hosts)
+                let stored: StoredPage = value.read()?;
+                let new = Page::of_stored(stored, stamp, &mut self.hosts)
                     .ok_or("bad ranges, machines or marks")?;
                 self.set_page(part, page, Some(new));
             }
--- a/crates/cherryyard-core/src/owner/oversize.rs
+++ b/crates/cherryyard-core/src/owner/oversize.rs
@@ -10,6 +10,7 @@
 //! stamp, so none is carried out late, after the page has gone.
 
 use super::*;
+use crate::pages::PageFormat;
 use cherryyard_wire::RangeSet;
 
 impl Node {
@@ -30,6 +31,7 @@
             tracing::info!(part = p, page = number, "divided a page that was too large");
             return Some(commit);
         }
+        let format = self.mirror.page_format();
         let first = self.mirror.last_page(p).map_or(0, |last| last + 1);
         for (copy, number) in copies.iter().zip(first..) {
             let key = Key::Mark {
@@ -37,9 +39,9 @@
                 page: number,
             };
             self.mirror.require(&mut commit, key);
-            let record = copy.record(&self.mirror.hosts);
+            let stored = copy.stored(&self.mirror.hosts, format);
             let key = record::mark_key(p, number);
-            commit.apply.push(Apply::set(key, &record));
+            commit.apply.push(Apply::set(key, &stored));
         }
         Some(commit)
     }
@@ -48,15 +50,16 @@
     /// over.
     fn oversized_page(&self, p: usize) -> Option<(u32, Page)> {
         let most = self.config.page_bytes;
+        let format = self.mirror.page_format();
         self.mirror.pages[p].iter().find_map(|(&number, page)| {
             // Most pages are small enough with all that they hold.
-            if page.bytes(&self.mirror.hosts) <= most {
+            if page.bytes_at_most <= most || page.bytes(&self.mirror.hosts, format) <= most {
                 return None;
             }
             let mut page = page.clone();
             page.jobs
                 .retain(|&job, j| self.mirror.end(job).is_none() || !j.marks.is_empty());
-            (page.bytes(&self.mirror.hosts) > most).then_some((number, page))
+            (page.bytes(&self.mirror.hosts, format) > most).then_some((number, page))
         })
     }
 
@@ -82,6 +85,7 @@
         let most_pages = self.config.txn_ops.min(TXN_BYTES / self.config.page_bytes);
         let mut packing = Packing {
             hosts: &self.mirror.hosts,
+            format: self.mirror.page_format(),
             most_bytes: self.config.page_bytes,
             most_pages: most_pages.max(1),
             pages: Vec::new(),
@@ -108,7 +112,7 @@
 fn delete_page(p: usize, number: u32) -> Apply {
     let key = record::mark_key(p, number);
     if number == 0 {
-        let empty = Page::default().record(&Names::default());
+        let empty = Page::default().stored(&Names::default(), PageFormat::Plain);
         return Apply::set(key, &empty);
     }
     Apply::delete(key)
@@ -117,6 +121,7 @@
 /// Pages that are being filled one after the other.
 struct Packing<'a> {
     hosts: &'a Names,
+    format: PageFormat,
     most_bytes: usize,
     most_pages: usize,
     pages: Vec<Page>,
@@ -140,7 +145,7 @@
     }
 
     fn push_mark(&mut self, job: u64, number: u32, mark: Mark) -> bool {
-        let bytes = Page::mark_bytes(job, number, &mark, self.hosts);
+        let bytes = Page::mark_bytes(job, number, &mark, self.hosts, self.format);
         let Some(page) = self.room_for(bytes) else {
             return false;
         };
@@ -152,7 +157,10 @@
     /// The page that has room for so many bytes more; none if all are full.
     fn room_for(&mut self, bytes: usize) -> Option<&mut Page> {
         if self.pages.is_empty() || self.bytes + bytes > self.most_bytes {
-            let exact = self.pages.last().map(|page| page.bytes(self.hosts));
+            let exact = self
+                .pages
+                .last()
+                .map(|page| page.bytes(self.hosts, self.format));
             match exact.filter(|exact| exact + bytes <= self.most_bytes) {
                 // Entries of one job or machine take less than was counted.
                 Some(exact) => self.bytes = exact,
--- a/crates/cherryyard-core/src/owner/round.rs
+++ b/crates/cherryyard-core/src/owner/round.rs
@@ -6,6 +6,7 @@
 //! alone. What is done stays in its page until its job is over.
 
 use super::*;
+use crate::pages::PageFormat;
 use crate::{Config, Mirror};
 
 /// Time after which a round looks at all of a part's machines, in case that
@@ -20,6 +21,7 @@
     max_ops: usize,
     max_conditions: usize,
     page_bytes: usize,
+    format: PageFormat,
     /// Pages as they will be, and about how many bytes each takes.
     edits: BTreeMap<u32, (Page, usize)>,
     last: Option<u32>,
@@ -49,6 +51,7 @@
             max_ops: config.txn_ops,
             max_conditions: config.max_conditions(),
             page_bytes: config.page_bytes,
+            format: mirror.page_format(),
             edits: BTreeMap::new(),
             last: mirror.last_page(part),
             jobs: BTreeSet::new(),
@@ -93,7 +96,7 @@
                 .unwrap_or_default();
             page.jobs
                 .retain(|&job, j| mirror.end(job).is_none() || !j.marks.is_empty());
-            let bytes = page.bytes(&mirror.hosts);
+            let bytes = page.bytes(&mirror.hosts, self.format);
             self.edits.insert(number, (page, bytes));
         }
         self.edits.get_mut(&number)
@@ -132,7 +135,8 @@
         if !self.fits(0, fresh) {
             return false;
         }
-        let more = Page::mark_bytes(job, number, &mark, &mirror.hosts);
+        let format = self.format;
+        let more = Page::mark_bytes(job, number, &mark, &mirror.hosts, format);
         let most = self.page_bytes;
         let mut at = self.last.unwrap_or(0);
         let Some((page, bytes)) = self.edit(mirror, at) else {
@@ -140,7 +144,7 @@
         };
         if *bytes + more > most {
             // Marks that went in this round have made room.
-            *bytes = page.bytes(&mirror.hosts);
+            *bytes = page.bytes(&mirror.hosts, format);
         }
         // A page of a single mark is written however small the limit is.
         if *bytes + more > most && !page.jobs.is_empty() {
@@ -413,8 +417,8 @@
                 .require(&mut commit, Key::Mark { part: p, page });
             let key = record::mark_key(p, page);
             if !new.jobs.is_empty() || page == 0 {
-                let record = new.record(&self.mirror.hosts);
-                commit.apply.push(Apply::set(key, &record));
+                let stored = new.stored(&self.mirror.hosts, round.format);
+                commit.apply.push(Apply::set(key, &stored));
             } else if self.mirror.pages[p].contains_key(&page) {
                 commit.apply.push(Apply::delete(key));
             }
--- a/crates/cherryyard-core/src/pages.rs
+++ b/crates/cherryyard-core/src/pages.rs
@@ -1,8 +1,8 @@
 //! Pages of marks: what a part's owner has started, of many jobs in one record.
 
 use crate::names::Names;
-use cherryyard_wire::RangeSet;
-use cherryyard_wire::record::{MarkGroup, PageRecord};
+use cherryyard_wire::record::{MarkGroup, PageRecord, StoredPage};
+use cherryyard_wire::{RangeSet, page};
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 /// A number marked started: where, in which session, which attempt.
@@ -30,6 +30,8 @@
 pub struct Page {
     /// Stamp of its key.
     pub stamp: u64,
+    /// Bytes that it takes as it is stored, also when its tasks end.
+    pub bytes_at_most: usize,
     /// What it says, by job.
     pub jobs: BTreeMap<u64, PageJob>,
 }
@@ -38,6 +40,19 @@
     n.checked_ilog10().unwrap_or(0) as usize + 1
 }
 
+/// How a page is stored.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PageFormat {
+    /// As builds before the packed format read it.
+    Plain,
+    /// In few bytes.
+    Packed,
+}
+
+/// Most bytes that a new mark adds to a packed page: its job and how many entries that
+/// has, its attempt and session, its machine, and its entry, as varints.
+const PACKED_MARK_BYTES: usize = (10 + 2) + (10 + 5) + 3 + (3 + 3 + 2);
+
 impl Page {
     /// A mark's machine and number, or the number among those done once it is:
     /// so a page that has room for a mark has room for what becomes of it.
@@ -47,14 +62,36 @@
     }
 
     /// Most bytes that a new mark adds: its job, group, machine and entry.
-    pub fn mark_bytes(job: u64, number: u32, mark: &Mark, hosts: &Names) -> usize {
+    pub fn mark_bytes(
+        job: u64,
+        number: u32,
+        mark: &Mark,
+        hosts: &Names,
+        format: PageFormat,
+    ) -> usize {
+        if format == PageFormat::Packed {
+            // Names that do not differ in their number alone are written whole.
+            let name = hosts.name(mark.host).len();
+            return (PACKED_MARK_BYTES + name).div_ceil(3) * 4;
+        }
         let group = 4 + digits(mark.session) + digits(mark.attempt);
         let name = hosts.name(mark.host).len() + 3;
         10 + digits(job) + group + name + Self::entry_bytes(number)
     }
 
-    /// About how many bytes the record takes, never too few.
-    pub fn bytes(&self, hosts: &Names) -> usize {
+    /// About how many bytes the record takes, never too few, also when its tasks end.
+    pub fn bytes(&self, hosts: &Names, format: PageFormat) -> usize {
+        match format {
+            PageFormat::Plain => self.plain_bytes(hosts),
+            // A packed page never grows as its tasks end.
+            PageFormat::Packed => {
+                let packed = page::pack(&self.record(hosts));
+                packed.map_or(usize::MAX / 2, |text| text.len() + StoredPage::FRAME)
+            }
+        }
+    }
+
+    fn plain_bytes(&self, hosts: &Names) -> usize {
         let mut named = HashSet::new();
         let mut bytes = 20;
         for (&job, j) in &self.jobs {
@@ -76,8 +113,21 @@
         bytes
     }
 
-    /// The record to write.
-    pub fn record(&self, hosts: &Names) -> PageRecord {
+    /// The record to store.
+    pub fn stored(&self, hosts: &Names, format: PageFormat) -> StoredPage {
+        let record = self.record(hosts);
+        let packed = match format {
+            PageFormat::Packed if !self.jobs.is_empty() => page::pack(&record),
+            _ => None,
+        };
+        match packed {
+            Some(b) => StoredPage::Packed { b },
+            None => StoredPage::Plain(record),
+        }
+    }
+
+    /// What the page says, with machines by name.
+    fn record(&self, hosts: &Names) -> PageRecord {
         let mut places: HashMap<u32, u64> = HashMap::new();
         let mut record = PageRecord::default();
         for (&job, j) in &self.jobs {
@@ -99,8 +149,19 @@
         record
     }
 
+    /// What a stored page says; none if it makes no sense.
+    pub(crate) fn of_stored(stored: StoredPage, stamp: u64, hosts: &mut Names) -> Option<Self> {
+        let packed = match &stored {
+            StoredPage::Packed { b } => Some(b.len() + StoredPage::FRAME),
+            StoredPage::Plain(_) => None,
+        };
+        let mut page = Self::of_record(stored.read()?, stamp, hosts)?;
+        page.bytes_at_most = packed.unwrap_or_else(|| page.plain_bytes(hosts));
+        Some(page)
+    }
+
     /// What a record says; none if it makes no sense.
-    pub(crate) fn of_record(record: PageRecord, stamp: u64, hosts: &mut Names) -> Option<Self> {
+    fn of_record(record: PageRecord, stamp: u64, hosts: &mut Names) -> Option<Self> {
         let hosts: Vec<u32> = record.h.iter().map(|h| hosts.intern(h)).collect();
         let mut page = Self {
             stamp,
--- a/crates/cherryyard-rehearsal/tests/late_writes.rs
+++ b/crates/cherryyard-rehearsal/tests/late_writes.rs
@@ -5,8 +5,9 @@
 use cherryyard_core::{Node, Outcome};
 use cherryyard_rehearsal::{Setup, Users, World, draws};
 use cherryyard_wire::job::JobSpec;
-use cherryyard_wire::record::{arrivals_key, mark_key};
-use cherryyard_wire::state::Commit;
+use cherryyard_wire::record::{PageRecord, StoredPage, arrivals_key, mark_key};
+use cherryyard_wire::state::{Apply, Commit, Json};
+use std::collections::BTreeSet;
 
 fn settled(setup: Setup) -> World {
     let mut w = World::new(setup);
@@ -66,13 +67,26 @@
 /// An owner's first mark goes into the first page and gets no answer; the same task is
 /// marked on another machine; more marks follow, the first page's last ones move on, and
 /// it would have gone: then the first mark is carried out. One number had two marks.
+/// With plain pages, as earlier builds write them, and with packed ones, which hold more.
 #[test]
 fn a_first_mark_carried_out_when_its_page_has_gone() {
+    first_mark_when_its_page_has_gone([0].into(), 60);
+    first_mark_when_its_page_has_gone([].into(), 300);
+}
+
+/// A page of assignments as it is stored.
+fn page_of(value: &Json) -> PageRecord {
+    let stored: StoredPage = value.read().expect("a page");
+    stored.read().expect("a good page")
+}
+
+fn first_mark_when_its_page_has_gone(earlier: BTreeSet<usize>, size: u32) {
     let mut w = settled(Setup {
         zones: vec!["a"],
-        machines: vec![("a", 60)],
+        machines: vec![("a", size as usize)],
         value_kb: 1.0,
         write_rps: 100.0,
+        earlier,
         ..Setup::default()
     });
     w.hold_commits.insert(0);
@@ -80,9 +94,12 @@
     w.run_until(5.0, |w| !w.held_commits.is_empty());
     // It is placed elsewhere: the machine's notice, far ahead, makes it unusable.
     let first = w.held_commits.len();
-    let text = format!("{:?}", w.held_commits[0]);
-    let host = w.workers.keys().find(|h| text.contains(h.as_str()));
-    let host = host.expect("the mark's machine").clone();
+    let marked = w.held_commits[0].apply.iter().find_map(|a| match a {
+        Apply::Set { set, v, .. } if set.starts_with("c/mark") => Some(page_of(v)),
+        _ => None,
+    });
+    let host = marked.expect("a page").h[0].clone();
+    assert!(w.workers.contains_key(&host), "the mark's machine");
     let at = w.now + 900_000.0;
     w.workers.get_mut(&host).expect("it is up").recall_at = Some(at);
     w.run(3.0);
@@ -101,12 +118,12 @@
         .collect();
     w.workers.get_mut(&on[0]).expect("it is up").run_ms = f64::INFINITY;
     for job in 2..8 {
-        w.submit(&World::spec(&format!("j-00000{job}"), "sweep", 60));
+        w.submit(&World::spec(&format!("j-00000{job}"), "sweep", size));
     }
     let key = |page: u32| mark_key(0, page);
     let gone = |w: &World| match w.state.get(&key(0)) {
         None => true,
-        Some((v, _)) => !v.text().contains("[["),
+        Some((v, _)) => page_of(v).j.is_empty(),
     };
     w.run_until(60.0, |w| {
         gone(w) && (1..9).any(|p| w.state.get(&key(p)).is_some())
--- /dev/null
+++ b/crates/cherryyard-rehearsal/tests/limits.rs
@@ -0,0 +1,134 @@
+//! The state service lowers its limits: announced while controllers are upgraded one
+//! after the other, or without a word.
+
+use cherryyard_rehearsal::{Setup, World};
+use cherryyard_wire::job::JobSpec;
+
+/// Arrays that run while the limits fall.
+const JOBS: u64 = 19;
+
+fn sweep(job: u64, pieces: u32) -> JobSpec {
+    let mut spec = World::spec(&format!("j-{job:06}"), "sweep", pieces);
+    (spec.cores, spec.ram_gb) = (1.0, 0.5);
+    spec
+}
+
+/// Three controllers of an earlier build with 210 machines and some 800 tasks on them,
+/// whose pages are larger than what comes later allows.
+fn before_the_upgrade(team_limit: f64) -> World {
+    let mut w = World::new(Setup {
+        machines: vec![("a", 70), ("b", 70), ("c", 70)],
+        value_kb: 16.0,
+        txn_ops: 16,
+        write_rps: 60.0,
+        limit: team_limit,
+        earlier: (0..3).collect(),
+        ..Setup::default()
+    });
+    for worker in w.workers.values_mut() {
+        worker.run_ms = 40_000.0;
+    }
+    w.run(6.0);
+    for job in 1..=JOBS {
+        w.submit(&sweep(job, 40));
+    }
+    for job in 20..40 {
+        w.submit(&World::spec(&format!("j-{job:06}"), "service", 1));
+    }
+    w.run_until(40.0, |w| w.running() > 720);
+    w
+}
+
+fn upgrade_all(w: &mut World) {
+    for i in 0..3 {
+        w.upgrade(i);
+        w.kill(i);
+        w.run(1.0);
+        w.start(i);
+        w.run(5.0);
+    }
+}
+
+/// Whatever was stored before is worked on, nothing too large is ever sent, and all jobs
+/// get done.
+#[test]
+fn announced_limits_come_into_force_after_an_upgrade() {
+    for (value_kb, txn_ops, team_limit) in [(2.0, 5, 0.0), (2.0, 4, 840.0), (1.0, 2, 840.0)] {
+        let mut w = before_the_upgrade(team_limit);
+        let largest = w.state.largest("c/mark");
+        assert!(largest > 2200, "{largest}");
+        w.announce_limits(value_kb, txn_ops);
+        upgrade_all(&mut w);
+        w.run(10.0);
+        w.lower_limits();
+        for job in 50..56 {
+            w.submit(&sweep(job, 40));
+        }
+        w.run(150.0);
+        let state = format!("{value_kb} KiB, {txn_ops} changes, limit {team_limit}");
+        assert_eq!(w.state.malformed, 0, "{state}");
+        for job in (1..=JOBS).chain(50..56) {
+            assert!(w.is_complete(&format!("j-{job:06}")), "{state}: {job}");
+        }
+        assert_eq!(w.running(), 20, "{state}");
+        let now = w.state.pairs();
+        // Pages of new jobs of before stay as they are while nothing in them changes.
+        let pages = now.iter().filter(|p| p.key.starts_with("c/mark"));
+        let largest = pages.map(|p| (p.v.text().len(), &p.key)).max();
+        let bytes = (value_kb * 1024.0) as usize;
+        assert!(
+            largest.is_some_and(|l| l.0 <= bytes),
+            "{state}: {largest:?}"
+        );
+        assert!(w.broken.is_empty(), "{state}: {:?}", w.broken);
+    }
+}
+
+/// The limits fall while the upgrade is not over: those of before are divided by new
+/// controllers, also of parts that they adopt, and by nobody twice.
+#[test]
+fn a_controller_ends_while_its_pages_are_divided() {
+    for step in 0..6 {
+        let mut w = before_the_upgrade(0.0);
+        w.announce_limits(2.0, 4);
+        w.upgrade(0);
+        w.kill(0);
+        w.run(0.5);
+        w.start(0);
+        w.run(0.2 + f64::from(step) * 0.3);
+        // Its part goes to a controller of the earlier build, or is taken back.
+        w.kill(0);
+        w.run(if step % 2 == 0 { 0.5 } else { 9.0 });
+        w.start(0);
+        w.run(5.0);
+        upgrade_all(&mut w);
+        w.lower_limits();
+        w.run(120.0);
+        for job in 1..=JOBS {
+            assert!(w.is_complete(&format!("j-{job:06}")), "step {step}: {job}");
+        }
+        assert_eq!(w.state.malformed, 0, "step {step}");
+        assert!(w.broken.is_empty(), "step {step}: {:?}", w.broken);
+    }
+}
+
+/// Limits fall without a word: each controller has a few transactions refused, plans
+/// smaller ones from then on, and gets all its work done.
+#[test]
+fn limits_that_nobody_announced() {
+    let mut w = before_the_upgrade(840.0);
+    upgrade_all(&mut w);
+    w.run(5.0);
+    w.announce_limits(2.0, 5);
+    w.lower_limits();
+    for job in 50..56 {
+        w.submit(&sweep(job, 40));
+    }
+    w.run(200.0);
+    for job in (1..=JOBS).chain(50..56) {
+        assert!(w.is_complete(&format!("j-{job:06}")), "{job}");
+    }
+    let refused = w.state.malformed;
+    assert!((1..40).contains(&refused), "{refused} refused");
+    assert!(w.broken.is_empty(), "{:?}", w.broken);
+}
--- a/crates/cherryyard-rehearsal/tests/pipelines.rs
+++ b/crates/cherryyard-rehearsal/tests/pipelines.rs
@@ -303,9 +303,10 @@
     }
     w.run(20.0);
     w.hires.clear();
-    let marks: Vec<String> = w.state.pairs().iter().map(|p| p.v.text().into()).collect();
-    let marked = marks.iter().filter(|text| text.starts_with("{\"h\":"));
-    assert_eq!(marked.count(), 1, "only the first has a task: {marks:?}");
+    assert_eq!(w.running(), 1, "only the first has a task");
+    let node = w.nodes[0].as_ref().expect("it is up");
+    assert!(node.mirror.undivided.is_empty());
+    assert!(node.mirror.waiting.iter().all(|part| part.is_empty()));
     assert_eq!(submit(&mut w, 1, &sweep(9, 4, &[])), Said::Taken);
     w.run(10.0);
     assert_eq!(w.running(), 5, "all of its team's limit is free for it");
--- a/crates/cherryyard-wire/src/lib.rs
+++ b/crates/cherryyard-wire/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod dependencies;
 pub mod history;
 pub mod job;
+pub mod page;
 pub mod peer;
 pub mod ranges;
 pub mod record;
--- a/crates/cherryyard-wire/src/record.rs
+++ b/crates/cherryyard-wire/src/record.rs
@@ -286,6 +286,33 @@
     pub j: Vec<(u64, Vec<MarkGroup>, RangeSet)>,
 }
 
+/// A page of a part's marks as it is stored: packed ([`crate::page`]), or plain as builds
+/// before [`DEPENDENCIES`] write it and an empty page always is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum StoredPage {
+    /// Packed.
+    Packed {
+        /// What [`crate::page::pack`] gives.
+        b: String,
+    },
+    /// Plain.
+    Plain(PageRecord),
+}
+
+impl StoredPage {
+    /// Bytes that packed text takes as JSON beside itself.
+    pub const FRAME: usize = 8;
+
+    /// What it says; none if it makes no sense.
+    pub fn read(self) -> Option<PageRecord> {
+        match self {
+            Self::Packed { b } => crate::page::unpack(&b),
+            Self::Plain(record) => Some(record),
+        }
+    }
+}
+
 /// What a part may use of a team's limit.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Grant {
--- /dev/null
+++ b/crates/cherryyard-wire/tests/production.rs
@@ -0,0 +1,225 @@
+//! What the version in production writes and sends, kept as it made it
+//! (`production/samples.txt`, at the commit that `deploy/service.toml` named first): all of
+//! it is read, and written again to the byte while such a version may read it.
+
+use cherryyard_wire::RangeSet;
+use cherryyard_wire::arrivals::{ArrivalsRecord, Rest};
+use cherryyard_wire::job::{JobSpec, job_id};
+use cherryyard_wire::peer::{
+    Ask, Beat, DemandTold, FlowShare, LevelTold, MachineRoom, MachineSort, Message, PartReport,
+    Told, decode, encode_legacy,
+};
+use cherryyard_wire::record::{
+    ARRIVALS, BucketRecord, Claim, End, FormatRecord, Grant, ImagesRecord, JobRecord, PageRecord,
+    StoredPage,
+};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::fmt::Debug;
+
+fn sample(name: &str) -> &'static str {
+    let all = include_str!("production/samples.txt");
+    let mut lines = all.lines().filter_map(|line| line.split_once(' '));
+    let found = lines.find(|line| line.0 == name);
+    found.unwrap_or_else(|| panic!("no sample of {name}")).1
+}
+
+fn bytes(hex: &str) -> Vec<u8> {
+    let digits = |at: usize| u8::from_str_radix(&hex[at..at + 2], 16).expect("hex");
+    (0..hex.len()).step_by(2).map(digits).collect()
+}
+
+/// A sample is read as this, and written as it was.
+fn same<T: Serialize + DeserializeOwned + PartialEq + Debug>(name: &str, value: &T) {
+    let read: T = serde_json::from_str(sample(name)).expect(name);
+    assert_eq!(&read, value, "{name} as it is read");
+    let written = serde_json::to_string(value).expect(name);
+    assert_eq!(written, sample(name), "{name} as it is written");
+}
+
+fn same_frame(name: &str, message: &Message) {
+    let payload = bytes(sample(name));
+    let frame = decode(&payload).expect(name);
+    assert_eq!(
+        frame.message.as_ref(),
+        Some(message),
+        "{name} as it is read"
+    );
+    assert_eq!(frame.sender, None, "{name}");
+    assert_eq!(encode_legacy(message), payload, "{name} as it is sent");
+}
+
+fn spec(job: u64) -> JobSpec {
+    let value = serde_json::json!({
+        "id": job_id(job), "jobclass": "ledger-extract", "owner": "member-care",
+        "shape": "sweep", "rank": "best_effort", "pieces": 6, "cores": 1.0,
+        "accelerators": 0.0, "ram_gb": 3.2, "bundle": "img-02", "image_gb": 1.0,
+        "kinds_of_host": ["qanat-4"], "yard": null, "together": false, "apart": false,
+        "borrowed": true, "expected_s": 15.0, "snapshot_every_s": 0.0,
+        "snapshot_cost_s": 0.0, "due_s": 90.5
+    });
+    JobSpec::parse(value.to_string().as_bytes()).expect("a good job")
+}
+
+fn open(job: u64, at: u64, div: Vec<RangeSet>) -> JobRecord {
+    JobRecord::Open {
+        spec: Box::new(spec(job)),
+        at,
+        div,
+        zone: None,
+        caps: Vec::new(),
+        rules: None,
+        after: Default::default(),
+    }
+}
+
+fn division() -> Vec<RangeSet> {
+    vec![RangeSet::span(0, 3), RangeSet::new(), RangeSet::span(4, 5)]
+}
+
+#[test]
+fn frames() {
+    let beat = Beat {
+        label: "orchard-1".into(),
+        cut_off: true,
+        silent_ms: 400,
+        cancelled: vec![412, 398_405],
+        reach_ms: 60_000,
+        complete: true,
+        epoch: 70_123,
+        claims: vec![(0, 3, "orchard-0".into()), (2, 41, "orchard-2".into())],
+        parts: vec![PartReport {
+            part: 2,
+            stamp: 41,
+            sorts: vec![MachineSort {
+                kind: "qanat-4".into(),
+                zone: "lahore-east".into(),
+                spot: true,
+            }],
+            images: vec!["img-02".into()],
+            machines: vec![MachineRoom {
+                sort: 0,
+                free: (1.5, 0.0, 8.25),
+                yielding: (4.0, 0.0, 16.0),
+                images: vec![0],
+            }],
+            waiting: vec![(412, 7, 2.5)],
+            wants: vec![("member-care".into(), 12.0, 0.0)],
+        }],
+        short: vec!["servicing".into()],
+        handing: vec![(1, 77)],
+        strays: vec![(0, 3)],
+        number: 9,
+        heard: vec![(0, 7), (2, 8)],
+        shares: vec![FlowShare {
+            class: "ledger-extract".into(),
+            team: 1,
+            floor: 12.5,
+            levels: vec![LevelTold {
+                part: 2,
+                under: (40, 41),
+                level: 12_500,
+            }],
+        }],
+        intake_ms: 12,
+        demand: vec![DemandTold {
+            class: "ledger-extract".into(),
+            team: 1,
+            offered: 5,
+            taken: 4,
+            refused: 1,
+        }],
+    };
+    same_frame("beat", &Message::Beat(Box::new(beat)));
+    let ask = Ask {
+        label: "orchard-1".into(),
+        ticket: 99,
+        at: 1_790_000_000_000,
+        body: br#"{"id":"j-000412"}"#.to_vec(),
+    };
+    same_frame("ask", &Message::Ask(ask));
+    let told = Told {
+        ticket: 99,
+        status: 201,
+        retry_after: 0,
+        body: r#"{"id":"j-000412","status":"queued"}"#.into(),
+    };
+    same_frame("told", &Message::Told(told));
+}
+
+#[test]
+fn jobs_and_their_ends() {
+    same("open", &open(412, 1_790_000_000_000, division()));
+    let undivided = JobRecord::Open {
+        spec: Box::new(spec(413)),
+        at: 1_790_000_000_000,
+        div: Vec::new(),
+        zone: Some("lahore-east".into()),
+        caps: vec![vec![1, 2]],
+        rules: None,
+        after: Default::default(),
+    };
+    same("undivided", &undivided);
+    let r#use = cherryyard_wire::record::Use {
+        team: "member-care".into(),
+        cores: 1.0,
+        acc: 0.0,
+        ram: 3.2,
+    };
+    let ended = JobRecord::Ended {
+        end: End::Done,
+        n: 6,
+        r#use: r#use.clone(),
+        g: 0,
+        by: None,
+    };
+    same("ended", &ended);
+    let bucket = BucketRecord {
+        o: vec![(412, open(412, 7, Vec::new()))],
+        e: vec![(398_405, End::Cancelled, 6, 3)],
+        u: vec![(398_405, r#use)],
+    };
+    same("bucket", &bucket);
+    let mut page = ArrivalsRecord::default();
+    let rest = Rest {
+        zone: Some("lahore-east".into()),
+        ..Rest::default()
+    };
+    let at = 1_790_000_000_000;
+    page.push(412, &spec(412), at + 500, &division(), Rest::default());
+    page.push(398_405, &spec(398_405), at, &[], rest);
+    same("arrivals", &page);
+}
+
+#[test]
+fn what_controllers_keep() {
+    // This build's own claims name a newer format; an earlier build reads it as a number.
+    same("claim", &Claim::of("orchard-1", 123_456_789, ARRIVALS));
+    let format = FormatRecord {
+        jobs: 1,
+        new: true,
+        dependencies: false,
+    };
+    same("format", &format);
+    let grant = Grant {
+        cores: 12.5,
+        acc: 0.0,
+    };
+    same("grant", &grant);
+    let held = [("host-000231", vec![0]), ("host-000007", vec![])];
+    let images = ImagesRecord::pack(vec![("img-02".into(), 1.0)], &held, 4096);
+    same("images", &images);
+    let page = PageRecord {
+        h: vec!["host-000231".into(), "host-000007".into()],
+        j: vec![
+            (
+                412,
+                vec![vec![88, 1, 0, 0, 1, 3], vec![91, 2, 1, 4]],
+                [1u32, 2].into_iter().collect(),
+            ),
+            (398_405, Vec::new(), RangeSet::span(0, 5)),
+        ],
+    };
+    same("page", &StoredPage::Plain(page));
+    same("empty", &StoredPage::Plain(PageRecord::default()));
+}
--- a/crates/cherryyard/src/cli.rs
+++ b/crates/cherryyard/src/cli.rs
@@ -48,8 +48,11 @@
         server: String,
         /// The job (JSON)
         file: PathBuf,
+        /// Jobs that must be done before it starts, beside those that the file names
+        #[arg(long, value_name = "ID", value_delimiter = ',')]
+        waits_on: Vec<String>,
     },
-    /// Print a job's state
+    /// Print a job's state: what it waits for, and with which job it was cancelled
     Status {
         /// Address of a controller
         #[arg(long, value_name = "ADDR")]
@@ -185,9 +188,12 @@
             );
             Ok(())
         }
-        Some(Command::Submit { server, file }) => {
-            let body = read(&file)?;
-            JobSpec::parse(&body).map_err(|e| format!("{}: {e}", file.display()))?;
+        Some(Command::Submit {
+            server,
+            file,
+            waits_on,
+        }) => {
+            let body = submission(&file, waits_on)?;
             let answer = runtime()?.block_on(ask("POST", &server, "/v2/runs", Some(body)))?;
             println!("{answer}");
             Ok(())
@@ -221,6 +227,22 @@
     }
 }
 
+/// The body of a submission: the file's, with further jobs that it waits for.
+fn submission(file: &Path, waits_on: Vec<String>) -> Result<Vec<u8>, String> {
+    let body = read(file)?;
+    let mut spec = JobSpec::parse(&body).map_err(|e| format!("{}: {e}", file.display()))?;
+    if waits_on.is_empty() {
+        return Ok(body);
+    }
+    spec.waits_on.extend(waits_on);
+    spec.check().map_err(|e| format!("--waits-on: {e}"))?;
+    // What the program does not know of the file stays as it is.
+    let mut value: serde_json::Value =
+        serde_json::from_slice(&body).map_err(|e| format!("{}: {e}", file.display()))?;
+    value["waits_on"] = spec.waits_on.into();
+    Ok(value.to_string().into_bytes())
+}
+
 fn job(id: &str) -> Result<&str, String> {
     match cherryyard_wire::job::job_number(id) {
         Some(_) => Ok(id),
--- /dev/null
+++ b/crates/cherryyard/tests/pipelines.rs
@@ -0,0 +1,114 @@
+//! Jobs that wait for others, with the real program over loopback and its command line.
+
+use cherryyard_rehearsal::http::{Budgets, HttpState};
+use cherryyard_rehearsal::process::{self, Client, Process};
+use cherryyard_rehearsal::{StateStandIn, World, small_kind};
+use cherryyard_wire::record::KINDS;
+use serde_json::{Value, json};
+use std::path::Path;
+
+async fn start() -> (HttpState, Process, Client) {
+    let mut state = StateStandIn::default();
+    state.seed(KINDS, &[small_kind(vec!["a".into()])]);
+    let budgets = Budgets {
+        rps: 400.0,
+        write_rps: 100.0,
+    };
+    let service = HttpState::new(state, budgets);
+    let addr = service.serve().await;
+    let program = Path::new(env!("CARGO_BIN_EXE_cherryyard"));
+    let settings = process::settings(&addr.to_string());
+    let controller = Process::start(program, &settings, "");
+    let client = controller.client();
+    client.ready().await;
+    (service, controller, client)
+}
+
+fn body(id: &str, waits_on: &Value) -> String {
+    let mut value = serde_json::to_value(World::spec(id, "sweep", 2)).expect("a job");
+    value["waits_on"] = waits_on.clone();
+    value.to_string()
+}
+
+/// Statuses by what a submission names; what is odd is refused, and the reason names it.
+#[tokio::test(flavor = "current_thread")]
+async fn statuses() {
+    let (_service, _controller, client) = start().await;
+    let none = [Value::Null, json!([])];
+    for (n, nothing) in none.iter().enumerate() {
+        let text = body(&format!("j-00000{n}"), nothing);
+        let (status, text) = client.insist("POST", "/v2/runs", Some(text)).await;
+        assert_eq!(status, 201, "{text}");
+    }
+    let many: Vec<String> = (0..65).map(|n| format!("j-{n:06}")).collect();
+    let refused = [
+        (json!("j-000001"), 400, "waits_on"),
+        (json!([7]), 400, "waits_on[0]"),
+        (json!(["j-000001", "job-2"]), 400, "waits_on[1]"),
+        (json!(many), 400, "65 jobs"),
+        (json!(["j-000001", "j-000077"]), 422, "j-000077"),
+        (json!(["j-000009"]), 422, "j-000009"),
+    ];
+    for (waits_on, expected, why) in refused {
+        let text = body("j-000009", &waits_on);
+        let (status, text) = client.insist("POST", "/v2/runs", Some(text)).await;
+        assert_eq!(status, expected, "{waits_on}: {text}");
+        assert!(text.contains(why), "{waits_on}: {text}");
+    }
+    let text = body("j-000009", &json!(["j-000001", "j-000000", "j-000001"]));
+    let (status, text) = client.insist("POST", "/v2/runs", Some(text)).await;
+    assert_eq!(status, 201, "{text}");
+    let (_, text) = client.insist("GET", "/v2/runs/j-000009", None).await;
+    let view: Value = serde_json::from_str(&text).expect("a view");
+    assert_eq!(view["status"], "queued");
+    assert_eq!(view["waits_on"], json!(["j-000000", "j-000001"]));
+}
+
+/// The command line submits, tells what a job waits for, and with what it was cancelled.
+#[tokio::test(flavor = "current_thread")]
+async fn the_command_line() {
+    let (_service, controller, client) = start().await;
+    let dir = std::env::temp_dir().join(format!("cherryyard-pipe-{}", process::free_port()));
+    std::fs::create_dir_all(&dir).expect("a folder");
+    let addr = controller.addr.clone();
+    let run = async |args: &[&str]| {
+        let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_cherryyard"));
+        command
+            .arg(args[0])
+            .args(["--server", &addr])
+            .args(&args[1..]);
+        let out = tokio::task::spawn_blocking(move || command.output()).await;
+        let out = out.expect("a thread").expect("the program");
+        let text = |b: &[u8]| String::from_utf8_lossy(b).into_owned();
+        (out.status.code(), text(&out.stdout) + &text(&out.stderr))
+    };
+    let mut files = Vec::new();
+    for n in 1..=2 {
+        let file = dir.join(format!("{n}.json"));
+        let text = body(&format!("j-00000{n}"), &Value::Null);
+        std::fs::write(&file, text).expect("a job");
+        files.push(file.to_str().expect("a path").to_string());
+    }
+    // Dependencies are accepted a few seconds after the start.
+    let first = body("j-000001", &Value::Null);
+    client.insist("POST", "/v2/runs", Some(first)).await;
+    let early = body("j-000008", &json!(["j-000001"]));
+    client.insist("POST", "/v2/runs", Some(early)).await;
+    let (code, out) = run(&["submit", &files[1], "--waits-on", "j-1"]).await;
+    assert!(
+        code == Some(1) && out.contains("--waits-on: waits_on[0]"),
+        "{out}"
+    );
+    let (code, out) = run(&["submit", &files[1], "--waits-on", "j-000001"]).await;
+    assert!(code == Some(0) && out.contains("queued"), "{out}");
+    let (_, out) = run(&["status", "j-000002"]).await;
+    assert!(out.contains(r#""waits_on":["j-000001"]"#), "{out}");
+    let (code, out) = run(&["cancel", "j-000001"]).await;
+    assert!(code == Some(0) && out.contains("cancelled"), "{out}");
+    let (_, out) = run(&["status", "j-000002"]).await;
+    assert!(
+        out.contains(r#""status":"cancelled""#) && out.contains(r#""cancelled_by":"j-000001""#),
+        "{out}"
+    );
+    let _ = std::fs::remove_dir_all(&dir);
+}
