--- a/crates/cherryyard-core/src/admission/demand.rs
+++ b/crates/cherryyard-core/src/admission/demand.rs
@@ -50,13 +50,13 @@
 
 impl Node {
     /// What has become of submissions at all controllers since the last call, by class
-    /// and team: offered, taken, refused. What is counted is totals, so a beat that is
+    /// and team: offered, taken, refused. What is counted is totals, so a heartbeat that is
     /// lost or comes twice changes nothing, and a controller that starts anew begins at
     /// nought.
     pub fn demand_report(&mut self) -> Vec<(String, String, [u64; 3])> {
         let ours = self.demand_out();
         let peers = self.peers.iter().enumerate();
-        let theirs = peers.filter_map(|(i, p)| Some((i, p.as_ref()?.beat.demand.as_slice())));
+        let theirs = peers.filter_map(|(i, p)| Some((i, p.as_ref()?.heartbeat.demand.as_slice())));
         let mut sums: BTreeMap<(u32, &str), [u64; 3]> = BTreeMap::new();
         let mut reported = HashMap::new();
         for (i, told) in theirs.chain([(self.config.me, ours.as_slice())]) {
--- a/crates/cherryyard-core/src/admission/rights.rs
+++ b/crates/cherryyard-core/src/admission/rights.rs
@@ -12,7 +12,7 @@
 use crate::Millis;
 use crate::machine::Task;
 use crate::node::Node;
-use cherryyard_wire::peer::{Beat, FlowShare, LevelTold};
+use cherryyard_wire::peer::{FlowShare, Heartbeat, LevelTold};
 use cherryyard_wire::record::Key;
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 
@@ -288,11 +288,11 @@
         }
     }
 
-    /// When a beat was made at the earliest: when ours went that it names. If that is
+    /// When a heartbeat was made at the earliest: when ours went that it names. If that is
     /// long ago, or was by a process of ours before, nothing is known.
-    pub(crate) fn made_at(&self, beat: &Beat) -> Millis {
+    pub(crate) fn made_at(&self, heartbeat: &Heartbeat) -> Millis {
         let me = self.config.me as u32;
-        let named = beat.heard.iter().find(|h| h.0 == me).map(|h| h.1);
+        let named = heartbeat.heard.iter().find(|h| h.0 == me).map(|h| h.1);
         let sent = self.rights.sent.iter().find(|s| Some(s.0) == named);
         sent.map_or(f64::NEG_INFINITY, |s| s.1)
     }
@@ -345,17 +345,17 @@
         all
     }
 
-    /// Puts into a beat what this controller has to say of shares.
-    pub(crate) fn rights_out(&mut self, beat: &mut Beat, now: Millis) {
+    /// Puts into a heartbeat what this controller has to say of shares.
+    pub(crate) fn rights_out(&mut self, heartbeat: &mut Heartbeat, now: Millis) {
         self.rights.number += 1;
         let number = self.rights.number;
         self.rights.sent.push_back((number, now));
         if self.rights.sent.len() > SENT {
             self.rights.sent.pop_front();
         }
-        beat.number = number;
+        heartbeat.number = number;
         let heard = self.rights.heard.iter();
-        beat.heard = heard.map(|(&i, &(n, _))| (i as u32, n)).collect();
+        heartbeat.heard = heard.map(|(&i, &(n, _))| (i as u32, n)).collect();
         if !self.leader.leads(&self.mirror) {
             return;
         }
@@ -371,7 +371,7 @@
                 under: (account.under.lead, account.under.part),
                 level: account.level(),
             });
-            beat.shares.push(FlowShare {
+            heartbeat.shares.push(FlowShare {
                 class: flows.class(flow).into(),
                 team: flows.team(flow),
                 floor: self.rights.floors[f] as f32,
@@ -381,10 +381,10 @@
     }
 
     /// Takes what another controller says of shares.
-    pub(crate) fn rights_in(&mut self, i: usize, beat: &Beat, now: Millis) {
-        self.rights.heard.insert(i, (beat.number, now));
+    pub(crate) fn rights_in(&mut self, i: usize, heartbeat: &Heartbeat, now: Millis) {
+        self.rights.heard.insert(i, (heartbeat.number, now));
         let me = self.config.me as u32;
-        let named = beat.heard.iter().find(|h| h.0 == me).map(|h| h.1);
+        let named = heartbeat.heard.iter().find(|h| h.0 == me).map(|h| h.1);
         // When our message went that it had last heard of.
         let sent = self.rights.sent.iter().find(|s| Some(s.0) == named);
         let from = sent.map(|s| s.1);
@@ -402,12 +402,12 @@
             }
             return;
         }
-        if !self.leader.is_label(&self.mirror, &beat.label) {
+        if !self.leader.is_label(&self.mirror, &heartbeat.label) {
             return;
         }
         self.rights.told_at = Some(now);
         let mut ahead = Vec::new();
-        for share in &beat.shares {
+        for share in &heartbeat.shares {
             if share.team as usize >= self.config.teams.len() {
                 continue;
             }
@@ -427,7 +427,7 @@
                 {
                     let new = Level {
                         under,
-                        number: beat.number,
+                        number: heartbeat.number,
                         level: told.level,
                         from,
                     };
--- a/crates/cherryyard-core/src/cancelled.rs
+++ b/crates/cherryyard-core/src/cancelled.rs
@@ -10,15 +10,15 @@
 use crate::Millis;
 use crate::node::Node;
 use crate::peers::PeerState;
-use cherryyard_wire::peer::Beat;
+use cherryyard_wire::peer::Heartbeat;
 use cherryyard_wire::worker::{PieceReport, Report, piece_numbers};
 use std::collections::{BTreeMap, VecDeque};
 
 /// For how long a cancellation is told: longer than a controller stands still.
 const TELL_MS: f64 = 60_000.0;
-/// Cancellations that a beat names.
+/// Cancellations that a heartbeat names.
 const MOST: usize = 200;
-/// Time between the last beat of a process that said it was cut off and the start of the
+/// Time between the last heartbeat of a process that said it was cut off and the start of the
 /// one after it, in which it has told no user of a cancellation: see
 /// [`Node::may_tell_cancelled`].
 const RESTART_MS: f64 = 10_000.0;
@@ -66,7 +66,7 @@
         }
     }
 
-    /// The list for a beat, with what is new in it, and how far back it reaches. `gap`:
+    /// The list for a heartbeat, with what is new in it, and how far back it reaches. `gap`:
     /// there may be cancellations that we have read past, and they cannot be named.
     pub(crate) fn tell(&mut self, new: Vec<u64>, gap: bool, now: Millis) -> (Vec<u64>, u32) {
         if gap {
@@ -102,7 +102,7 @@
         self.told.contains_key(&job)
     }
 
-    /// Keeps what a beat names, and tells it on: whoever told may end, and one that has
+    /// Keeps what a heartbeat names, and tells it on: whoever told may end, and one that has
     /// just started goes by what the others say. False if there is no room for all of it.
     fn keep(&mut self, jobs: impl Iterator<Item = u64>, now: Millis) -> bool {
         let mut all = true;
@@ -124,18 +124,18 @@
 }
 
 impl Node {
-    /// Takes what a beat tells of cancellations, one that was made at `made` or later:
+    /// Takes what a heartbeat tells of cancellations, one that was made at `made` or later:
     /// up to when we know of all that its sender has learnt, until when it may have
     /// taken some.
     pub(crate) fn told_of_cancellations(
         &mut self,
         peer: usize,
-        beat: &Beat,
+        heartbeat: &Heartbeat,
         made: Millis,
         now: Millis,
     ) -> Covered {
         let mirror = &self.mirror;
-        let unread = beat.cancelled.iter().copied();
+        let unread = heartbeat.cancelled.iter().copied();
         let unread = unread.filter(|&job| mirror.end(job).is_none());
         let kept = self.cancelled.keep(unread, now);
         if mirror.loaded {
@@ -148,8 +148,8 @@
         let before = self.peers[peer].as_ref().map(|p| p.covered);
         // By the sender's clock, which may be fast.
         let ago = |ms: u32| now - f64::from(ms) * 0.999;
-        let from = ago(beat.reach_ms);
-        let contact = match (beat.silent_ms, before) {
+        let from = ago(heartbeat.reach_ms);
+        let contact = match (heartbeat.silent_ms, before) {
             (u32::MAX, Some(before)) => before.contact,
             (u32::MAX, None) => from,
             (silent, _) => ago(silent),
@@ -168,7 +168,7 @@
                 contact,
                 to: before.to.max(made),
                 cut: if made >= before.to {
-                    beat.cut_off
+                    heartbeat.cut_off
                 } else {
                     before.cut
                 },
@@ -187,8 +187,8 @@
     ///
     /// Who has said that it is cut off tells nobody of a cancellation that the others
     /// may not know: they go on answering workers by that word, and if this process
-    /// ended before its next beat nobody would ever tell them. So each of the others has
-    /// to have named a beat of ours from after it was learnt, or one from after we were
+    /// ended before its next heartbeat nobody would ever tell them. So each of the others has
+    /// to have named a heartbeat of ours from after it was learnt, or one from after we were
     /// last cut off; or so much time has passed that they do not take the process after
     /// this one for one that has stayed cut off.
     pub fn may_tell_cancelled(&self, job: u64, now: Millis) -> bool {
@@ -204,7 +204,7 @@
             || named_by_all(c.cut_at)
             || match learnt {
                 Some(at) => named_by_all(at),
-                // Told for a minute, or learnt since the last beat.
+                // Told for a minute, or learnt since the last heartbeat.
                 None => now - self.started_at > TELL_MS && !self.mirror.is_new_cancel(job),
             }
     }
@@ -223,10 +223,10 @@
         let reach = self.config.lease_ms + 10_000.0;
         let knows = |peer: &PeerState| {
             let claim = (p as u32, report.baton, me.clone());
-            peer.beat.complete
+            peer.heartbeat.complete
                 && now - peer.made_at <= self.config.relied_ms()
-                && f64::from(peer.beat.reach_ms) >= reach
-                && peer.beat.claims.contains(&claim)
+                && f64::from(peer.heartbeat.reach_ms) >= reach
+                && peer.heartbeat.claims.contains(&claim)
         };
         let cancelled = |piece: &PieceReport| {
             let job = piece_numbers(&piece.piece).map(|t| t.0);
--- a/crates/cherryyard-core/src/claims.rs
+++ b/crates/cherryyard-core/src/claims.rs
@@ -78,7 +78,7 @@
                     let since = *self.parts[p].ownerless_since.get_or_insert(now);
                     let home_alive = self.peers[p]
                         .as_ref()
-                        .is_some_and(|s| now - s.heard_at < 1500.0 && !s.beat.cut_off);
+                        .is_some_and(|s| now - s.heard_at < 1500.0 && !s.heartbeat.cut_off);
                     let rank = ((me + n - p) % n) as f64;
                     let wait = if p == me {
                         0.0
@@ -134,8 +134,8 @@
                 .peers
                 .iter()
                 .flatten()
-                .filter(|s| now - s.heard_at < 2000.0 && !s.beat.cut_off)
-                .flat_map(|s| &s.beat.strays)
+                .filter(|s| now - s.heard_at < 2000.0 && !s.heartbeat.cut_off)
+                .flat_map(|s| &s.heartbeat.strays)
                 .filter(|x| x.0 as usize == p)
                 // Each goes from one controller to the next: none hears them all.
                 .map(|x| x.1)
--- a/crates/cherryyard-core/src/config.rs
+++ b/crates/cherryyard-core/src/config.rs
@@ -133,7 +133,7 @@
     }
 }
 
-/// How long a beat is relied on: it names ours of up to a second before.
+/// How long a heartbeat is relied on: it names ours of up to a second before.
 const RELIED_MS: f64 = 3500.0;
 
 /// One controller's configuration.
--- a/crates/cherryyard-core/src/effects.rs
+++ b/crates/cherryyard-core/src/effects.rs
@@ -81,7 +81,7 @@
         addr: String,
     },
     /// Tell the other controllers at once.
-    Beat,
+    Heartbeat,
     /// What has become of the submission with this number.
     Answer(u64, Verdict),
     /// Return machines.
--- a/crates/cherryyard-core/src/beats.rs
+++ b/crates/cherryyard-core/src/heartbeats.rs
@@ -5,7 +5,7 @@
 use crate::node::Node;
 use crate::peers::{PeerFormat, PeerState};
 use crate::tenancy::{Tenancy, TenancyEvent};
-use cherryyard_wire::peer::{Beat, PartReport, Sender};
+use cherryyard_wire::peer::{Heartbeat, PartReport, Sender};
 use std::collections::BTreeMap;
 
 /// How long nothing of what we send a controller may be named by it.
@@ -13,7 +13,7 @@
 /// How long a report counts that came to one who does not own its machine: a worker that
 /// cannot reach its owner waits 4 s there, 1 s more, and is sent there again.
 const STRAY_MS: f64 = 6000.0;
-/// How long after a newer beat an older one is taken for one that was held back. One who
+/// How long after a newer heartbeat an older one is taken for one that was held back. One who
 /// began anew counts from anywhere, but names ours of since then.
 const OLD_CONNECTION_MS: f64 = 3000.0;
 
@@ -24,9 +24,9 @@
         (0..self.peers.len())
             .filter(|&i| i != self.config.me)
             .all(|i| {
-                self.peers[i]
-                    .as_ref()
-                    .is_some_and(|p| now - p.made_at <= self.config.relied_ms() && p.beat.cut_off)
+                self.peers[i].as_ref().is_some_and(|p| {
+                    now - p.made_at <= self.config.relied_ms() && p.heartbeat.cut_off
+                })
             })
     }
 
@@ -62,18 +62,23 @@
         self.peer_formats[i] = Some(PeerFormat { format, at: now });
     }
 
-    /// Takes another controller's beat.
-    pub fn beat_in(&mut self, beat: Beat, now: Millis) {
+    /// Takes another controller's heartbeat.
+    pub fn heartbeat_in(&mut self, heartbeat: Heartbeat, now: Millis) {
         self.notice(now);
-        let Some(i) = self.config.labels.iter().position(|l| *l == beat.label) else {
+        let Some(i) = self
+            .config
+            .labels
+            .iter()
+            .position(|l| *l == heartbeat.label)
+        else {
             return;
         };
         if i == self.config.me {
             return;
         }
-        let made_at = self.made_at(&beat);
+        let made_at = self.made_at(&heartbeat);
         let older = |p: &PeerState| {
-            beat.number < p.beat.number
+            heartbeat.number < p.heartbeat.number
                 && made_at <= p.made_at
                 && now - p.heard_at < OLD_CONNECTION_MS
         };
@@ -81,7 +86,7 @@
             // Held back on a connection that has been given up since.
             return;
         }
-        for (part, stamp, label) in &beat.claims {
+        for (part, stamp, label) in &heartbeat.claims {
             let p = *part as usize;
             if p < self.parts.len()
                 && *label != self.config.labels[self.config.me]
@@ -98,26 +103,26 @@
                 self.effects.push(Effect::Refresh);
             }
         }
-        if beat.epoch > self.mirror.epoch + 20 {
+        if heartbeat.epoch > self.mirror.epoch + 20 {
             self.effects.push(Effect::Refresh);
         }
-        self.leader.dirty |= !beat.handing.is_empty();
-        for report in &beat.parts {
+        self.leader.dirty |= !heartbeat.handing.is_empty();
+        for report in &heartbeat.parts {
             self.leader.hear(report.clone(), now);
         }
         let up_since = match &self.peers[i] {
             Some(p) if now - p.heard_at < 3000.0 => p.up_since,
             _ => now,
         };
-        if self.leader.is_label(&self.mirror, &beat.label) && !beat.short.is_empty() {
-            self.lower_grants(&beat.short, now);
+        if self.leader.is_label(&self.mirror, &heartbeat.label) && !heartbeat.short.is_empty() {
+            self.lower_grants(&heartbeat.short, now);
         }
-        self.rights_in(i, &beat, now);
-        let covered = self.told_of_cancellations(i, &beat, made_at, now);
+        self.rights_in(i, &heartbeat, now);
+        let covered = self.told_of_cancellations(i, &heartbeat, made_at, now);
         let before = self.peers[i].as_ref();
         self.peers[i] = Some(PeerState {
             made_at: before.map_or(made_at, |p| p.made_at.max(made_at)),
-            beat,
+            heartbeat,
             heard_at: now,
             up_since,
             covered,
@@ -141,7 +146,7 @@
     }
 
     /// What this controller tells the others now.
-    pub fn beat_out(&mut self, now: Millis) -> Beat {
+    pub fn heartbeat_out(&mut self, now: Millis) -> Heartbeat {
         self.notice(now);
         let every = self.config.tuning.room_report_s * 1000.0;
         let due = now - self.reported_at;
@@ -174,7 +179,7 @@
         if cut_off {
             self.cancelled.said_cut_off(now);
         }
-        let mut beat = Beat {
+        let mut heartbeat = Heartbeat {
             silent_ms: if silent.is_finite() {
                 silent as u32
             } else {
@@ -210,7 +215,7 @@
             intake_ms: self.intake.wait_ms(now) as u32,
             demand,
         };
-        self.rights_out(&mut beat, now);
-        beat
+        self.rights_out(&mut heartbeat, now);
+        heartbeat
     }
 }
--- a/crates/cherryyard-core/src/leader/mod.rs
+++ b/crates/cherryyard-core/src/leader/mod.rs
@@ -137,7 +137,7 @@
         self.leader.hiring = None;
         self.leader.hire_counter = 0;
         self.leader.claim_after = now + 8000.0;
-        self.effects.push(Effect::Beat);
+        self.effects.push(Effect::Heartbeat);
     }
 
     pub(crate) fn leader_committed(&mut self, outcome: Outcome, now: Millis) {
--- a/crates/cherryyard-core/src/leader/overflow.rs
+++ b/crates/cherryyard-core/src/leader/overflow.rs
@@ -72,7 +72,11 @@
 
     /// Services that their parts would rather see elsewhere.
     fn handed_over(&self) -> HashSet<(usize, u64)> {
-        let told = self.peers.iter().flatten().flat_map(|s| &s.beat.handing);
+        let told = self
+            .peers
+            .iter()
+            .flatten()
+            .flat_map(|s| &s.heartbeat.handing);
         let ours = self.parts.iter().enumerate();
         let ours = ours.flat_map(|(p, part)| part.handing.iter().map(move |&job| (p, job)));
         told.map(|h| (h.0 as usize, h.1)).chain(ours).collect()
--- a/crates/cherryyard-core/src/lib.rs
+++ b/crates/cherryyard-core/src/lib.rs
@@ -1,6 +1,6 @@
 //! The scheduling core of cherryyard.
 //!
-//! [`Node`] is one controller: it takes events (state changes, reports, beats,
+//! [`Node`] is one controller: it takes events (state changes, reports, heartbeats,
 //! answers, the time) and returns effects (transactions, direct commands,
 //! rentals). It does no I/O and reads no clock, so the same events always give
 //! the same effects, which is what the rehearsal crate builds on.
@@ -8,7 +8,6 @@
 pub mod account;
 pub mod admission;
 pub mod admit;
-mod beats;
 mod cancelled;
 pub mod cells;
 mod claims;
@@ -16,6 +15,7 @@
 pub mod dependencies;
 pub mod divide;
 pub mod effects;
+mod heartbeats;
 pub mod lateness;
 pub mod leader;
 pub mod machine;
--- a/crates/cherryyard-core/src/node.rs
+++ b/crates/cherryyard-core/src/node.rs
@@ -1,4 +1,4 @@
-//! One controller: claims, reports, beats, and what ties the rest together.
+//! One controller: claims, reports, heartbeats, and what ties the rest together.
 
 use crate::admission::demand::Demand;
 use crate::admission::intake::Intake;
@@ -236,7 +236,7 @@
                 for m in self.machines.values_mut().filter(|m| m.part == p) {
                     m.change(HostEvent::TokenChanged);
                 }
-                self.effects.push(Effect::Beat);
+                self.effects.push(Effect::Heartbeat);
             }
             Tenancy::Claiming | Tenancy::Deposed(_) => {}
         }
--- a/crates/cherryyard-core/src/owner/place.rs
+++ b/crates/cherryyard-core/src/owner/place.rs
@@ -380,7 +380,7 @@
             queues.looked_at(flow, others, last);
         }
         if !handing.is_empty() && handing != self.parts[p].handing {
-            self.effects.push(Effect::Beat);
+            self.effects.push(Effect::Heartbeat);
             self.leader.dirty = true;
         }
         self.parts[p].handing = handing;
--- a/crates/cherryyard-core/src/peers.rs
+++ b/crates/cherryyard-core/src/peers.rs
@@ -2,16 +2,16 @@
 
 use crate::Millis;
 use crate::cancelled::Covered;
-use cherryyard_wire::peer::Beat;
+use cherryyard_wire::peer::Heartbeat;
 
 /// What another controller last told.
 #[derive(Clone, Debug)]
 pub(crate) struct PeerState {
-    pub beat: Beat,
+    pub heartbeat: Heartbeat,
     pub heard_at: Millis,
     pub up_since: Millis,
-    /// When its newest beat was made at the earliest: when ours went that it names. A
-    /// beat may have been held back on its way for any time.
+    /// When its newest heartbeat was made at the earliest: when ours went that it names. A
+    /// heartbeat may have been held back on its way for any time.
     pub made_at: Millis,
     /// Up to when we know of all cancellations that it has learnt of.
     pub covered: Covered,
--- a/crates/cherryyard-core/src/reports.rs
+++ b/crates/cherryyard-core/src/reports.rs
@@ -41,7 +41,7 @@
             .flatten()
             .filter(|s| now - s.heard_at < 5000.0)
         {
-            for (part, stamp, label) in &peer.beat.claims {
+            for (part, stamp, label) in &peer.heartbeat.claims {
                 if *part as usize == p && best.as_ref().is_none_or(|b| b.0 < *stamp) {
                     best = Some((*stamp, label.clone()));
                 }
--- a/crates/cherryyard-core/src/users.rs
+++ b/crates/cherryyard-core/src/users.rs
@@ -114,7 +114,7 @@
             *i != self.config.me
                 && self.peers[*i]
                     .as_ref()
-                    .is_some_and(|p| now - p.heard_at < 1200.0 && !p.beat.cut_off)
+                    .is_some_and(|p| now - p.heard_at < 1200.0 && !p.heartbeat.cut_off)
         };
         let all = 0..self.config.labels.len();
         let leader = all
@@ -133,7 +133,7 @@
     pub fn intake_ms(&self, label: &str) -> u64 {
         let i = self.config.labels.iter().position(|l| l == label);
         let peer = i.and_then(|i| self.peers[i].as_ref());
-        peer.map_or(0, |p| u64::from(p.beat.intake_ms))
+        peer.map_or(0, |p| u64::from(p.heartbeat.intake_ms))
     }
 
     /// Takes a user's transaction (a cancellation, or a chunk of a submission).
--- a/crates/cherryyard-core/tests/lease_model.rs
+++ b/crates/cherryyard-core/tests/lease_model.rs
@@ -1,6 +1,6 @@
 //! A model of leases in an outage, checked over every interleaving: two controllers,
 //! one worker with one task, a state service that refuses either or both, controllers
-//! that end, start and stand still, beats that come at any time or late, one
+//! that end, start and stand still, heartbeats that come at any time or late, one
 //! cancellation, which is taken first and told to its user then or never. What is
 //! checked: the task is never given to another machine while it is there, and is gone
 //! `CANCEL` after its job's user was told.
@@ -11,12 +11,12 @@
 use pathfinding::directed::bfs::bfs_reach;
 
 /// In steps of the model's clock: a worker's lease, the time within which a cancelled
-/// task must be gone, how long a beat is relied on, and how far back its list reaches.
+/// task must be gone, how long a heartbeat is relied on, and how far back its list reaches.
 const LEASE: u8 = 1;
 const CANCEL: u8 = 3;
 const RELIED: u8 = 1;
 const TOLD: u8 = 2;
-/// How soon after the last beat of a process that was cut off the next one's start may
+/// How soon after the last heartbeat of a process that was cut off the next one's start may
 /// be; who has been cut off tells nobody of a cancellation for longer.
 const RESTART: u8 = 1;
 /// An owner alone answers for this long without news.
@@ -46,7 +46,7 @@
     since: u8,
     /// When it last said that it was cut off, or began.
     cut_at: u8,
-    /// When the newest of the other's beats was made that it has heard, and the newest
+    /// When the newest of the other's heartbeats was made that it has heard, and the newest
     /// of its own that the other has named.
     newest: Option<u8>,
     named: Option<u8>,
@@ -59,19 +59,19 @@
     /// When it learnt of the cancellation, or that it was told of one.
     learnt: Option<u8>,
     told: bool,
-    /// Whether its beats name the cancellation: it did not find it in its first read.
+    /// Whether its heartbeats name the cancellation: it did not find it in its first read.
     listed: bool,
-    /// Of the other: the last beat, its last contact, up to when all is known.
+    /// Of the other: the last heartbeat, its last contact, up to when all is known.
     heard: Option<Told>,
     contact: u8,
     covered: u8,
-    /// Whether the beat that told so said that its sender was cut off.
+    /// Whether the heartbeat that told so said that its sender was cut off.
     covered_cut: bool,
 }
 
-/// A beat on its way.
+/// A heartbeat on its way.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
-struct Beat {
+struct Heartbeat {
     from: usize,
     said: Told,
     silent: Option<u8>,
@@ -95,7 +95,7 @@
     lease: u8,
     there: bool,
     c: [Controller; 2],
-    held: Option<Beat>,
+    held: Option<Heartbeat>,
     held_left: bool,
     /// Faults left: changes of the service, ends, freezes.
     left: (u8, u8, u8),
@@ -108,15 +108,15 @@
     without_word: bool,
     though_told: bool,
     outage_is_enough: bool,
-    /// The newest beat decides whether a gap is one of a process that was cut off.
+    /// The newest heartbeat decides whether a gap is one of a process that was cut off.
     any_beat_is_its_word: bool,
     /// Users are told at once.
     tells_at_once: bool,
     /// A gap between what was known and where a list begins is overlooked.
     without_gap: bool,
-    /// What a beat names is not told on.
+    /// What a heartbeat names is not told on.
     not_told_on: bool,
-    /// What a beat names is not stopped.
+    /// What a heartbeat names is not stopped.
     without_list: bool,
 }
 
@@ -179,10 +179,10 @@
     }
 }
 
-fn beat(s: &State, from: usize) -> Beat {
+fn heartbeat(s: &State, from: usize) -> Heartbeat {
     let c = &s.c[from];
     let cut = !s.up[from];
-    Beat {
+    Heartbeat {
         from,
         said: Told {
             at: 0,
@@ -199,15 +199,15 @@
 }
 
 /// One says what it has to say.
-fn say(s: &mut State, from: usize) -> Beat {
-    let b = beat(s, from);
+fn say(s: &mut State, from: usize) -> Heartbeat {
+    let b = heartbeat(s, from);
     if b.said.cut {
         s.c[from].cut_at = s.t;
     }
     b
 }
 
-fn hear(s: &mut State, b: Beat, mutant: Mutant) {
+fn hear(s: &mut State, b: Heartbeat, mutant: Mutant) {
     let (t, c) = (s.t, &mut s.c[1 - b.from]);
     if b.cancelled && !mutant.without_list {
         c.told = true;
@@ -338,8 +338,8 @@
     add(&|n| {
         // There and back, so that both name each other's.
         for _ in 0..2 {
-            let beats = [say(n, 0), say(n, 1)];
-            beats.into_iter().for_each(|b| hear(n, b, mutant));
+            let heartbeats = [say(n, 0), say(n, 1)];
+            heartbeats.into_iter().for_each(|b| hear(n, b, mutant));
         }
         !s.c[0].frozen && !s.c[1].frozen && *n != *s
     });
@@ -444,7 +444,7 @@
     all
 }
 
-/// Faults of a run: changes of the service, ends, freezes, and whether a beat is late.
+/// Faults of a run: changes of the service, ends, freezes, and whether a heartbeat is late.
 type Faults = ((u8, u8, u8), bool);
 
 /// Whom the state service refuses when a run begins, and they have told each other so.
@@ -462,8 +462,8 @@
         Refused::Owner => [false, true],
         Refused::All => [false, false],
     };
-    let beats = [say(&mut s, 0), say(&mut s, 1)];
-    beats.into_iter().for_each(|b| hear(&mut s, b, mutant));
+    let heartbeats = [say(&mut s, 0), say(&mut s, 1)];
+    heartbeats.into_iter().for_each(|b| hear(&mut s, b, mutant));
     s
 }
 
@@ -560,7 +560,7 @@
     let runs = [
         ("rules", ((1, 1, 0), false), Refused::Owner, rules),
         ("rules", ((2, 1, 0), false), Refused::All, rules),
-        ("any beat", ((1, 1, 0), false), Refused::Owner, any),
+        ("any heartbeat", ((1, 1, 0), false), Refused::Owner, any),
         ("gap", ((1, 1, 0), false), Refused::Owner, gap),
         ("list", ((1, 0, 0), false), Refused::Owner, list),
         ("on", ((2, 1, 0), false), Refused::All, on),
@@ -569,7 +569,7 @@
     let expected = [
         "rules: good",
         "rules: good",
-        "any beat: it runs though cancelled",
+        "any heartbeat: it runs though cancelled",
         "gap: it runs though cancelled",
         "list: it runs though cancelled",
         "on: it runs though cancelled",
--- a/crates/cherryyard-io/src/peer.rs
+++ b/crates/cherryyard-io/src/peer.rs
@@ -58,20 +58,20 @@
     }
 }
 
-/// The newest beat, once there is one.
-pub type Beats = watch::Receiver<Option<Arc<Outgoing>>>;
+/// The newest heartbeat, once there is one.
+pub type Heartbeats = watch::Receiver<Option<Arc<Outgoing>>>;
 
 /// Whether a frame that came back on our own connection is a greeting.
 fn is_greeting(payload: &[u8]) -> bool {
     payload.first() == Some(&VERSION) && decode(payload).is_ok_and(|frame| frame.sender.is_some())
 }
 
-/// Sends each new beat, and other messages, to the controller at `addr`, for ever. Makes
+/// Sends each new heartbeat, and other messages, to the controller at `addr`, for ever. Makes
 /// the connection `anew` when told so: one whose other end is gone without a word takes
 /// what is written for a minute or more.
 pub async fn send(
     addr: SocketAddr,
-    mut beats: Beats,
+    mut heartbeats: Heartbeats,
     mut others: mpsc::Receiver<Arc<Outgoing>>,
     anew: Arc<Notify>,
 ) {
@@ -81,15 +81,15 @@
             let mut frames = framed(stream);
             // Nobody waits any more for what came while there was no connection.
             while others.try_recv().is_ok() {}
-            beats.mark_changed();
+            heartbeats.mark_changed();
             // What was said of the connection before.
             let _ = anew.notified().now_or_never();
             let mut greeted = false;
             loop {
                 let next = tokio::select! {
                     () = anew.notified() => break,
-                    changed = beats.changed() => match changed {
-                        Ok(()) => beats.borrow_and_update().clone(),
+                    changed = heartbeats.changed() => match changed {
+                        Ok(()) => heartbeats.borrow_and_update().clone(),
                         Err(_) => return,
                     },
                     other = others.recv() => match other {
@@ -185,10 +185,10 @@
                 build: "test".into(),
             });
             let first = Outgoing::new(message.clone(), sender.clone());
-            let (beats, beat) = watch::channel(Some(first));
+            let (heartbeats, heartbeat) = watch::channel(Some(first));
             let (_others, other) = mpsc::channel(1);
             let anew = Arc::new(Notify::new());
-            tokio::spawn(send(addr, beat, other, anew.clone()));
+            tokio::spawn(send(addr, heartbeat, other, anew.clone()));
             let mut held = Vec::new();
             for _ in 0..3 {
                 let (stream, _) = listener.accept().await.expect("a connection");
@@ -205,7 +205,7 @@
                 frames.send(hello).await.expect("a greeting");
                 tokio::time::sleep(Duration::from_millis(50)).await;
                 let next = Outgoing::new(message.clone(), sender.clone());
-                beats.send(Some(next)).expect("a listener");
+                heartbeats.send(Some(next)).expect("a listener");
                 let next = frames.next().await.expect("a frame").expect("a good frame");
                 let read = decode(&next).expect("a known version");
                 assert_eq!(read.sender.as_ref(), Some(&*sender), "greeted");
--- a/crates/cherryyard-rehearsal/src/world.rs
+++ b/crates/cherryyard-rehearsal/src/world.rs
@@ -744,7 +744,7 @@
             self.effects(i);
         }
         if ((now / STEP) as u64).is_multiple_of(10) {
-            self.beats();
+            self.heartbeats();
         }
         let waiting = std::mem::take(&mut self.inbox);
         for (turn, sent_at, i, report) in waiting {
@@ -848,17 +848,17 @@
         }
     }
 
-    fn beats(&mut self) {
+    fn heartbeats(&mut self) {
         let now = self.now;
         for i in 0..self.nodes.len() {
             let Some(node) = self.nodes[i].as_mut().filter(|_| !self.frozen.contains(&i)) else {
                 continue;
             };
-            let beat = node.beat_out(now);
+            let heartbeat = node.heartbeat_out(now);
             for k in 0..self.nodes.len() {
                 if k != i && self.hear_each_other(i, k) {
                     if let Some(other) = &mut self.nodes[k] {
-                        other.beat_in(beat.clone(), now);
+                        other.heartbeat_in(heartbeat.clone(), now);
                     }
                     self.effects(k);
                 }
@@ -1025,7 +1025,7 @@
                     Effect::Answer(ticket, verdict) => {
                         self.verdicts.insert(ticket, verdict);
                     }
-                    Effect::Refresh | Effect::Beat => {}
+                    Effect::Refresh | Effect::Heartbeat => {}
                 }
             }
         }
--- a/crates/cherryyard-rehearsal/tests/frozen.rs
+++ b/crates/cherryyard-rehearsal/tests/frozen.rs
@@ -49,7 +49,7 @@
         let now = w.now;
         let names: Vec<String> = w.workers.keys().cloned().collect();
         let list = listed(&w, names.into_iter());
-        let beat = w.nodes[1].as_mut().unwrap().beat_out(now);
+        let heartbeat = w.nodes[1].as_mut().unwrap().heartbeat_out(now);
         let node = w.nodes[0].as_mut().unwrap();
         node.effects();
         for order in [[0, 1, 2, 3], [3, 2, 1, 0], [1, 3, 0, 2]] {
@@ -57,7 +57,7 @@
                 match event {
                     0 => node.tick(now),
                     1 => node.listed(list.clone(), now),
-                    2 => node.beat_in(beat.clone(), now),
+                    2 => node.heartbeat_in(heartbeat.clone(), now),
                     _ => {
                         if let Reply::Answer(a) = node.report(&old, now) {
                             assert!(a.orders.is_empty(), "{frozen_s}: {:?}", a.orders);
@@ -65,8 +65,9 @@
                     }
                 }
                 // A question to a machine changes nothing.
-                let acts =
-                    |e: &Effect| !matches!(e, Effect::Refresh | Effect::Beat | Effect::Ask { .. });
+                let acts = |e: &Effect| {
+                    !matches!(e, Effect::Refresh | Effect::Heartbeat | Effect::Ask { .. })
+                };
                 let effects = node.effects();
                 assert!(!effects.iter().any(acts), "{frozen_s}: {effects:?}");
             }
--- a/crates/cherryyard-rehearsal/tests/gap.rs
+++ b/crates/cherryyard-rehearsal/tests/gap.rs
@@ -49,7 +49,7 @@
 }
 
 /// The gap, twice in a row, 20 s apart, with a cancellation at each place of the first
-/// two seconds; the confirming controller ends after it, before a beat or soon after,
+/// two seconds; the confirming controller ends after it, before a heartbeat or soon after,
 /// and is back at once, after 0.5 s or after 4 s, or does not end.
 #[test]
 fn the_gap_twice_in_a_row() {
@@ -99,8 +99,8 @@
     }
 }
 
-/// One story of it, kept: the confirming controller ends before its next beat, and the
-/// process after it says, in beat after beat, that it is cut off.
+/// One story of it, kept: the confirming controller ends before its next heartbeat, and the
+/// process after it says, in heartbeat after heartbeat, that it is cut off.
 #[test]
 fn trace_of_a_confirmation_that_nobody_heard() {
     let mut w = World::new(Setup::default());
@@ -129,7 +129,7 @@
 }
 
 /// The service is back for a moment in the outage, for one who has said that it is cut
-/// off: it takes a cancellation and ends before its next beat. The others take the
+/// off: it takes a cancellation and ends before its next heartbeat. The others take the
 /// process after it for one that stayed cut off, so no user may have been told.
 #[test]
 fn back_for_less_than_a_restart() {
@@ -188,7 +188,7 @@
     }
 }
 
-/// Hundreds of cancellations at once, more than a beat names: what an owner has not been
+/// Hundreds of cancellations at once, more than a heartbeat names: what an owner has not been
 /// told of is not taken for known.
 #[test]
 fn hundreds_of_cancellations_at_once() {
@@ -308,8 +308,8 @@
     }
 }
 
-/// A beat that says that its sender is cut off is held back until, minutes or seconds
-/// later, its receiver is alone in the gap. By the echo of the receiver's own beats it is
+/// A heartbeat that says that its sender is cut off is held back until, minutes or seconds
+/// later, its receiver is alone in the gap. By the echo of the receiver's own heartbeats it is
 /// known to be old.
 #[test]
 fn old_beats_that_say_cut_off() {
@@ -318,7 +318,7 @@
     w.refused = [0, 1, 2].into();
     w.run(3.0);
     let now = w.now;
-    let old = w.nodes[other].as_mut().expect("it runs").beat_out(now);
+    let old = w.nodes[other].as_mut().expect("it runs").heartbeat_out(now);
     assert!(old.cut_off);
     w.refused.clear();
     w.run(14.0);
@@ -333,17 +333,17 @@
     for _ in 0..140 {
         w.run(0.5);
         let now = w.now;
-        let beat = w.nodes[third].as_mut().expect("it runs").beat_out(now);
-        let beat = cherryyard_wire::peer::Beat {
+        let heartbeat = w.nodes[third].as_mut().expect("it runs").heartbeat_out(now);
+        let heartbeat = cherryyard_wire::peer::Heartbeat {
             // The third one does not know of it either.
             cancelled: Vec::new(),
-            ..beat
+            ..heartbeat
         };
         let node = w.nodes[leader].as_mut().expect("it runs");
-        node.beat_in(old.clone(), now);
-        node.beat_in(beat, now);
+        node.heartbeat_in(old.clone(), now);
+        node.heartbeat_in(heartbeat, now);
     }
-    whole(&w, "old beats");
+    whole(&w, "old heartbeats");
 }
 
 /// An owner is told of the cancellation of a job that it has never read of, as it adopted
@@ -368,9 +368,9 @@
 }
 
 /// An owner confirms a cancellation in a moment in which only it is served, says so in a
-/// beat, ends and starts again in the outage. The others have only been told of it; they
+/// heartbeat, ends and starts again in the outage. The others have only been told of it; they
 /// tell it on, so that the owner's new process lets no lease of it go on by their word.
-/// (Found by the model: a beat named only what its sender had read.)
+/// (Found by the model: a heartbeat named only what its sender had read.)
 #[test]
 fn told_on_to_one_that_starts_again() {
     let mut w = World::new(Setup::default());
@@ -424,7 +424,7 @@
 }
 
 /// Draws of all of it: who is refused, when cancellations come in the gap and where,
-/// whether the confirming controller ends, beats are lost, machines are cut, deaf or
+/// whether the confirming controller ends, heartbeats are lost, machines are cut, deaf or
 /// held up, commands and transactions late; twice.
 fn day(seed: u64) {
     let mut draw = draws(seed);
--- a/crates/cherryyard-rehearsal/tests/pipelines.rs
+++ b/crates/cherryyard-rehearsal/tests/pipelines.rs
@@ -391,7 +391,11 @@
         assert_eq!(status_at(&mut w, 2, job), Some(JobStatus::Cancelled));
     }
     let before = w.state.writes;
-    let told = w.nodes[0].as_mut().expect("up").beat_out(w.now).cancelled;
+    let told = w.nodes[0]
+        .as_mut()
+        .expect("up")
+        .heartbeat_out(w.now)
+        .cancelled;
     assert_eq!(told, [1], "only what may have tasks is told");
     w.run(60.0);
     let open = w.nodes[0].as_ref().map(|n| n.mirror.open.len());
--- a/crates/cherryyard-rehearsal/tests/reach.rs
+++ b/crates/cherryyard-rehearsal/tests/reach.rs
@@ -331,7 +331,7 @@
 
 /// Whoever names none of our messages for three seconds is connected to anew, and again
 /// after three more; whoever names them is not. Guards against a connection to one that
-/// was down and is back: it took a minute's beats without a word, while the part's
+/// was down and is back: it took a minute's heartbeats without a word, while the part's
 /// workers were told to go where nobody answered.
 #[test]
 fn who_names_nothing_is_connected_to_anew() {
--- a/crates/cherryyard-wire/src/peer.rs
+++ b/crates/cherryyard-wire/src/peer.rs
@@ -1,4 +1,4 @@
-//! What controllers tell each other: beats, and submissions passed on.
+//! What controllers tell each other: heartbeats, and submissions passed on.
 //!
 //! A frame is a length (4 bytes, big endian), a version byte, and what follows in
 //! `bitcode`. Frames over [`MAX_FRAME`] are refused before they are read.
@@ -54,7 +54,7 @@
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub enum Message {
     /// What every controller tells every other.
-    Beat(Box<Beat>),
+    Heartbeat(Box<Heartbeat>),
     /// A submission for the receiver to write.
     Ask(Ask),
     /// The answer to one.
@@ -90,7 +90,7 @@
 
 /// What a controller tells every other, regularly and when it changes.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
-pub struct Beat {
+pub struct Heartbeat {
     /// The sender's name.
     pub label: String,
     /// Whether the sender is cut off from the state service.
@@ -119,7 +119,7 @@
     pub handing: Vec<(u32, u64)>,
     /// Parts of others whose workers have lately reported here: part, how many.
     pub strays: Vec<(u32, u32)>,
-    /// The sender's number for this beat; they grow, from anywhere.
+    /// The sender's number for this heartbeat; they grow, from anywhere.
     pub number: u64,
     /// The last number heard of each other controller, by its place among all.
     pub heard: Vec<(u32, u64)>,
@@ -329,7 +329,7 @@
     /// A truncated, foreign or random frame is an error, never a panic.
     #[test]
     fn bad_frames_are_refused() {
-        let beat = Message::Beat(Box::new(Beat {
+        let heartbeat = Message::Heartbeat(Box::new(Heartbeat {
             label: "a".into(),
             cut_off: false,
             silent_ms: 400,
@@ -348,9 +348,9 @@
             intake_ms: 0,
             demand: vec![],
         }));
-        for whole in [encode_legacy(&beat), encode(&beat, &sender())] {
+        for whole in [encode_legacy(&heartbeat), encode(&heartbeat, &sender())] {
             let read = decode(&whole).map(|frame| frame.message);
-            assert_eq!(read, Ok(Some(beat.clone())));
+            assert_eq!(read, Ok(Some(heartbeat.clone())));
             for n in 0..whole.len() {
                 assert!(decode(&whole[..n]).is_err(), "{n} bytes");
             }
--- a/crates/cherryyard-wire/tests/production.rs
+++ b/crates/cherryyard-wire/tests/production.rs
@@ -6,8 +6,8 @@
 use cherryyard_wire::arrivals::{ArrivalsRecord, Rest};
 use cherryyard_wire::job::{JobSpec, job_id};
 use cherryyard_wire::peer::{
-    Ask, Beat, DemandTold, FlowShare, LevelTold, MachineRoom, MachineSort, Message, PartReport,
-    Told, decode, encode_legacy,
+    Ask, DemandTold, FlowShare, Heartbeat, LevelTold, MachineRoom, MachineSort, Message,
+    PartReport, Told, decode, encode_legacy,
 };
 use cherryyard_wire::record::{
     ARRIVALS, BucketRecord, Claim, End, FormatRecord, Grant, ImagesRecord, JobRecord, PageRecord,
@@ -79,7 +79,7 @@
 
 #[test]
 fn frames() {
-    let beat = Beat {
+    let heartbeat = Heartbeat {
         label: "orchard-1".into(),
         cut_off: true,
         silent_ms: 400,
@@ -130,7 +130,7 @@
             refused: 1,
         }],
     };
-    same_frame("beat", &Message::Beat(Box::new(beat)));
+    same_frame("heartbeat", &Message::Heartbeat(Box::new(heartbeat)));
     let ask = Ask {
         label: "orchard-1".into(),
         ticket: 99,
--- a/crates/cherryyard/src/app/loops.rs
+++ b/crates/cherryyard/src/app/loops.rs
@@ -1,4 +1,4 @@
-//! What goes on all the time: the lease, the clock, beats, the cloud.
+//! What goes on all the time: the lease, the clock, heartbeats, the cloud.
 
 use super::repeats::Repeats;
 use super::{App, jittered, wall_ms};
@@ -63,24 +63,25 @@
         }
     }
 
-    pub(crate) async fn beats(self: Arc<Self>, out: watch::Sender<Option<Arc<Outgoing>>>) {
+    pub(crate) async fn heartbeats(self: Arc<Self>, out: watch::Sender<Option<Arc<Outgoing>>>) {
         loop {
             let wait = tokio::time::sleep(Duration::from_millis(500));
             tokio::select! {
                 () = wait => {}
-                () = self.beat_wanted.notified() => {}
+                () = self.heartbeat_wanted.notified() => {}
             }
-            let beat = self.with(|n, now| {
+            let heartbeat = self.with(|n, now| {
                 for label in n.deaf_peers(now) {
                     if let Some(anew) = self.anew.get(label) {
                         tracing::debug!(label, "connect to a controller anew");
                         anew.notify_one();
                     }
                 }
-                n.beat_out(now)
+                n.heartbeat_out(now)
             });
-            let beat = Outgoing::new(Message::Beat(Box::new(beat)), self.sender.clone());
-            let _ = out.send(Some(beat));
+            let heartbeat =
+                Outgoing::new(Message::Heartbeat(Box::new(heartbeat)), self.sender.clone());
+            let _ = out.send(Some(heartbeat));
             tokio::time::sleep(Duration::from_millis(50)).await;
         }
     }
--- a/crates/cherryyard/src/app/mod.rs
+++ b/crates/cherryyard/src/app/mod.rs
@@ -39,7 +39,7 @@
     /// How long users' requests took since the last log line, in milliseconds.
     pub(crate) latency: Mutex<Histogram<u64>>,
     pub(crate) barrier_wanted: Notify,
-    pub(crate) beat_wanted: Notify,
+    pub(crate) heartbeat_wanted: Notify,
     /// What this controller says of itself to the others.
     pub(crate) sender: Arc<Sender>,
     /// Ways to the other controllers, by name.
@@ -107,7 +107,7 @@
         let app = self.clone();
         match effect {
             Effect::Refresh => self.barrier_wanted.notify_one(),
-            Effect::Beat => self.beat_wanted.notify_one(),
+            Effect::Heartbeat => self.heartbeat_wanted.notify_one(),
             Effect::Answer(ticket, verdict) => self.tell_verdict(ticket, verdict),
             Effect::Commit(ticket, commit) => {
                 tokio::spawn(async move {
--- a/crates/cherryyard/src/messages.rs
+++ b/crates/cherryyard/src/messages.rs
@@ -22,7 +22,7 @@
 
     fn take_message(self: &Arc<Self>, message: Message) {
         match message {
-            Message::Beat(beat) => self.with(|n, now| n.beat_in(*beat, now)),
+            Message::Heartbeat(heartbeat) => self.with(|n, now| n.heartbeat_in(*heartbeat, now)),
             Message::Told(told) => {
                 if let Some(tell) = self.waiting_for_answers().remove(&told.ticket) {
                     // The one who asked may have given up.
--- a/crates/cherryyard/src/run.rs
+++ b/crates/cherryyard/src/run.rs
@@ -37,7 +37,7 @@
     let pace = Duration::from_secs_f64((controllers * 3.0 / c.state.rps).clamp(0.02, 2.0));
     let list_every = Duration::from_secs_f64((controllers * 4.0 / c.cloud.rps).clamp(3.0, 30.0));
     let seed = rand::random();
-    let (out, beats) = watch::channel(None);
+    let (out, heartbeats) = watch::channel(None);
     let sender = Arc::new(Sender {
         label: settings.label.clone(),
         format: NEWEST_FORMAT,
@@ -64,7 +64,7 @@
             Histogram::new_with_bounds(1, 60_000, 2).map_err(|e| format!("cannot start: {e}"))?,
         ),
         barrier_wanted: Notify::new(),
-        beat_wanted: Notify::new(),
+        heartbeat_wanted: Notify::new(),
         sender: sender.clone(),
         peers,
         anew,
@@ -92,9 +92,9 @@
         taker.take_frame(frame);
     }));
     for (addr, others, anew) in ways {
-        tokio::spawn(peer::send(addr, beats.clone(), others, anew));
+        tokio::spawn(peer::send(addr, heartbeats.clone(), others, anew));
     }
-    tokio::spawn(app.clone().beats(out));
+    tokio::spawn(app.clone().heartbeats(out));
     tokio::spawn(app.clone().clock());
     tokio::spawn(app.clone().serve_barriers());
     tokio::spawn(app.clone().watch_queue());
