--- a/crates/cherryyard-core/src/machine.rs
+++ b/crates/cherryyard-core/src/machine.rs
@@ -161,7 +161,7 @@
     /// It began anew under our present token. Copies of reports of its life before may
     /// still come, and would look newer than its own: only its direct answers count.
     pub(crate) anew: bool,
-    /// Starts sent directly whose fate is not known.
+    /// Starts sent directly whose task_outcome is not known.
     pub pushed: Vec<PushedStart>,
     /// Starts in the answer to the newest report.
     pub offered: Vec<(Task, u64)>,
--- a/crates/cherryyard-core/src/owner/round.rs
+++ b/crates/cherryyard-core/src/owner/round.rs
@@ -38,7 +38,7 @@
 }
 
 /// What is known of a marked task.
-pub(crate) enum Fate {
+pub(crate) enum TaskOutcome {
     Keep,
     Done,
     Gone { failed: bool },
@@ -185,9 +185,15 @@
 
 impl Node {
     /// What reports prove of a marked task.
-    pub(crate) fn fate(&self, job: u64, number: u32, mark: &Mark, now: Millis) -> Fate {
+    pub(crate) fn task_outcome(
+        &self,
+        job: u64,
+        number: u32,
+        mark: &Mark,
+        now: Millis,
+    ) -> TaskOutcome {
         let Some(m) = self.machines.get(&mark.host) else {
-            return Fate::Keep;
+            return TaskOutcome::Keep;
         };
         let open = self.mirror.open.contains_key(&job);
         let task = (job, number);
@@ -198,14 +204,14 @@
             && seen.ended()
         {
             return match seen.cause {
-                Some(Cause::Done) => Fate::Done,
-                cause => Fate::Gone {
+                Some(Cause::Done) => TaskOutcome::Done,
+                cause => TaskOutcome::Gone {
                     failed: !matches!(cause, Some(Cause::Halted | Cause::Busy | Cause::NoRoom)),
                 },
             };
         }
         if !m.proven_gone(task, mark.session, mark.attempt) {
-            return Fate::Keep;
+            return TaskOutcome::Keep;
         }
         // Absent in the same session means that the start has not arrived. It
         // is sent again, as the same attempt, unless nothing should start.
@@ -215,9 +221,9 @@
             && !m.gave_up(mark.session, mark.attempt)
             && m.recall_at.is_none_or(|at| at - now > 60_000.0);
         if open && may_start {
-            Fate::Keep
+            TaskOutcome::Keep
         } else {
-            Fate::Gone { failed: false }
+            TaskOutcome::Gone { failed: false }
         }
     }
 
@@ -249,15 +255,15 @@
                 let Some(&(_, page)) = place.and_then(|m| m.marks.get(&number)) else {
                     continue;
                 };
-                let fate = self.fate(job, number, &mark, now);
-                if matches!(fate, Fate::Keep) {
+                let task_outcome = self.task_outcome(job, number, &mark, now);
+                if matches!(task_outcome, TaskOutcome::Keep) {
                     let m = self.machines.get(&host);
                     let of_life_before = m.is_some_and(|m| mark.attempt <= m.born_after);
                     blocked |= (of_life_before || !self.mirror.open.contains_key(&job))
                         && self.blocked_by_push(job, number, &mark, now);
                     continue;
                 }
-                let done = matches!(fate, Fate::Done);
+                let done = matches!(task_outcome, TaskOutcome::Done);
                 if !round.unmark(&self.mirror, task, page, done) {
                     left.insert(host);
                     continue;
@@ -291,7 +297,7 @@
                         *sum = (sum.0 + 1, sum.1 + ran);
                     }
                     pending.done.push((job, host));
-                } else if matches!(fate, Fate::Gone { failed: true }) {
+                } else if matches!(task_outcome, TaskOutcome::Gone { failed: true }) {
                     pending.failed.push((job, host));
                 }
                 pending.hosts.insert(host);
