--- a/crates/cherryyard-core/src/leader/arrivals.rs
+++ b/crates/cherryyard-core/src/leader/arrivals.rs
@@ -4,8 +4,8 @@
 use cherryyard_wire::record::{ARRIVALS, FORMAT, FormatRecord};
 use std::collections::BTreeMap;
 
-/// Least time between two looks for pages to tidy.
-const TIDY_MS: f64 = 1000.0;
+/// Least time between two looks for pages to compact.
+const COMPACT_MS: f64 = 1000.0;
 /// For how long what a controller has said of its build counts.
 const SAID_MS: f64 = 3000.0;
 /// Pages that are left alone.
@@ -97,13 +97,14 @@
     }
 
     /// Tidies pages now and then, where users leave room for it.
-    pub(crate) fn tidy_pages(&mut self, now: Millis) -> Option<Commit> {
+    pub(crate) fn compact_pages(&mut self, now: Millis) -> Option<Commit> {
         let idle = self.intake.waiting() == 0 && self.user_pace.left(now) >= 2.0;
-        if self.mirror.arrivals.len() <= FEW || !idle || now - self.leader.tidied_at < TIDY_MS {
+        if self.mirror.arrivals.len() <= FEW || !idle || now - self.leader.compacted_at < COMPACT_MS
+        {
             return None;
         }
-        self.leader.tidied_at = now;
-        let commit = self.mirror.tidy_pages(&self.config)?;
+        self.leader.compacted_at = now;
+        let commit = self.mirror.compact_pages(&self.config)?;
         self.user_pace.spend(commit.apply.len() as f64);
         Some(commit)
     }
--- a/crates/cherryyard-core/src/leader/mod.rs
+++ b/crates/cherryyard-core/src/leader/mod.rs
@@ -197,7 +197,7 @@
             .or_else(|| self.hand_out_grants(now))
             .or_else(|| self.move_waiting(now))
             .or_else(|| self.end_dependents(now))
-            .or_else(|| self.tidy_pages(now));
+            .or_else(|| self.compact_pages(now));
         if let Some(mut commit) = commit {
             self.mirror.require(&mut commit, Key::Lead);
             self.leader.pending = true;
--- a/crates/cherryyard-core/src/leader/state.rs
+++ b/crates/cherryyard-core/src/leader/state.rs
@@ -90,7 +90,7 @@
     pub(crate) rooms_heard: u64,
     pub(crate) overflowed: (u64, Millis),
     /// When pages of new jobs were last tidied.
-    pub(crate) tidied_at: Millis,
+    pub(crate) compacted_at: Millis,
     pub(crate) pending: bool,
     /// When the transaction under way was made.
     pub(crate) sent_at: Millis,
@@ -136,7 +136,7 @@
             rooms: vec![None; config.parts()],
             rooms_heard: 0,
             overflowed: (0, f64::NEG_INFINITY),
-            tidied_at: now,
+            compacted_at: now,
             pending: false,
             sent_at: f64::NEG_INFINITY,
             retry_after: now,
--- a/crates/cherryyard-core/src/mirror/arrivals.rs
+++ b/crates/cherryyard-core/src/mirror/arrivals.rs
@@ -290,10 +290,10 @@
         true
     }
 
-    /// The transaction that tidies the pages, if there is something to tidy: pages of
+    /// The transaction that tidies the pages, if there is something to compact: pages of
     /// which no job depends any more are deleted, and what little is left of two goes
     /// into one. Never the last: it shows what has been added. The first is emptied.
-    pub(crate) fn tidy_pages(&self, config: &Config) -> Option<Commit> {
+    pub(crate) fn compact_pages(&self, config: &Config) -> Option<Commit> {
         let mut commit = Commit::default();
         let last = *self.arrivals.last_key_value()?.0;
         let mut left: Option<(u64, usize)> = None;
--- a/crates/cherryyard-core/src/owner/mod.rs
+++ b/crates/cherryyard-core/src/owner/mod.rs
@@ -161,7 +161,7 @@
             self.place(p, now, &mut round, &mut pending);
         }
         if round.is_empty() {
-            self.tidy(p, now, &mut round);
+            self.compact(p, now, &mut round);
         }
         if round.is_empty() {
             if let Some(images) = self.images_change(p, now) {
--- a/crates/cherryyard-core/src/owner/round.rs
+++ b/crates/cherryyard-core/src/owner/round.rs
@@ -13,7 +13,7 @@
 /// something has changed without a message.
 const LOOK_MS: f64 = 5000.0;
 /// Least time between two looks for pages that can go.
-const TIDY_MS: f64 = 1000.0;
+const COMPACT_MS: f64 = 1000.0;
 
 /// A round in the making.
 pub(crate) struct Round {
@@ -355,11 +355,11 @@
 
     /// When there is nothing else to write: drops a page of which nothing is
     /// needed any more, or moves what is left of one into the last.
-    pub(crate) fn tidy(&mut self, p: usize, now: Millis, round: &mut Round) {
-        if self.parts[p].budget.left(now) < 2.0 || now - self.parts[p].tidied_at < TIDY_MS {
+    pub(crate) fn compact(&mut self, p: usize, now: Millis, round: &mut Round) {
+        if self.parts[p].budget.left(now) < 2.0 || now - self.parts[p].compacted_at < COMPACT_MS {
             return;
         }
-        self.parts[p].tidied_at = now;
+        self.parts[p].compacted_at = now;
         let most = round.page_bytes;
         let Some(last) = self.mirror.last_page(p) else {
             return;
--- a/crates/cherryyard-core/src/owner/state.rs
+++ b/crates/cherryyard-core/src/owner/state.rs
@@ -41,7 +41,7 @@
     pub(crate) touched: BTreeSet<u32>,
     /// When a round last looked at all of them.
     pub(crate) looked_at: Millis,
-    pub(crate) tidied_at: Millis,
+    pub(crate) compacted_at: Millis,
     /// When the last round was planned, and when the last look at leases was.
     pub(crate) planned_at: Millis,
     pub(crate) kept_at: Millis,
@@ -93,7 +93,7 @@
             dirty: true,
             touched: BTreeSet::new(),
             looked_at: f64::NEG_INFINITY,
-            tidied_at: now,
+            compacted_at: now,
             planned_at: f64::NEG_INFINITY,
             kept_at: f64::NEG_INFINITY,
             unheard_at: f64::NEG_INFINITY,
