--- a/crates/cherryyard-core/src/cancelled.rs
+++ b/crates/cherryyard-core/src/cancelled.rs
@@ -218,7 +218,7 @@
     /// lived through and knows of every cancellation, and for nothing that it tells to
     /// be cancelled. Cancellations before its list reaches back are older than a lease,
     /// and their tasks have gone.
-    pub(crate) fn vouches(&self, p: usize, report: &Report, now: Millis) -> bool {
+    pub(crate) fn may_extend_lease(&self, p: usize, report: &Report, now: Millis) -> bool {
         let me = &self.config.labels[self.config.me];
         let reach = self.config.lease_ms + 10_000.0;
         let knows = |peer: &PeerState| {
--- a/crates/cherryyard-core/src/reports.rs
+++ b/crates/cherryyard-core/src/reports.rs
@@ -117,7 +117,7 @@
         let p = self.config.parting.part(&report.yard, &report.host);
         let Some(token) = self.answering(p, now) else {
             self.note_stray(p, report, now);
-            if self.vouches(p, report, now) {
+            if self.may_extend_lease(p, report, now) {
                 tracing::debug!(host = %report.host, "vouch for a lease");
                 return Reply::Answer(ReportAnswer {
                     baton: report.baton,
