--- a/crates/cherryyard-core/src/account.rs
+++ b/crates/cherryyard-core/src/account.rs
@@ -49,11 +49,11 @@
     Lost,
     /// Waiting for an image.
     Fetching,
-    /// Marked, the start not yet seen in a report.
+    /// Assigned, the start not yet seen in a report.
     Starting,
-    /// Over, the mark not yet taken back.
+    /// Over, the assignment not yet taken back.
     Ending,
-    /// Tasks without a mark.
+    /// Tasks without an assignment.
     Strays,
     /// Machines rented and not yet up.
     Booting,
@@ -139,7 +139,7 @@
 pub struct Account {
     sum: CoreSeconds,
     sampled_at: Option<Millis>,
-    /// How long each marked attempt has been seen to run, and its cores.
+    /// How long each assigned attempt has been seen to run, and its cores.
     ran: HashMap<(Task, u64), (f64, f64)>,
 }
 
@@ -155,18 +155,18 @@
         self.sampled_at = None;
     }
 
-    /// Attempts without a mark any more were either of use or lost.
+    /// Attempts without an assignment any more were either of use or lost.
     fn settle(&mut self, p: usize, mirror: &Mirror) {
         let sum = &mut self.sum;
         self.ran.retain(|&(task, attempt), &mut (s, cores)| {
             let (job, number) = task;
-            let marks = mirror.marks.get(&(p, job));
-            let marked = marks.and_then(|m| m.marks.get(&number));
-            if marked.is_some_and(|(m, _)| m.attempt == attempt) {
+            let assignments = mirror.assignments.get(&(p, job));
+            let assigned = assignments.and_then(|m| m.assignments.get(&number));
+            if assigned.is_some_and(|(m, _)| m.attempt == attempt) {
                 return true;
             }
             let done = mirror.end(job) == Some(End::Done)
-                || marks.is_some_and(|m| m.done.contains(number));
+                || assignments.is_some_and(|m| m.done.contains(number));
             let service = mirror
                 .open
                 .get(&job)
@@ -266,12 +266,15 @@
     }
 
     fn count_tasks(&self, m: &Machine, s: f64, account: &mut Account) {
-        for (task, mark) in self.mirror.on_host(m.host) {
+        for (task, assignment) in self.mirror.on_host(m.host) {
             let Some((_, needs)) = self.mirror.uses(task.0) else {
                 continue;
             };
             let cores = needs.cores * s;
-            let seen = m.seen.get(&task).filter(|t| t.attempt == mark.attempt);
+            let seen = m
+                .seen
+                .get(&task)
+                .filter(|t| t.attempt == assignment.attempt);
             let open = self.mirror.open.get(&task.0);
             let service = open.is_some_and(|o| o.spec.shape == Shape::Service);
             let went = match seen.map(|t| t.status) {
@@ -280,7 +283,7 @@
                 Some(PieceStatus::Ended) => Went::Ending,
                 Some(_) if service => Went::Replicas,
                 Some(_) => {
-                    let key = (task, mark.attempt);
+                    let key = (task, assignment.attempt);
                     account.ran.entry(key).or_insert((0.0, needs.cores)).0 += s;
                     Went::Arrays
                 }
@@ -288,7 +291,7 @@
             account.sum.count(went, cores);
         }
         for (task, seen) in &m.seen {
-            if !seen.ended() && self.mirror.mark_on(m.host, *task).is_none() {
+            if !seen.ended() && self.mirror.assignment_on(m.host, *task).is_none() {
                 let cores = self.mirror.uses(task.0).map_or(0.0, |u| u.1.cores);
                 account.sum.count(Went::Strays, cores * s);
             }
--- a/crates/cherryyard-core/src/admission/rights.rs
+++ b/crates/cherryyard-core/src/admission/rights.rs
@@ -79,7 +79,7 @@
 }
 
 impl Node {
-    /// What each flow runs and has waiting, as the marks and divisions say.
+    /// What each flow runs and has waiting, as the assignments and divisions say.
     pub(crate) fn flow_use(&self) -> Vec<FlowUse> {
         let parts = self.parts.len();
         let mut all = vec![
@@ -89,11 +89,11 @@
             };
             self.mirror.flows.len()
         ];
-        for (&(p, job), marks) in &self.mirror.marks {
+        for (&(p, job), assignments) in &self.mirror.assignments {
             if let Some(open) = self.mirror.open.get(&job)
                 && let Some(used) = all.get_mut(open.flow as usize)
             {
-                used.running[p] += open.spec.cores * marks.marks.len() as f64;
+                used.running[p] += open.spec.cores * assignments.assignments.len() as f64;
             }
         }
         for p in 0..parts {
@@ -319,9 +319,10 @@
             return all;
         }
         let mut runs: HashMap<Flow, f64> = HashMap::new();
-        for (&(_, job), marks) in self.mirror.marks.range((p, 0)..=(p, u64::MAX)) {
+        for (&(_, job), assignments) in self.mirror.assignments.range((p, 0)..=(p, u64::MAX)) {
             if let Some(open) = self.mirror.open.get(&job) {
-                *runs.entry(open.flow).or_default() += open.spec.cores * marks.marks.len() as f64;
+                *runs.entry(open.flow).or_default() +=
+                    open.spec.cores * assignments.assignments.len() as f64;
             }
         }
         for (job, _) in gone {
--- a/crates/cherryyard-core/src/config.rs
+++ b/crates/cherryyard-core/src/config.rs
@@ -8,7 +8,7 @@
 use std::collections::HashMap;
 use std::num::NonZeroUsize;
 
-/// Largest page of marks, whatever the value limit: every change of one is told
+/// Largest page of assignments, whatever the value limit: every change of one is told
 /// to all controllers.
 const MAX_PAGE: usize = 12 * 1024;
 
@@ -178,7 +178,7 @@
     pub value_bytes: usize,
     /// How late the machine list usually is.
     pub list_lag_ms: f64,
-    /// Most bytes of a page of marks.
+    /// Most bytes of a page of assignments.
     pub page_bytes: usize,
     /// For each class with deadlines, the multiples of them that count, in order.
     pub deadline_times: HashMap<String, Vec<f64>>,
@@ -249,7 +249,7 @@
         config
     }
 
-    /// Sets the largest value, and the largest page of marks by it.
+    /// Sets the largest value, and the largest page of assignments by it.
     pub(crate) fn set_value_bytes(&mut self, bytes: usize) {
         self.value_bytes = bytes;
         self.page_bytes = bytes.saturating_sub(64).clamp(256, MAX_PAGE);
--- a/crates/cherryyard-core/src/leader/arrivals.rs
+++ b/crates/cherryyard-core/src/leader/arrivals.rs
@@ -47,7 +47,7 @@
         Some(commit)
     }
 
-    /// Divides jobs that came undivided, page by page: as long as they are, no mark
+    /// Divides jobs that came undivided, page by page: as long as they are, no assignment
     /// depends on them.
     pub(crate) fn divide_pages(&mut self, now: Millis) -> Option<Commit> {
         let mut pages: BTreeMap<u64, Vec<u64>> = BTreeMap::new();
--- a/crates/cherryyard-core/src/leader/assumed.rs
+++ b/crates/cherryyard-core/src/leader/assumed.rs
@@ -8,7 +8,7 @@
 
 impl Node {
     /// Where an owner's reports do not arrive (connections between controllers
-    /// are refused), what the cloud lists and what is marked stand for them:
+    /// are refused), what the cloud lists and what is assigned stand for them:
     /// else every job went to the leader's own part.
     pub(crate) fn assume_rooms(&mut self, now: Millis) {
         if now - self.leader.since < ASSUME_AFTER_MS {
--- a/crates/cherryyard-core/src/leader/creating.rs
+++ b/crates/cherryyard-core/src/leader/creating.rs
@@ -315,7 +315,7 @@
         if self.user_pace.left(now) <= -self.user_pace.overdraft() {
             return;
         }
-        open.sort_by_cached_key(|&job| (self.mirror.marked(job) == 0, job_hash(job)));
+        open.sort_by_cached_key(|&job| (self.mirror.assigned(job) == 0, job_hash(job)));
         let n = self.within_ops(open.iter().copied());
         let ended = |&job: &u64| Some((job, self.mirror.open.get(&job)?.ended(End::Cancelled)));
         let records: Vec<Option<(u64, JobRecord)>> = open[..n].iter().map(ended).collect();
@@ -396,7 +396,7 @@
         let record = &self.mirror.submissions.get(&number)?.0;
         let (mut queued, mut running) = (0, 0);
         for &job in self.mirror.open.range(record.block()).map(|o| o.0) {
-            if self.mirror.marked(job) > 0 {
+            if self.mirror.assigned(job) > 0 {
                 running += 1;
             } else {
                 queued += 1;
--- a/crates/cherryyard-core/src/leader/overflow.rs
+++ b/crates/cherryyard-core/src/leader/overflow.rs
@@ -17,7 +17,7 @@
 
 impl Node {
     /// Overflow: a part that has kept tasks waiting for the delay loses its
-    /// unmarked numbers to parts with room for them.
+    /// unassigned numbers to parts with room for them.
     pub(crate) fn move_waiting(&mut self, now: Millis) -> Option<Commit> {
         // A replica whose image only other parts hold is not kept waiting for
         // the delay: fetching it would take longer than moving it.
@@ -32,7 +32,7 @@
         let mut records = Vec::new();
         let mut from = None;
         for (job, p, handed) in self.overdue(&handed, now) {
-            // From one part at a time: its owner's marks, which the transaction
+            // From one part at a time: its owner's assignments, which the transaction
             // depends on, come all the time.
             if from.is_some_and(|f| f != p) || records.iter().any(|r: &(u64, _)| r.0 == job) {
                 continue;
@@ -44,7 +44,7 @@
             let mut more = records.clone();
             more.push((job, new.record()));
             let mut attempt = Commit::default();
-            // A number that its owner marks meanwhile is in one of these.
+            // A number that its owner assigns meanwhile is in one of these.
             self.mirror.require_last_page(&mut attempt, p);
             if !self
                 .mirror
@@ -126,7 +126,7 @@
     /// Which numbers of a job leave a part, and how many go to each other one.
     fn shares_of_overflow(&self, job: u64, p: usize, now: Millis) -> Option<(RangeSet, Vec<u32>)> {
         let open = self.mirror.open.get(&job).filter(|o| o.divided())?;
-        let unmarked = self.mirror.waiting(p, job)?;
+        let unassigned = self.mirror.waiting(p, job)?;
         let mut w = self.weights(open, now);
         w[p] = 0.0;
         if open.spec.apart && open.spec.pieces > 1 {
@@ -143,7 +143,7 @@
             return None;
         }
         // From the end, so that both parts keep few ranges.
-        let moving = unmarked.last(room as u32);
+        let moving = unassigned.last(room as u32);
         let shares = divide(moving.len(), &w);
         Some((moving, shares))
     }
--- a/crates/cherryyard-core/src/leader/packing.rs
+++ b/crates/cherryyard-core/src/leader/packing.rs
@@ -140,7 +140,7 @@
     }
 
     /// Whether the history may have its share of the write budget now: while tasks
-    /// wait for marks, or jobs for their division, it waits too, but for a while
+    /// wait for assignments, or jobs for their division, it waits too, but for a while
     /// only, as ends take memory until they are folded. (With batches of 300 a day of
     /// restarts had three times as many requests refused.)
     fn calm(&self) -> bool {
--- a/crates/cherryyard-core/src/leader/rent.rs
+++ b/crates/cherryyard-core/src/leader/rent.rs
@@ -41,7 +41,7 @@
             let left = open
                 .spec
                 .pieces
-                .saturating_sub(self.mirror.done(job) + self.mirror.marked(job));
+                .saturating_sub(self.mirror.done(job) + self.mirror.assigned(job));
             let cores = f64::from(left) * open.spec.cores;
             waiting += cores;
             if open.spec.shape == Shape::Service {
@@ -110,7 +110,7 @@
         let (mut bound, mut all) = (Vec::new(), 0.0);
         let asks = |o: &(&u64, &OpenJob)| self.is_bound(o.1) && !self.mirror.waits_for_others(*o.0);
         for (job, open) in self.mirror.open.iter().filter(asks) {
-            let gone = self.mirror.done(*job) + self.mirror.marked(*job);
+            let gone = self.mirror.done(*job) + self.mirror.assigned(*job);
             let left = f64::from(open.spec.pieces.saturating_sub(gone));
             if left == 0.0 {
                 continue;
@@ -150,7 +150,7 @@
                 && open.allows(o.3, o.4, o.0).is_some()
         };
         let others = self.mirror.open.iter().any(|(job, open)| {
-            let gone = self.mirror.done(*job) + self.mirror.marked(*job);
+            let gone = self.mirror.done(*job) + self.mirror.assigned(*job);
             open.spec.pieces > gone && !self.is_bound(open) && !self.mirror.waits_for_others(*job)
         });
         if alone || due && !others {
--- a/crates/cherryyard-core/src/machine.rs
+++ b/crates/cherryyard-core/src/machine.rs
@@ -148,7 +148,7 @@
     /// Whether what we send it arrives.
     pub reach: Reach,
     /// When it became unreachable: its session, and the last attempt up to then. Whatever
-    /// was marked here before and is not there is given up, also if it hears again.
+    /// was assigned here before and is not there is given up, also if it hears again.
     pub(crate) given_up: (u64, u64),
     /// When it was last asked directly, and what was the newest message then.
     pub(crate) asked: (Millis, (u64, u64)),
@@ -327,7 +327,7 @@
         self.confirmed_token = own_token;
         self.heard_at = now;
         self.addr.clone_from(&report.addr);
-        // Only ever nearer: a mark that a late transaction takes back for it must not be
+        // Only ever nearer: an assignment that a late transaction takes back for it must not be
         // started again meanwhile.
         let recall_at = report.recall_s.map(|s| now + s.max(0.0) * 1000.0);
         self.recall_at = match (recall_at, self.recall_at) {
@@ -408,7 +408,7 @@
             || self.offered.contains(&(task, attempt))
     }
 
-    /// Whether a task with this mark is proven not to be on the machine, nor
+    /// Whether a task with this assignment is proven not to be on the machine, nor
     /// able to come back there.
     pub fn proven_gone(&self, task: Task, session: u64, attempt: u64) -> bool {
         // A machine that hung beyond its lease may carry out what was sent to it before it
@@ -425,7 +425,7 @@
             HostState::Ready | HostState::Returning => {
                 // Returning may follow Unconfirmed; only a report that carries
                 // our token counts.
-                // A mark older than our token in a session that has yet to come is of a
+                // An assignment older than our token in a session that has yet to come is of a
                 // life before of the worker: it was there before it showed the token.
                 self.token_ours()
                     && (session < self.newest.0
--- a/crates/cherryyard-core/src/mirror/marks.rs
+++ b/crates/cherryyard-core/src/mirror/assignments.rs
@@ -1,8 +1,8 @@
-//! Marks in the mirror: by page, by job, by machine.
+//! Assignments in the mirror: by page, by job, by machine.
 
 use super::Mirror;
 use crate::needs::Needs;
-use crate::pages::{JobMarks, Mark, Page, PageFormat, PageJob};
+use crate::pages::{Assignment, JobAssignments, Page, PageFormat, PageJob};
 use cherryyard_wire::RangeSet;
 use cherryyard_wire::record::Key;
 use cherryyard_wire::state::Commit;
@@ -23,35 +23,45 @@
             pages.insert(page, new);
         }
         for job in changed {
-            self.refresh_marks(part, job);
+            self.refresh_assignments(part, job);
         }
     }
 
     /// Sums up what the part's pages say of a job.
-    fn refresh_marks(&mut self, part: usize, job: u64) {
-        let mut sum = JobMarks::default();
+    fn refresh_assignments(&mut self, part: usize, job: u64) {
+        let mut sum = JobAssignments::default();
         for (&page, p) in &self.pages[part] {
             if let Some(j) = p.jobs.get(&job) {
-                sum.marks
-                    .extend(j.marks.iter().map(|(&n, &mark)| (n, (mark, page))));
+                sum.assignments.extend(
+                    j.assignments
+                        .iter()
+                        .map(|(&n, &assignment)| (n, (assignment, page))),
+                );
                 sum.done = sum.done.union(&j.done);
             }
         }
-        let old = self.marks.remove(&(part, job)).unwrap_or_default();
-        for (&number, (mark, _)) in &old.marks {
-            if sum.marks.get(&number).is_none_or(|n| n.0 != *mark)
-                && let Some(tasks) = self.on_host.get_mut(mark.host as usize)
+        let old = self.assignments.remove(&(part, job)).unwrap_or_default();
+        for (&number, (assignment, _)) in &old.assignments {
+            if sum
+                .assignments
+                .get(&number)
+                .is_none_or(|n| n.0 != *assignment)
+                && let Some(tasks) = self.on_host.get_mut(assignment.host as usize)
             {
                 tasks.remove(&(job, number));
             }
         }
-        for (&number, &(mark, _)) in &sum.marks {
-            if old.marks.get(&number).is_none_or(|o| o.0 != mark) {
-                let at = mark.host as usize;
+        for (&number, &(assignment, _)) in &sum.assignments {
+            if old
+                .assignments
+                .get(&number)
+                .is_none_or(|o| o.0 != assignment)
+            {
+                let at = assignment.host as usize;
                 if self.on_host.len() <= at {
                     self.on_host.resize_with(at + 1, BTreeMap::new);
                 }
-                self.on_host[at].insert((job, number), mark);
+                self.on_host[at].insert((job, number), assignment);
             }
         }
         if sum.done.len() != old.done.len() {
@@ -64,8 +74,8 @@
         if *total == 0 {
             self.tasks_done.remove(&job);
         }
-        if !sum.marks.is_empty() || !sum.done.is_empty() {
-            self.marks.insert((part, job), sum);
+        if !sum.assignments.is_empty() || !sum.done.is_empty() {
+            self.assignments.insert((part, job), sum);
         }
         self.refresh_waiting(part, job);
         self.refresh_complete(job);
@@ -73,12 +83,12 @@
 
     pub(super) fn refresh_waiting(&mut self, part: usize, job: u64) {
         let share = self.open.get(&job).and_then(|o| o.div.get(part));
-        let left = match (share, self.marks.get(&(part, job))) {
+        let left = match (share, self.assignments.get(&(part, job))) {
             (None, _) => RangeSet::new(),
             (Some(share), None) => share.clone(),
             (Some(share), Some(m)) => share
                 .minus(&m.done)
-                .minus(&m.marks.keys().copied().collect()),
+                .minus(&m.assignments.keys().copied().collect()),
         };
         let before = if left.is_empty() {
             self.waiting[part].remove(&job).is_some()
@@ -100,7 +110,7 @@
         }
     }
 
-    /// The part's last page, and the one after it: new marks go nowhere else.
+    /// The part's last page, and the one after it: new assignments go nowhere else.
     pub fn last_page(&self, part: usize) -> Option<u32> {
         self.pages
             .get(part)
@@ -108,7 +118,7 @@
             .map(|(&n, _)| n)
     }
 
-    /// Adds the conditions that the part has got no mark that is not known here.
+    /// Adds the conditions that the part has got no assignment that is not known here.
     ///
     /// Page 0 is never deleted once it is there, and a new page is made by a transaction
     /// that writes the last one anew: so that "absent" never holds again for one that is
@@ -116,23 +126,23 @@
     pub(crate) fn require_last_page(&self, commit: &mut Commit, part: usize) {
         let last = self.last_page(part);
         for page in last.into_iter().chain([last.map_or(0, |n| n + 1)]) {
-            self.require(commit, Key::Mark { part, page });
+            self.require(commit, Key::Assignment { part, page });
         }
     }
 
-    /// The part that a mark on a machine belongs to.
-    pub fn part_of_mark(&self, host: u32) -> Option<usize> {
+    /// The part that an assignment on a machine belongs to.
+    pub fn part_of_assignment(&self, host: u32) -> Option<usize> {
         let (job, number) = *self.on_host.get(host as usize)?.keys().next()?;
         (0..self.parts.len()).find(|&p| {
-            self.marks
+            self.assignments
                 .get(&(p, job))
-                .and_then(|m| m.marks.get(&number))
-                .is_some_and(|(mark, _)| mark.host == host)
+                .and_then(|m| m.assignments.get(&number))
+                .is_some_and(|(assignment, _)| assignment.host == host)
         })
     }
 
-    /// The marks on a machine, by job and number.
-    pub fn on_host(&self, host: u32) -> impl Iterator<Item = ((u64, u32), Mark)> + '_ {
+    /// The assignments on a machine, by job and number.
+    pub fn on_host(&self, host: u32) -> impl Iterator<Item = ((u64, u32), Assignment)> + '_ {
         self.on_host
             .get(host as usize)
             .into_iter()
@@ -140,20 +150,20 @@
             .map(|(&k, &m)| (k, m))
     }
 
-    /// The mark of a task on a machine.
-    pub fn mark_on(&self, host: u32, task: (u64, u32)) -> Option<Mark> {
+    /// The assignment of a task on a machine.
+    pub fn assignment_on(&self, host: u32, task: (u64, u32)) -> Option<Assignment> {
         self.on_host.get(host as usize)?.get(&task).copied()
     }
 
-    /// The machines that carry marks.
-    pub fn marked_hosts(&self) -> impl Iterator<Item = u32> + '_ {
-        let marked = self.on_host.iter().enumerate();
-        marked
+    /// The machines that carry assignments.
+    pub fn assigned_hosts(&self) -> impl Iterator<Item = u32> + '_ {
+        let assigned = self.on_host.iter().enumerate();
+        assigned
             .filter(|(_, tasks)| !tasks.is_empty())
             .map(|(host, _)| host as u32)
     }
 
-    /// A part's numbers of a job that are neither done nor marked, if there are any.
+    /// A part's numbers of a job that are neither done nor assigned, if there are any.
     pub fn waiting(&self, part: usize, job: u64) -> Option<&RangeSet> {
         self.waiting.get(part)?.get(&job)
     }
@@ -163,19 +173,19 @@
         std::mem::take(&mut self.waiting_changes)
     }
 
-    /// How many tasks of a job are marked, in all parts.
-    pub fn marked(&self, job: u64) -> u32 {
+    /// How many tasks of a job are assigned, in all parts.
+    pub fn assigned(&self, job: u64) -> u32 {
         (0..self.parts.len())
-            .filter_map(|p| self.marks.get(&(p, job)))
-            .map(|m| m.marks.len() as u32)
+            .filter_map(|p| self.assignments.get(&(p, job)))
+            .map(|m| m.assignments.len() as u32)
             .sum()
     }
 
-    /// What each team uses in `part`: from mark to proven gone.
+    /// What each team uses in `part`: from assignment to proven gone.
     pub fn usage(&self, part: usize) -> Vec<Needs> {
         let mut used = vec![Needs::default(); self.teams.len()];
-        for (&(_, job), m) in self.marks.range((part, 0)..=(part, u64::MAX)) {
-            let count = m.marks.len();
+        for (&(_, job), m) in self.assignments.range((part, 0)..=(part, u64::MAX)) {
+            let count = m.assignments.len();
             if count == 0 {
                 continue;
             }
--- a/crates/cherryyard-core/src/mirror/jobs.rs
+++ b/crates/cherryyard-core/src/mirror/jobs.rs
@@ -353,12 +353,12 @@
             || self.recent.iter().any(|(job, _)| jobs.contains(job))
     }
 
-    /// Whether any page names the job, of marks or of arrivals: while one of marks
+    /// Whether any page names the job, of assignments or of arrivals: while one of assignments
     /// does, its tasks may be on machines, and while one of arrivals does, it would be
     /// open again if nothing said that it is over.
     pub fn named_in_pages(&self, job: u64) -> bool {
         self.page_of(job).is_some()
-            || (0..self.parts.len()).any(|p| self.marks.contains_key(&(p, job)))
+            || (0..self.parts.len()).any(|p| self.assignments.contains_key(&(p, job)))
     }
 
     /// Jobs that are over and stand in watched records.
@@ -435,7 +435,7 @@
         if let Some(need) = self.cancelled_with(job) {
             return Some(cancelled_with(job, need));
         }
-        let running = self.marked(job);
+        let running = self.assigned(job);
         let status = if running > 0 {
             JobStatus::Running
         } else {
--- a/crates/cherryyard-core/src/mirror/mod.rs
+++ b/crates/cherryyard-core/src/mirror/mod.rs
@@ -5,17 +5,17 @@
 //! the highest stamp.
 
 mod arrivals;
+mod assignments;
 mod buckets;
 mod dependencies;
 mod jobs;
-mod marks;
 
 use crate::Config;
 use crate::admission::flows::Flows;
 use crate::cells::Matcher;
 use crate::names::Names;
 use crate::needs::Needs;
-use crate::pages::{JobMarks, Mark, Page};
+use crate::pages::{Assignment, JobAssignments, Page};
 use arrivals::Arrivals;
 pub use arrivals::MOST_ROWS;
 use buckets::Bucket;
@@ -96,12 +96,12 @@
     ids_stamp: u64,
     /// Jobs that are not over, by number.
     pub open: BTreeMap<u64, OpenJob>,
-    /// Pages of marks, by part. New marks go into a part's last page or the one
+    /// Pages of assignments, by part. New assignments go into a part's last page or the one
     /// after it, so these two tell whether any have been made.
     pub pages: Vec<BTreeMap<u32, Page>>,
     /// What the pages say, by part and job.
-    pub marks: BTreeMap<(usize, u64), JobMarks>,
-    /// Numbers that are neither done nor marked, by part and job; none empty.
+    pub assignments: BTreeMap<(usize, u64), JobAssignments>,
+    /// Numbers that are neither done nor assigned, by part and job; none empty.
     pub waiting: Vec<BTreeMap<u64, RangeSet>>,
     /// Open jobs that wait for no other and that the leader has not divided yet.
     pub undivided: BTreeSet<u64>,
@@ -140,7 +140,7 @@
     /// Jobs that are over and have left the watched records for the history.
     recent: LruCache<u64, (End, u32)>,
     /// By machine's index: each round and report looks here for many machines.
-    on_host: Vec<BTreeMap<(u64, u32), Mark>>,
+    on_host: Vec<BTreeMap<(u64, u32), Assignment>>,
     deleted: HashMap<Key, u64>,
     /// Keys that a full read under way has shown.
     present: HashSet<Key>,
@@ -172,7 +172,7 @@
             ids_stamp: 0,
             open: BTreeMap::new(),
             pages: vec![BTreeMap::new(); parts],
-            marks: BTreeMap::new(),
+            assignments: BTreeMap::new(),
             waiting: vec![BTreeMap::new(); parts],
             undivided: BTreeSet::new(),
             graph: DependencyGraph::default(),
@@ -231,7 +231,7 @@
             return;
         }
         // What the read lacks was deleted before it: without this, a job or
-        // mark deleted while the watch was too old (410) would live on here.
+        // assignment deleted while the watch was too old (410) would live on here.
         for key in self.keys() {
             if !present.contains(&key) && self.stamp(key) <= epoch {
                 self.forget(key);
@@ -290,7 +290,7 @@
         keys.extend(self.ended.keys().filter(own).map(|&j| Key::Job(j)));
         keys.extend(self.buckets.keys().map(|&from| Key::Bucket(from)));
         for (part, pages) in self.pages.iter().enumerate() {
-            keys.extend(pages.keys().map(|&page| Key::Mark { part, page }));
+            keys.extend(pages.keys().map(|&page| Key::Assignment { part, page }));
         }
         for (team, parts) in self.grants.iter().enumerate() {
             keys.extend((0..parts.len()).map(|part| Key::Grant { team, part }));
@@ -321,7 +321,7 @@
             Key::Arrivals(page) => self.arrivals.get(&page).map_or(0, |a| a.stamp),
             Key::Format => self.format_stamp,
             Key::Packed => self.packed_stamp,
-            Key::Mark { part, page } => self
+            Key::Assignment { part, page } => self
                 .pages
                 .get(part)
                 .and_then(|pages| pages.get(&page))
@@ -384,7 +384,7 @@
                 (self.by_pages, self.dependencies) = (false, false);
             }
             Key::Packed => (self.packed, self.packed_stamp) = (PackedRecord::default(), 0),
-            Key::Mark { part, page } => self.set_page(part, page, None),
+            Key::Assignment { part, page } => self.set_page(part, page, None),
             Key::Grant { team, part } => {
                 if let Some(g) = self.grants.get_mut(team).and_then(|g| g.get_mut(part)) {
                     *g = (Grant::default(), 0);
@@ -464,7 +464,7 @@
                 self.packed = value.read()?;
                 self.packed_stamp = stamp;
             }
-            Key::Mark { part, page } => {
+            Key::Assignment { part, page } => {
                 if part >= self.parts.len() {
                     return Err("no such part".into());
                 }
@@ -502,7 +502,7 @@
             Key::Job(j) => record::job_key(j),
             Key::Bucket(from) => record::bucket_key(from),
             Key::Arrivals(page) => record::arrivals_key(page),
-            Key::Mark { part, page } => record::mark_key(part, page),
+            Key::Assignment { part, page } => record::assignments_key(part, page),
             Key::Grant { team, part } => record::grant_key(team, part),
         };
         commit.require(text, self.stamp(key));
--- a/crates/cherryyard-core/src/node.rs
+++ b/crates/cherryyard-core/src/node.rs
@@ -72,7 +72,7 @@
     pub(crate) strays: BTreeMap<(usize, u32), Stray>,
     /// Users' writes that this controller may make.
     pub(crate) user_pace: Pace,
-    /// Machines whose marks rounds have looked at so far: what rounds cost.
+    /// Machines whose assignments rounds have looked at so far: what rounds cost.
     pub looked: u64,
     /// Waiting jobs that rounds have looked at so far.
     pub looked_jobs: u64,
@@ -282,7 +282,7 @@
     /// The part's token, if this controller owns it beyond doubt.
     pub(crate) fn owned(&self, p: usize) -> Option<u64> {
         match self.parts[p].tenancy {
-            // Before the mirror has caught up with the claim, the last marks of
+            // Before the mirror has caught up with the claim, the last assignments of
             // the owner before may be missing from it.
             Tenancy::Owned(stamp)
                 if self.mirror.stamp(Key::Part(p)) == stamp && self.mirror.epoch >= stamp =>
--- a/crates/cherryyard-core/src/owner/mod.rs
+++ b/crates/cherryyard-core/src/owner/mod.rs
@@ -1,8 +1,8 @@
-//! The owner of a part: rounds of marks, placement, preemption, orders.
+//! The owner of a part: rounds of assignments, placement, preemption, orders.
 //!
-//! What a machine should run follows from the durable marks alone. A round
+//! What a machine should run follows from the durable assignments alone. A round
 //! collects what reports prove, places waiting numbers, and writes both in one
-//! transaction; orders are then the difference between marks and reports.
+//! transaction; orders are then the difference between assignments and reports.
 
 mod blame;
 mod images;
@@ -25,7 +25,7 @@
 use crate::names::Names;
 use crate::needs::Needs;
 use crate::node::Node;
-use crate::pages::{Mark, Page};
+use crate::pages::{Assignment, Page};
 use crate::reach::Reach;
 use crate::tenancy::Tenancy;
 use cherryyard_wire::cloud::{HostEntry, HostStatus};
@@ -46,7 +46,7 @@
 const ROUND_MS: f64 = 100.0;
 const QUIET_MS: f64 = 700.0;
 const KEEP_MS: f64 = 400.0;
-/// Least time between two looks at all marks for machines not heard of.
+/// Least time between two looks at all assignments for machines not heard of.
 const UNHEARD_MS: f64 = 1200.0;
 /// Time before placement is tried again where nothing found room and nothing
 /// has changed since.
--- a/crates/cherryyard-core/src/owner/orders.rs
+++ b/crates/cherryyard-core/src/owner/orders.rs
@@ -1,9 +1,9 @@
-//! Orders: what brings a machine to what its marks say.
+//! Orders: what brings a machine to what its assignments say.
 
 use super::*;
 
 impl Node {
-    /// The commands that bring a machine to what its marks say.
+    /// The commands that bring a machine to what its assignments say.
     pub(crate) fn orders(&self, host: u32, now: Millis, in_answer: bool) -> Vec<Order> {
         let mut orders = Vec::new();
         let Some(m) = self.machines.get(&host) else {
@@ -19,16 +19,16 @@
         let owned = self.owned(p).is_some();
         for (&(job, number), seen) in &m.seen {
             let task = (job, number);
-            let mark = self
+            let assignment = self
                 .mirror
-                .mark_on(host, task)
+                .assignment_on(host, task)
                 .filter(|k| k.session == m.newest.0 && k.attempt == seen.attempt);
             let piece = || piece_name(job, number);
             if seen.ended() {
                 // Cleared only once its end is durable, and only when no start
                 // of it is on its way: it would start a second time.
                 if in_answer
-                    && mark.is_none()
+                    && assignment.is_none()
                     && !m.start_pending(task, seen.attempt)
                     && fresh
                     && owned
@@ -43,7 +43,7 @@
             // Others may know that it is cancelled before the state service tells us.
             let told = self.cancelled.is_told(job);
             let open = self.mirror.open.get(&job).filter(|_| !told);
-            match (mark, open) {
+            match (assignment, open) {
                 (Some(_), Some(open)) => {
                     let preempted = self.parts[p]
                         .preempted
@@ -69,8 +69,8 @@
                         });
                     }
                 }
-                // The job is over, or no mark accounts for this attempt. While
-                // cut off, a missing mark may only mean an old mirror.
+                // The job is over, or no assignment accounts for this attempt. While
+                // cut off, a missing assignment may only mean an old mirror.
                 (_, None) | (None, _) => {
                     if (fresh && owned) || told || self.mirror.end(job).is_some() {
                         orders.push(Order::Kill {
@@ -84,17 +84,17 @@
         }
         let ready = m.state == HostState::Ready;
         if ready && fresh && owned && m.recall_at.is_none_or(|at| at - now > 60_000.0) {
-            for (task, mark) in self.mirror.on_host(host) {
+            for (task, assignment) in self.mirror.on_host(host) {
                 // Of what was given up no start is sent: only then a report without the
                 // task proves that it is not there.
-                if mark.session == m.newest.0
-                    && !m.gave_up(mark.session, mark.attempt)
+                if assignment.session == m.newest.0
+                    && !m.gave_up(assignment.session, assignment.attempt)
                     && !m.seen.contains_key(&task)
                     && self.mirror.open.contains_key(&task.0)
                 {
                     orders.push(Order::Start {
                         piece: piece_name(task.0, task.1),
-                        attempt: mark.attempt,
+                        attempt: assignment.attempt,
                     });
                 }
             }
--- a/crates/cherryyard-core/src/owner/oversize.rs
+++ b/crates/cherryyard-core/src/owner/oversize.rs
@@ -20,7 +20,7 @@
         let (number, page) = self.oversized_page(p)?;
         let mut commit = Commit::default();
         commit.require(record::part_key(p), token);
-        let source = Key::Mark {
+        let source = Key::Assignment {
             part: p,
             page: number,
         };
@@ -34,13 +34,13 @@
         let format = self.mirror.page_format();
         let first = self.mirror.last_page(p).map_or(0, |last| last + 1);
         for (copy, number) in copies.iter().zip(first..) {
-            let key = Key::Mark {
+            let key = Key::Assignment {
                 part: p,
                 page: number,
             };
             self.mirror.require(&mut commit, key);
             let stored = copy.stored(&self.mirror.hosts, format);
-            let key = record::mark_key(p, number);
+            let key = record::assignments_key(p, number);
             commit.apply.push(Apply::set(key, &stored));
         }
         Some(commit)
@@ -58,7 +58,7 @@
             }
             let mut page = page.clone();
             page.jobs
-                .retain(|&job, j| self.mirror.end(job).is_none() || !j.marks.is_empty());
+                .retain(|&job, j| self.mirror.end(job).is_none() || !j.assignments.is_empty());
             (page.bytes(&self.mirror.hosts, format) > most).then_some((number, page))
         })
     }
@@ -71,12 +71,13 @@
         };
         for (job, mine) in &mut page.jobs {
             for copy in others().filter_map(|other| other.jobs.get(job)) {
-                mine.marks.retain(|n, mark| copy.marks.get(n) != Some(mark));
+                mine.assignments
+                    .retain(|n, assignment| copy.assignments.get(n) != Some(assignment));
                 mine.done = mine.done.minus(&copy.done);
             }
         }
         page.jobs
-            .retain(|_, j| !(j.marks.is_empty() && j.done.is_empty()));
+            .retain(|_, j| !(j.assignments.is_empty() && j.done.is_empty()));
         page
     }
 
@@ -97,8 +98,8 @@
                     return packing.pages;
                 }
             }
-            for (&number, &mark) in &j.marks {
-                if !packing.push_mark(job, number, mark) {
+            for (&number, &assignment) in &j.assignments {
+                if !packing.push_assignment(job, number, assignment) {
                     return packing.pages;
                 }
             }
@@ -110,7 +111,7 @@
 
 /// Deletes a page; the first one stays, empty.
 fn delete_page(p: usize, number: u32) -> Apply {
-    let key = record::mark_key(p, number);
+    let key = record::assignments_key(p, number);
     if number == 0 {
         let empty = Page::default().stored(&Names::default(), PageFormat::Plain);
         return Apply::set(key, &empty);
@@ -144,13 +145,13 @@
         true
     }
 
-    fn push_mark(&mut self, job: u64, number: u32, mark: Mark) -> bool {
-        let bytes = Page::mark_bytes(job, number, &mark, self.hosts, self.format);
+    fn push_assignment(&mut self, job: u64, number: u32, assignment: Assignment) -> bool {
+        let bytes = Page::assignment_bytes(job, number, &assignment, self.hosts, self.format);
         let Some(page) = self.room_for(bytes) else {
             return false;
         };
         let here = page.jobs.entry(job).or_default();
-        here.marks.insert(number, mark);
+        here.assignments.insert(number, assignment);
         true
     }
 
--- a/crates/cherryyard-core/src/owner/place.rs
+++ b/crates/cherryyard-core/src/owner/place.rs
@@ -185,8 +185,8 @@
             // Of a job that fails everywhere one task at a time is tried.
             let blamed = trouble.is_some_and(Trouble::blamed);
             let tried = || {
-                let marks = self.mirror.marks.get(&(p, *job));
-                marks.is_some_and(|m| m.marks.len() > round.gone_of(*job))
+                let assignments = self.mirror.assignments.get(&(p, *job));
+                assignments.is_some_and(|m| m.assignments.len() > round.gone_of(*job))
             };
             if blamed && tried() {
                 continue;
@@ -316,15 +316,15 @@
                 }
                 let m = &self.machines[&host];
                 // Above every attempt before: each of those was at most the
-                // revision of its own mark, which has been seen since.
+                // revision of its own assignment, which has been seen since.
                 let attempt = self.mirror.epoch.max(self.newest_epoch) + 1;
-                let mark = Mark {
+                let assignment = Assignment {
                     host,
                     session: m.newest.0,
                     attempt,
                 };
                 *zones.entry(m.zone.clone()).or_default() += 1;
-                if !round.mark(&self.mirror, (*job, number), mark, limited) {
+                if !round.assign(&self.mirror, (*job, number), assignment, limited) {
                     self.parts[p].dirty = true;
                     break 'jobs;
                 }
@@ -411,10 +411,10 @@
                 }
             }
         };
-        if let Some(m) = self.mirror.marks.get(&(p, job)) {
-            for (&number, (mark, _)) in &m.marks {
+        if let Some(m) = self.mirror.assignments.get(&(p, job)) {
+            for (&number, (assignment, _)) in &m.assignments {
                 if !round.gone.contains(&(job, number)) {
-                    count(mark.host);
+                    count(assignment.host);
                 }
             }
         }
--- a/crates/cherryyard-core/src/owner/preempt.rs
+++ b/crates/cherryyard-core/src/owner/preempt.rs
@@ -19,8 +19,13 @@
             lowest: None,
             beyond: BTreeSet::new(),
         };
-        for (&(_, job), m) in self.mirror.marks.range((p, 0)..=(p, u64::MAX)) {
-            let Some(open) = self.mirror.open.get(&job).filter(|_| !m.marks.is_empty()) else {
+        for (&(_, job), m) in self.mirror.assignments.range((p, 0)..=(p, u64::MAX)) {
+            let Some(open) = self
+                .mirror
+                .open
+                .get(&job)
+                .filter(|_| !m.assignments.is_empty())
+            else {
                 continue;
             };
             let rank = open.rank().min(open.spec.rank);
@@ -105,19 +110,19 @@
                 let mut victims: Vec<(Rank, f64, Task, u64, Needs, Flow)> = self
                     .mirror
                     .on_host(m.host)
-                    .filter_map(|(task, mark)| {
+                    .filter_map(|(task, assignment)| {
                         let v = self.mirror.open.get(&task.0)?;
                         let lower = open.goes_before(v);
                         let (vt, t) = (v.team as usize, team);
                         let beyond = vt != t
                             && totals[vt].cores > self.config.teams[vt].cores + 1e-6
                             && totals[t].cores + needs.cores <= self.config.teams[t].cores + 1e-6;
-                        // What is marked by a later attempt has lost least.
+                        // What is assigned by a later attempt has lost least.
                         (lower || beyond).then_some((
                             v.rank(),
-                            -(mark.attempt as f64),
+                            -(assignment.attempt as f64),
                             task,
-                            mark.attempt,
+                            assignment.attempt,
                             v.needs(),
                             v.flow,
                         ))
--- a/crates/cherryyard-core/src/owner/returns.rs
+++ b/crates/cherryyard-core/src/owner/returns.rs
@@ -93,7 +93,7 @@
             }
         }
         for name in &release {
-            // So that marks of a machine that never reported can be resolved
+            // So that assignments of a machine that never reported can be resolved
             // by the answer to its release.
             let entry = &self.listed[name];
             let p = self.config.parting.part(&entry.yard, name);
@@ -192,7 +192,7 @@
         }
     }
 
-    /// How long a marked machine may take to find a new owner: a report that gets no
+    /// How long a assigned machine may take to find a new owner: a report that gets no
     /// answer, a try or two elsewhere, and the next.
     fn finding_ms(&self) -> f64 {
         self.config.report_ms * 1.25 + 8000.0
@@ -219,7 +219,7 @@
     /// A machine that hangs may carry out, when it goes on and before it sees that its
     /// session is over, a start that was sent to it before, by an owner before us too. If
     /// its job has been cancelled meanwhile only the machine's release stops that, as no
-    /// token of ours gets there. So a silent machine whose mark of a cancelled job is not
+    /// token of ours gets there. So a silent machine whose assignment of a cancelled job is not
     /// proven gone is returned before that job's time is over. (Where the owner stays the
     /// same the end of the lease proves it, but for such a start.)
     pub(crate) fn return_cancelled(&mut self, p: usize, now: Millis) {
@@ -240,8 +240,8 @@
             let mut waits = self.mirror.on_host(host).filter_map(|m| waits(m.0));
             silent > 0.0 && waits.any(|wait| silent > wait)
         };
-        let hosts = self.mirror.marked_hosts().filter(|&host| due(host));
-        let hosts = hosts.filter(|&host| self.mirror.part_of_mark(host) == Some(p));
+        let hosts = self.mirror.assigned_hosts().filter(|&host| due(host));
+        let hosts = hosts.filter(|&host| self.mirror.part_of_assignment(host) == Some(p));
         let hosts: Vec<u32> = hosts.take(90).collect();
         if hosts.is_empty() {
             return;
@@ -274,7 +274,7 @@
         }
         let mut all = 0;
         let mut unheard = Vec::new();
-        for host in self.mirror.marked_hosts() {
+        for host in self.mirror.assigned_hosts() {
             match self.machines.get(&host) {
                 Some(m) if m.part != p => {}
                 Some(m) if m.token_ours() || m.state == HostState::Gone => all += 1,
@@ -285,7 +285,7 @@
                 {
                     all += 1;
                 }
-                _ if self.mirror.part_of_mark(host) == Some(p) => {
+                _ if self.mirror.part_of_assignment(host) == Some(p) => {
                     all += 1;
                     unheard.push(host);
                 }
@@ -324,12 +324,12 @@
         name
     }
 
-    /// Marks may name machines that neither report nor are listed (they were
+    /// Assignments may name machines that neither report nor are listed (they were
     /// taken, or died and were dropped from the list); only a release proves
     /// that nothing of them is left.
     pub(crate) fn return_unlisted(&mut self, now: Millis) {
         let mut release: Vec<String> = Vec::new();
-        for host in self.mirror.marked_hosts().collect::<Vec<_>>() {
+        for host in self.mirror.assigned_hosts().collect::<Vec<_>>() {
             if release.len() >= 90 {
                 break;
             }
@@ -344,7 +344,7 @@
             {
                 continue;
             }
-            let Some(p) = self.mirror.part_of_mark(host) else {
+            let Some(p) = self.mirror.part_of_assignment(host) else {
                 continue;
             };
             // The list is late; a machine that is merely new is not in it yet.
--- a/crates/cherryyard-core/src/owner/room.rs
+++ b/crates/cherryyard-core/src/owner/room.rs
@@ -24,7 +24,7 @@
         })
     }
 
-    /// What is left on a machine, after marks (as the round leaves them) and
+    /// What is left on a machine, after assignments (as the round leaves them) and
     /// strangers.
     pub(crate) fn free_on(&self, m: &Machine, round: Option<&Round>) -> Option<Needs> {
         let mut free = self.whole(m)?;
@@ -35,7 +35,7 @@
             }
         }
         for (task, seen) in &m.seen {
-            if !seen.ended() && (gone(task) || self.mirror.mark_on(m.host, *task).is_none()) {
+            if !seen.ended() && (gone(task) || self.mirror.assignment_on(m.host, *task).is_none()) {
                 // Not ours, or not any more: it takes room until it is gone.
                 free.take(&self.mirror.uses(task.0)?.1);
             }
@@ -191,7 +191,7 @@
                 };
                 let (grant, stamp) = self.mirror.grants[t][p];
                 let wants = report.wants.get(t).map_or((0.0, 0.0), |w| (w.1, w.2));
-                // Never below what is marked: wants include it.
+                // Never below what is assigned: wants include it.
                 // Half of the rest is kept, so that the part's next job need not
                 // wait for the leader.
                 let half = |have: f64, want: f64| {
@@ -221,11 +221,11 @@
                 }
             }
             if !commit.apply.is_empty() {
-                // On no mark having been made since, as the leader's moves are: where the
+                // On no assignment having been made since, as the leader's moves are: where the
                 // answer is lost this may be carried out after later rounds, which count
                 // on the grant as it was and do not change it.
                 self.mirror.require_last_page(&mut commit, p);
-                // In the owner's turn, so that no mark is under way meanwhile.
+                // In the owner's turn, so that no assignment is under way meanwhile.
                 self.parts[p].pending = Some(Pending::default());
                 self.effects.push(Effect::Commit(Ticket::Owner(p), commit));
             }
--- a/crates/cherryyard-core/src/owner/round.rs
+++ b/crates/cherryyard-core/src/owner/round.rs
@@ -1,7 +1,7 @@
-//! What a round proves of marked tasks, and the transaction it writes.
+//! What a round proves of assigned tasks, and the transaction it writes.
 //!
-//! A part's marks stand in pages, each with marks of many jobs, so that one
-//! round costs a write or two however many jobs it touches. New marks go into
+//! A part's assignments stand in pages, each with assignments of many jobs, so that one
+//! round costs a write or two however many jobs it touches. New assignments go into
 //! the last page, or a new one after it: the leader's moves depend on these two
 //! alone. What is done stays in its page until its job is over.
 
@@ -25,19 +25,19 @@
     /// Pages as they will be, and about how many bytes each takes.
     edits: BTreeMap<u32, (Page, usize)>,
     last: Option<u32>,
-    /// Jobs that get new marks, and their teams with limits.
+    /// Jobs that get new assignments, and their teams with limits.
     jobs: BTreeSet<u64>,
     teams: BTreeSet<u32>,
     /// Whether any of these jobs' rules depend on machines' attributes.
     ruled: bool,
     ends: BTreeSet<u64>,
     gained: BTreeMap<u64, u32>,
-    /// Marks that go, and marks that come, by machine.
+    /// Assignments that go, and assignments that come, by machine.
     pub gone: HashSet<Task>,
     pub put: BTreeMap<u32, Vec<Task>>,
 }
 
-/// What is known of a marked task.
+/// What is known of a assigned task.
 pub(crate) enum TaskOutcome {
     Keep,
     Done,
@@ -95,26 +95,26 @@
                 .cloned()
                 .unwrap_or_default();
             page.jobs
-                .retain(|&job, j| mirror.end(job).is_none() || !j.marks.is_empty());
+                .retain(|&job, j| mirror.end(job).is_none() || !j.assignments.is_empty());
             let bytes = page.bytes(&mirror.hosts, self.format);
             self.edits.insert(number, (page, bytes));
         }
         self.edits.get_mut(&number)
     }
 
-    /// Takes a mark out of its page; false if that must wait for another round.
-    fn unmark(&mut self, mirror: &Mirror, task: Task, page: u32, done: bool) -> bool {
+    /// Takes an assignment out of its page; false if that must wait for another round.
+    fn unassign(&mut self, mirror: &Mirror, task: Task, page: u32, done: bool) -> bool {
         let (job, number) = task;
         let over = mirror.end(job).is_some();
         let Some((page, _)) = self.edit(mirror, page) else {
             return false;
         };
         if let Some(j) = page.jobs.get_mut(&job) {
-            j.marks.remove(&number);
+            j.assignments.remove(&number);
             if done && !over {
                 j.done.insert(number);
             }
-            if j.marks.is_empty() && (j.done.is_empty() || over) {
+            if j.assignments.is_empty() && (j.done.is_empty() || over) {
                 page.jobs.remove(&job);
             }
         }
@@ -125,8 +125,14 @@
         true
     }
 
-    /// Puts a mark into the last page, or a new one; false if that must wait.
-    pub fn mark(&mut self, mirror: &Mirror, task: Task, mark: Mark, team: Option<u32>) -> bool {
+    /// Puts an assignment into the last page, or a new one; false if that must wait.
+    pub fn assign(
+        &mut self,
+        mirror: &Mirror,
+        task: Task,
+        assignment: Assignment,
+        team: Option<u32>,
+    ) -> bool {
         let (job, number) = task;
         let ruled = mirror.open.get(&job).is_some_and(|o| o.rules.is_some());
         let fresh = usize::from(!self.jobs.contains(&job))
@@ -136,17 +142,17 @@
             return false;
         }
         let format = self.format;
-        let more = Page::mark_bytes(job, number, &mark, &mirror.hosts, format);
+        let more = Page::assignment_bytes(job, number, &assignment, &mirror.hosts, format);
         let most = self.page_bytes;
         let mut at = self.last.unwrap_or(0);
         let Some((page, bytes)) = self.edit(mirror, at) else {
             return false;
         };
         if *bytes + more > most {
-            // Marks that went in this round have made room.
+            // Assignments that went in this round have made room.
             *bytes = page.bytes(&mirror.hosts, format);
         }
-        // A page of a single mark is written however small the limit is.
+        // A page of a single assignment is written however small the limit is.
         if *bytes + more > most && !page.jobs.is_empty() {
             at += 1;
             if self.edit(mirror, at).is_none() {
@@ -162,15 +168,19 @@
             return false;
         };
         *bytes += more;
-        page.jobs.entry(job).or_default().marks.insert(number, mark);
+        page.jobs
+            .entry(job)
+            .or_default()
+            .assignments
+            .insert(number, assignment);
         self.jobs.insert(job);
         self.teams.extend(team);
         self.ruled |= ruled;
-        self.put.entry(mark.host).or_default().push(task);
+        self.put.entry(assignment.host).or_default().push(task);
         true
     }
 
-    /// How many of a job's marks this round takes out.
+    /// How many of a job's assignments this round takes out.
     pub fn gone_of(&self, job: u64) -> usize {
         self.gone.iter().filter(|task| task.0 == job).count()
     }
@@ -184,23 +194,23 @@
 }
 
 impl Node {
-    /// What reports prove of a marked task.
+    /// What reports prove of a assigned task.
     pub(crate) fn task_outcome(
         &self,
         job: u64,
         number: u32,
-        mark: &Mark,
+        assignment: &Assignment,
         now: Millis,
     ) -> TaskOutcome {
-        let Some(m) = self.machines.get(&mark.host) else {
+        let Some(m) = self.machines.get(&assignment.host) else {
             return TaskOutcome::Keep;
         };
         let open = self.mirror.open.contains_key(&job);
         let task = (job, number);
         if m.token_ours()
-            && m.newest.0 == mark.session
+            && m.newest.0 == assignment.session
             && let Some(seen) = m.seen.get(&task)
-            && seen.attempt == mark.attempt
+            && seen.attempt == assignment.attempt
             && seen.ended()
         {
             return match seen.cause {
@@ -210,15 +220,15 @@
                 },
             };
         }
-        if !m.proven_gone(task, mark.session, mark.attempt) {
+        if !m.proven_gone(task, assignment.session, assignment.attempt) {
             return TaskOutcome::Keep;
         }
         // Absent in the same session means that the start has not arrived. It
         // is sent again, as the same attempt, unless nothing should start.
         let may_start = m.state == HostState::Ready
-            && m.newest.0 == mark.session
+            && m.newest.0 == assignment.session
             && !m.lease_over
-            && !m.gave_up(mark.session, mark.attempt)
+            && !m.gave_up(assignment.session, assignment.attempt)
             && m.recall_at.is_none_or(|at| at - now > 60_000.0);
         if open && may_start {
             TaskOutcome::Keep
@@ -249,22 +259,22 @@
         let mut left = BTreeSet::new();
         self.looked += hosts.len() as u64;
         for host in hosts {
-            for (task, mark) in self.mirror.on_host(host) {
+            for (task, assignment) in self.mirror.on_host(host) {
                 let (job, number) = task;
-                let place = self.mirror.marks.get(&(p, job));
-                let Some(&(_, page)) = place.and_then(|m| m.marks.get(&number)) else {
+                let place = self.mirror.assignments.get(&(p, job));
+                let Some(&(_, page)) = place.and_then(|m| m.assignments.get(&number)) else {
                     continue;
                 };
-                let task_outcome = self.task_outcome(job, number, &mark, now);
+                let task_outcome = self.task_outcome(job, number, &assignment, now);
                 if matches!(task_outcome, TaskOutcome::Keep) {
                     let m = self.machines.get(&host);
-                    let of_life_before = m.is_some_and(|m| mark.attempt <= m.born_after);
+                    let of_life_before = m.is_some_and(|m| assignment.attempt <= m.born_after);
                     blocked |= (of_life_before || !self.mirror.open.contains_key(&job))
-                        && self.blocked_by_push(job, number, &mark, now);
+                        && self.blocked_by_push(job, number, &assignment, now);
                     continue;
                 }
                 let done = matches!(task_outcome, TaskOutcome::Done);
-                if !round.unmark(&self.mirror, task, page, done) {
+                if !round.unassign(&self.mirror, task, page, done) {
                     left.insert(host);
                     continue;
                 }
@@ -276,7 +286,7 @@
                     let newest = m.map_or((0, 0), |m| m.newest);
                     let over = m.is_some_and(|m| m.lease_over);
                     let state = m.map(|m| m.state);
-                    let (attempt, session) = (mark.attempt, mark.session);
+                    let (attempt, session) = (assignment.attempt, assignment.session);
                     tracing::debug!(
                         job,
                         number,
@@ -292,7 +302,7 @@
                 }
                 if done {
                     let m = self.machines.get(&host);
-                    if let Some(ran) = m.and_then(|m| m.ran_ms(task, mark.attempt, now)) {
+                    if let Some(ran) = m.and_then(|m| m.ran_ms(task, assignment.attempt, now)) {
                         let sum = self.parts[p].ran.entry(job).or_default();
                         *sum = (sum.0 + 1, sum.1 + ran);
                     }
@@ -316,21 +326,27 @@
         }
     }
 
-    pub(crate) fn blocked_by_push(&self, job: u64, number: u32, mark: &Mark, now: Millis) -> bool {
-        self.machines.get(&mark.host).is_some_and(|m| {
+    pub(crate) fn blocked_by_push(
+        &self,
+        job: u64,
+        number: u32,
+        assignment: &Assignment,
+        now: Millis,
+    ) -> bool {
+        self.machines.get(&assignment.host).is_some_and(|m| {
             m.token_ours()
                 && !m.pushing
                 && now >= m.push_after
                 && m.pushed
                     .iter()
-                    .any(|s| s.task == (job, number) && s.attempt == mark.attempt)
+                    .any(|s| s.task == (job, number) && s.attempt == assignment.attempt)
         })
     }
 
     /// Ends the jobs whose last tasks this round proves done, and those whose
     /// tasks are all done but which are not over: two parts that wrote their
     /// last done numbers at once did not see each other's. The first part with
-    /// marks writes that end.
+    /// assignments writes that end.
     pub(crate) fn finish(&self, p: usize, round: &mut Round) {
         for (job, gained) in std::mem::take(&mut round.gained) {
             // All parts' done numbers only ever grow while the job is open, so
@@ -345,7 +361,7 @@
         }
         for &job in &self.mirror.complete {
             let first = (0..self.parts.len()).find(|&q| {
-                self.mirror.parts[q].is_some() && self.mirror.marks.contains_key(&(q, job))
+                self.mirror.parts[q].is_some() && self.mirror.assignments.contains_key(&(q, job))
             });
             if first == Some(p) {
                 round.end(job);
@@ -385,7 +401,7 @@
             {
                 for (job, j) in jobs {
                     let there = into.jobs.entry(job).or_default();
-                    there.marks.extend(j.marks);
+                    there.assignments.extend(j.assignments);
                     there.done = there.done.union(&j.done);
                 }
                 *held += bytes;
@@ -420,8 +436,8 @@
         commit.require(record::part_key(p), token);
         for (&page, (new, _)) in &round.edits {
             self.mirror
-                .require(&mut commit, Key::Mark { part: p, page });
-            let key = record::mark_key(p, page);
+                .require(&mut commit, Key::Assignment { part: p, page });
+            let key = record::assignments_key(p, page);
             if !new.jobs.is_empty() || page == 0 {
                 let stored = new.stored(&self.mirror.hosts, round.format);
                 commit.apply.push(Apply::set(key, &stored));
@@ -429,7 +445,7 @@
                 commit.apply.push(Apply::delete(key));
             }
         }
-        // New marks depend on the division and on the job's being open. What is
+        // New assignments depend on the division and on the job's being open. What is
         // proven done or gone is so whatever has become of the job.
         for &job in &round.jobs {
             self.mirror.require(&mut commit, Key::Job(job));
@@ -441,7 +457,7 @@
         }
         for &team in &round.teams {
             // A lowering of the grant whose answer was lost may have been
-            // applied; marks made by the old grant must then die.
+            // applied; assignments made by the old grant must then die.
             let team = team as usize;
             self.mirror
                 .require(&mut commit, Key::Grant { team, part: p });
--- a/crates/cherryyard-core/src/owner/turns.rs
+++ b/crates/cherryyard-core/src/owner/turns.rs
@@ -34,12 +34,12 @@
     /// What each team's services use of the part, which does not come free by itself.
     pub(crate) fn held_by_services(&self, p: usize) -> Vec<Needs> {
         let mut held = vec![Needs::default(); self.config.teams.len()];
-        for (&(_, job), marks) in self.mirror.marks.range((p, 0)..=(p, u64::MAX)) {
+        for (&(_, job), assignments) in self.mirror.assignments.range((p, 0)..=(p, u64::MAX)) {
             if let Some(open) = self.mirror.open.get(&job)
                 && open.spec.shape == Shape::Service
                 && let Some(held) = held.get_mut(open.team as usize)
             {
-                (0..marks.marks.len()).for_each(|_| held.give(&open.needs()));
+                (0..assignments.assignments.len()).for_each(|_| held.give(&open.needs()));
             }
         }
         held
@@ -47,7 +47,7 @@
 
     /// Whether any task of a job has been started, anywhere.
     pub(crate) fn begun(&self, job: u64) -> bool {
-        self.mirror.marked(job) + self.mirror.done(job) > 0
+        self.mirror.assigned(job) + self.mirror.done(job) > 0
     }
 
     /// Gives each flow's turn to its oldest job that has not begun.
--- a/crates/cherryyard-core/src/pages.rs
+++ b/crates/cherryyard-core/src/pages.rs
@@ -1,13 +1,13 @@
-//! Pages of marks: what a part's owner has started, of many jobs in one record.
+//! Pages of assignments: what a part's owner has started, of many jobs in one record.
 
 use crate::names::Names;
-use cherryyard_wire::record::{MarkGroup, PageRecord, StoredPage};
+use cherryyard_wire::record::{AssignmentGroup, PageRecord, StoredPage};
 use cherryyard_wire::{RangeSet, page};
 use std::collections::{BTreeMap, HashMap, HashSet};
 
-/// A number marked started: where, in which session, which attempt.
+/// A number assigned started: where, in which session, which attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Mark {
+pub struct Assignment {
     /// The machine.
     pub host: u32,
     /// The worker's session.
@@ -19,13 +19,13 @@
 /// What one page says of a job.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct PageJob {
-    /// Marks by number.
-    pub marks: BTreeMap<u32, Mark>,
+    /// Assignments by number.
+    pub assignments: BTreeMap<u32, Assignment>,
     /// Numbers done.
     pub done: RangeSet,
 }
 
-/// One page of a part's marks.
+/// One page of a part's assignments.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Page {
     /// Stamp of its key.
@@ -49,33 +49,33 @@
     Packed,
 }
 
-/// Most bytes that a new mark adds to a packed page: its job and how many entries that
+/// Most bytes that a new assignment adds to a packed page: its job and how many entries that
 /// has, its attempt and session, its machine, and its entry, as varints.
 const PACKED_MARK_BYTES: usize = (10 + 2) + (10 + 5) + 3 + (3 + 3 + 2);
 
 impl Page {
-    /// A mark's machine and number, or the number among those done once it is:
-    /// so a page that has room for a mark has room for what becomes of it.
+    /// An assignment's machine and number, or the number among those done once it is:
+    /// so a page that has room for an assignment has room for what becomes of it.
     fn entry_bytes(number: u32) -> usize {
         let number = digits(number.into());
         (5 + number).max(4 + 2 * number)
     }
 
-    /// Most bytes that a new mark adds: its job, group, machine and entry.
-    pub fn mark_bytes(
+    /// Most bytes that a new assignment adds: its job, group, machine and entry.
+    pub fn assignment_bytes(
         job: u64,
         number: u32,
-        mark: &Mark,
+        assignment: &Assignment,
         hosts: &Names,
         format: PageFormat,
     ) -> usize {
         if format == PageFormat::Packed {
             // Names that do not differ in their number alone are written whole.
-            let name = hosts.name(mark.host).len();
+            let name = hosts.name(assignment.host).len();
             return (PACKED_MARK_BYTES + name).div_ceil(3) * 4;
         }
-        let group = 4 + digits(mark.session) + digits(mark.attempt);
-        let name = hosts.name(mark.host).len() + 3;
+        let group = 4 + digits(assignment.session) + digits(assignment.attempt);
+        let name = hosts.name(assignment.host).len() + 3;
         10 + digits(job) + group + name + Self::entry_bytes(number)
     }
 
@@ -97,12 +97,12 @@
         for (&job, j) in &self.jobs {
             bytes += digits(job) + 10;
             let mut groups = HashSet::new();
-            for (&number, mark) in &j.marks {
-                if named.insert(mark.host) {
-                    bytes += hosts.name(mark.host).len() + 3;
+            for (&number, assignment) in &j.assignments {
+                if named.insert(assignment.host) {
+                    bytes += hosts.name(assignment.host).len() + 3;
                 }
-                if groups.insert((mark.attempt, mark.session)) {
-                    bytes += 4 + digits(mark.session) + digits(mark.attempt);
+                if groups.insert((assignment.attempt, assignment.session)) {
+                    bytes += 4 + digits(assignment.session) + digits(assignment.attempt);
                 }
                 bytes += Self::entry_bytes(number);
             }
@@ -131,15 +131,15 @@
         let mut places: HashMap<u32, u64> = HashMap::new();
         let mut record = PageRecord::default();
         for (&job, j) in &self.jobs {
-            let mut groups: BTreeMap<(u64, u64), MarkGroup> = BTreeMap::new();
-            for (&number, mark) in &j.marks {
-                let place = *places.entry(mark.host).or_insert_with(|| {
-                    record.h.push(hosts.name(mark.host).to_string());
+            let mut groups: BTreeMap<(u64, u64), AssignmentGroup> = BTreeMap::new();
+            for (&number, assignment) in &j.assignments {
+                let place = *places.entry(assignment.host).or_insert_with(|| {
+                    record.h.push(hosts.name(assignment.host).to_string());
                     record.h.len() as u64 - 1
                 });
                 groups
-                    .entry((mark.attempt, mark.session))
-                    .or_insert_with(|| vec![mark.attempt, mark.session])
+                    .entry((assignment.attempt, assignment.session))
+                    .or_insert_with(|| vec![assignment.attempt, assignment.session])
                     .extend([place, number.into()]);
             }
             record
@@ -171,7 +171,7 @@
             if !done.is_canonical() {
                 return None;
             }
-            let mut marks = BTreeMap::new();
+            let mut assignments = BTreeMap::new();
             for group in groups {
                 let (&[attempt, session], list) = group.split_first_chunk()?;
                 let pairs = list.chunks_exact(2);
@@ -180,25 +180,25 @@
                 }
                 for pair in pairs {
                     let host = *hosts.get(usize::try_from(pair[0]).ok()?)?;
-                    let mark = Mark {
+                    let assignment = Assignment {
                         host,
                         session,
                         attempt,
                     };
-                    marks.insert(u32::try_from(pair[1]).ok()?, mark);
+                    assignments.insert(u32::try_from(pair[1]).ok()?, assignment);
                 }
             }
-            page.jobs.insert(job, PageJob { marks, done });
+            page.jobs.insert(job, PageJob { assignments, done });
         }
         Some(page)
     }
 }
 
-/// All marks of one job in one part, over its pages.
+/// All assignments of one job in one part, over its pages.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct JobMarks {
-    /// Marks by number, and the page that each is in.
-    pub marks: BTreeMap<u32, (Mark, u32)>,
+pub struct JobAssignments {
+    /// Assignments by number, and the page that each is in.
+    pub assignments: BTreeMap<u32, (Assignment, u32)>,
     /// Numbers done.
     pub done: RangeSet,
 }
--- a/crates/cherryyard-core/src/reach.rs
+++ b/crates/cherryyard-core/src/reach.rs
@@ -154,7 +154,7 @@
     }
 
     /// Whether a start of this attempt is not sent any more. It stays so: the round that
-    /// takes the mark back may be applied at any later time.
+    /// takes the assignment back may be applied at any later time.
     pub(crate) fn gave_up(&self, session: u64, attempt: u64) -> bool {
         session == self.given_up.0 && attempt <= self.given_up.1
     }
--- a/crates/cherryyard-core/src/users.rs
+++ b/crates/cherryyard-core/src/users.rs
@@ -62,7 +62,7 @@
     }
 
     /// Sets the rate at which this controller may make users' writes, which leave room
-    /// for claims and marks. Each has an even part of the budget, and lends most of it to
+    /// for claims and assignments. Each has an even part of the budget, and lends most of it to
     /// the leader, to whom submissions are passed on, while the two hear each other.
     ///
     /// No part is used twice. A leader uses what a controller lends for a time after it
--- a/crates/cherryyard-rehearsal/src/bin/history.rs
+++ b/crates/cherryyard-rehearsal/src/bin/history.rs
@@ -13,7 +13,7 @@
 use cherryyard_wire::job::job_id;
 use cherryyard_wire::record::{
     BUCKETS, BucketRecord, End, FORMAT, FormatRecord, JobRecord, KINDS, PACKED, PageRecord, Use,
-    bucket_key, job_hash, job_key, mark_key,
+    assignments_key, bucket_key, job_hash, job_key,
 };
 use clap::Parser;
 use rand::rngs::StdRng;
@@ -31,7 +31,7 @@
     /// Jobs that are open
     #[arg(long, default_value_t = 0)]
     open: u64,
-    /// Tasks of each open job, marked
+    /// Tasks of each open job, assigned
     #[arg(long, default_value_t = 5)]
     tasks: u32,
     /// The format of their records: 1, a key each, or 2, in the history
@@ -83,7 +83,7 @@
         .collect()
 }
 
-/// Open jobs and the pages of their marks.
+/// Open jobs and the pages of their assignments.
 fn fill_open(state: &mut StateStandIn, args: &Args) {
     let record = |id: u64| JobRecord::Open {
         spec: Box::new(World::spec(&job_id(id), "sweep", args.tasks)),
@@ -113,15 +113,17 @@
     jobs.sort_unstable();
     let per_page = (200 / args.tasks.max(1)).max(1) as usize;
     for (page, some) in jobs.chunks(per_page).enumerate() {
-        let mut marks = PageRecord::default();
+        let mut assignments = PageRecord::default();
         for (i, &job) in some.iter().enumerate() {
-            marks.h.push(format!("host-{:06}", page * per_page + i));
+            assignments
+                .h
+                .push(format!("host-{:06}", page * per_page + i));
             let at = i as u64;
             let places = (0..args.tasks).flat_map(|n| [at, n.into()]);
             let group = [7, 1].into_iter().chain(places).collect();
-            marks.j.push((job, vec![group], RangeSet::new()));
+            assignments.j.push((job, vec![group], RangeSet::new()));
         }
-        state.seed(&mark_key(0, page as u32), &marks);
+        state.seed(&assignments_key(0, page as u32), &assignments);
     }
 }
 
--- a/crates/cherryyard-rehearsal/src/state.rs
+++ b/crates/cherryyard-rehearsal/src/state.rs
@@ -17,8 +17,8 @@
     forgotten: u64,
     changes: Vec<Change>,
     largest: BTreeMap<String, usize>,
-    /// Puts and deletes of marks so far.
-    pub mark_writes: usize,
+    /// Puts and deletes of assignments so far.
+    pub assignment_writes: usize,
     /// All puts and deletes so far.
     pub writes: usize,
     /// Most changes that a transaction has had.
@@ -213,8 +213,8 @@
     pub fn commit(&mut self, commit: &Commit) -> Outcome {
         // Those that fail cost as much.
         self.writes += commit.apply.len();
-        let mark = |a: &&Apply| a.key().starts_with("c/mark");
-        self.mark_writes += commit.apply.iter().filter(mark).count();
+        let assignment = |a: &&Apply| a.key().starts_with("c/mark");
+        self.assignment_writes += commit.apply.iter().filter(assignment).count();
         self.most_ops = self.most_ops.max(commit.apply.len());
         self.most_conditions = self.most_conditions.max(commit.when.len());
         let holds = |key: &str, stamp: u64| self.keys.get(key).map_or(0, |k| k.1) == stamp;
--- a/crates/cherryyard-rehearsal/tests/both_ways.rs
+++ b/crates/cherryyard-rehearsal/tests/both_ways.rs
@@ -155,7 +155,7 @@
         assert!(w.running() >= 190, "{}", w.running());
         placed.push(places(w));
     }
-    // Placement and marks: the same task on the same machine.
+    // Placement and assignments: the same task on the same machine.
     assert_eq!(placed[0], placed[1]);
     let cores = |w: &World| w.most_cores;
     assert!(cores(&file) <= 400.0 && cores(&file) == cores(&own));
--- a/crates/cherryyard-rehearsal/tests/cells.rs
+++ b/crates/cherryyard-rehearsal/tests/cells.rs
@@ -110,7 +110,7 @@
 }
 
 /// A round whose answer is lost and that arrives after an operator's change is not
-/// applied: its marks were placed by attributes that are none any more.
+/// applied: its assignments were placed by attributes that are none any more.
 #[test]
 fn a_late_round_dies_with_the_attributes_it_was_placed_by() {
     let mut w = cluster(json!({ "a": { "Ledger": true } }));
--- a/crates/cherryyard-rehearsal/tests/frozen.rs
+++ b/crates/cherryyard-rehearsal/tests/frozen.rs
@@ -99,7 +99,7 @@
 }
 
 /// Reports held back for 51 s, of machines that were given up meanwhile and whose
-/// tasks run elsewhere, change nothing: no mark, no order but to stop what their
+/// tasks run elsewhere, change nothing: no assignment, no order but to stop what their
 /// old sessions show, no placement on them.
 #[test]
 fn reports_held_for_long_change_nothing() {
@@ -122,7 +122,7 @@
     w.unreachable.extend(cut.iter().cloned());
     w.run(51.0);
     assert_eq!(w.running(), 10, "{}", w.trace.join("\n"));
-    let marks = |w: &World| -> Vec<_> {
+    let assignments = |w: &World| -> Vec<_> {
         let pairs = w.state.pairs();
         pairs
             .into_iter()
@@ -130,14 +130,14 @@
             .map(|p| (p.key, p.v.text().to_string()))
             .collect()
     };
-    let before = marks(&w);
+    let before = assignments(&w);
     let now = w.now;
     for report in &held {
         // What the answer orders reaches nobody: its worker gave up long ago.
         w.nodes[0].as_mut().unwrap().report(report, now);
     }
     w.run(1.0);
-    assert_eq!(marks(&w), before);
+    assert_eq!(assignments(&w), before);
     w.unreachable.clear();
     w.run(30.0);
     assert!(w.broken.is_empty(), "{:?}", w.broken);
@@ -172,7 +172,7 @@
 }
 
 /// What a step of the clock costs does not grow with the fleet: with nothing new
-/// to tell, the machines whose marks rounds look at are bounded by the machines
+/// to tell, the machines whose assignments rounds look at are bounded by the machines
 /// that all are looked at for every 5 s; one completion costs the same at 130 and
 /// at 1,300 machines.
 #[test]
--- a/crates/cherryyard-rehearsal/tests/late.rs
+++ b/crates/cherryyard-rehearsal/tests/late.rs
@@ -55,7 +55,7 @@
 }
 
 /// Work follows what changed: reports that tell nothing new have no round look
-/// at their machines' marks, and one completion costs as much in a part ten
+/// at their machines' assignments, and one completion costs as much in a part ten
 /// times as large. All machines are looked at every 5 s, in case.
 #[test]
 fn rounds_look_at_what_changed() {
--- a/crates/cherryyard-rehearsal/tests/late_writes.rs
+++ b/crates/cherryyard-rehearsal/tests/late_writes.rs
@@ -5,7 +5,7 @@
 use cherryyard_core::{Node, Outcome};
 use cherryyard_rehearsal::{Setup, Users, World, draws};
 use cherryyard_wire::job::JobSpec;
-use cherryyard_wire::record::{PageRecord, StoredPage, arrivals_key, mark_key};
+use cherryyard_wire::record::{PageRecord, StoredPage, arrivals_key, assignments_key};
 use cherryyard_wire::state::{Apply, Commit, Json};
 use std::collections::BTreeSet;
 
@@ -35,7 +35,7 @@
     assert!(late.iter().all(dead), "{late:?}\n{}", w.trace.join("\n"));
 }
 
-/// An owner lowers its grant and gets no answer; then it marks tasks by the grant as it
+/// An owner lowers its grant and gets no answer; then it assigns tasks by the grant as it
 /// was; then the lowering is carried out. What it gave back was in use, and went to
 /// another part: the team had more than its limit.
 #[test]
@@ -64,9 +64,9 @@
     assert_eq!(w.running() * 2, 24, "{}", w.trace.join("\n"));
 }
 
-/// An owner's first mark goes into the first page and gets no answer; the same task is
-/// marked on another machine; more marks follow, the first page's last ones move on, and
-/// it would have gone: then the first mark is carried out. One number had two marks.
+/// An owner's first assignment goes into the first page and gets no answer; the same task is
+/// assigned on another machine; more assignments follow, the first page's last ones move on, and
+/// it would have gone: then the first assignment is carried out. One number had two assignments.
 /// With plain pages, as earlier builds write them, and with packed ones, which hold more.
 #[test]
 fn a_first_mark_carried_out_when_its_page_has_gone() {
@@ -94,11 +94,11 @@
     w.run_until(5.0, |w| !w.held_commits.is_empty());
     // It is placed elsewhere: the machine's notice, far ahead, makes it unusable.
     let first = w.held_commits.len();
-    let marked = w.held_commits[0].apply.iter().find_map(|a| match a {
+    let assigned = w.held_commits[0].apply.iter().find_map(|a| match a {
         Apply::Set { set, v, .. } if set.starts_with("c/mark") => Some(page_of(v)),
         _ => None,
     });
-    let host = marked.expect("a page").h[0].clone();
+    let host = assigned.expect("a page").h[0].clone();
     assert!(w.workers.contains_key(&host), "the mark's machine");
     let at = w.now + 900_000.0;
     w.workers.get_mut(&host).expect("it is up").recall_at = Some(at);
@@ -120,7 +120,7 @@
     for job in 2..8 {
         w.submit(&World::spec(&format!("j-00000{job}"), "sweep", size));
     }
-    let key = |page: u32| mark_key(0, page);
+    let key = |page: u32| assignments_key(0, page);
     let gone = |w: &World| match w.state.get(&key(0)) {
         None => true,
         Some((v, _)) => page_of(v).j.is_empty(),
@@ -359,7 +359,7 @@
 
 /// New jobs stand undivided in a page that has no room for their divisions, so the leader
 /// divides them by records of their own, and gets no answer. The page has room then, and
-/// they are divided in it, another way, and marked; then the first division is carried out.
+/// they are divided in it, another way, and assigned; then the first division is carried out.
 /// It depended on the jobs' having no records alone, which still held: a running task was
 /// given to another part (found by seed 5091).
 #[test]
--- a/crates/cherryyard-rehearsal/tests/rules.rs
+++ b/crates/cherryyard-rehearsal/tests/rules.rs
@@ -13,9 +13,9 @@
     w
 }
 
-/// Pages of marks, but for a part's first one if it names no job and no machine: that
+/// Pages of assignments, but for a part's first one if it names no job and no machine: that
 /// one stays, so that its absence is no ground for a transaction that comes late.
-fn marks_left(w: &World) -> Vec<String> {
+fn assignments_left(w: &World) -> Vec<String> {
     let pairs = w.state.pairs().into_iter();
     let empty =
         |p: &cherryyard_wire::state::Pair| p.key.ends_with("/0") && p.v.text() == r#"{"j":[]}"#;
@@ -34,7 +34,7 @@
         .collect()
 }
 
-/// A number that a dead owner had marked on a machine that cannot be reached
+/// A number that a dead owner had assigned on a machine that cannot be reached
 /// is started elsewhere only once the machine is released: the new owner never
 /// showed that machine its token, so silence proves nothing.
 #[test]
@@ -194,7 +194,7 @@
     w.run(5.0);
     assert_eq!(w.running(), 0);
     // Nothing of the job is left in the state service but its end.
-    assert_eq!(marks_left(&w), Vec::<String>::new());
+    assert_eq!(assignments_left(&w), Vec::<String>::new());
 }
 
 /// An owner that the state service refuses, and that no peer reaches, cannot
@@ -364,7 +364,7 @@
 }
 
 /// After the delay a part loses waiting numbers to parts with room, and only
-/// those that it has not marked.
+/// those that it has not assigned.
 #[test]
 fn overflow_moves_only_unmarked_numbers() {
     let mut w = settled(Setup::default());
@@ -373,11 +373,11 @@
     w.run(0.5);
     let record = |w: &World| w.division(1);
     let before = record(&w);
-    let marked: Vec<Vec<u32>> = (0..3)
+    let assigned: Vec<Vec<u32>> = (0..3)
         .map(|p| {
             let node = w.nodes[0].as_ref().unwrap();
-            let marks = &node.mirror.marks[&(p, 1)];
-            marks.marks.keys().copied().collect()
+            let assignments = &node.mirror.assignments[&(p, 1)];
+            assignments.assignments.keys().copied().collect()
         })
         .collect();
     for n in 10..13 {
@@ -391,7 +391,7 @@
     let after = record(&w);
     assert_eq!(w.running(), 12, "{}", w.trace.join("\n"));
     for p in 0..3 {
-        for &n in &marked[p] {
+        for &n in &assigned[p] {
             assert!(after[p].contains(n), "{n} was marked in part {p}");
         }
     }
@@ -550,23 +550,23 @@
         x.run_ms = 3000.0;
     }
     w.run(4.0);
-    let before = w.state.mark_writes;
+    let before = w.state.assignment_writes;
     for i in 0..10 {
         w.submit(&World::spec(&format!("j-00001{i}"), "sweep", 2));
     }
     w.run_until(3.0, |w| w.running() == 20);
-    let starting = w.state.mark_writes - before;
+    let starting = w.state.assignment_writes - before;
     assert!(
         (1..=4).contains(&starting),
         "{starting} writes for ten jobs"
     );
     w.run(12.0);
     assert_eq!(w.running(), 0);
-    let all = w.state.mark_writes - before;
+    let all = w.state.assignment_writes - before;
     assert!(all <= 12, "{all} writes from start to end of ten jobs");
     let none = Vec::<String>::new();
     assert_eq!(
-        marks_left(&w),
+        assignments_left(&w),
         none,
         "nothing of jobs that are over is kept"
     );
@@ -613,7 +613,7 @@
 
 /// Connections between controllers are refused, and all else works: the lead
 /// stays where it is (it went round among all, every few seconds), and a job is
-/// still divided over all parts by what the cloud lists and what is marked (the
+/// still divided over all parts by what the cloud lists and what is assigned (the
 /// leader's own part got everything).
 #[test]
 fn a_cut_between_controllers_changes_little() {
@@ -679,8 +679,8 @@
     insta::assert_snapshot!(w.trace.join("\n"));
 }
 
-/// A move that reaches the state service late, after its owner has marked
-/// numbers of the job, changes nothing: a page of marks has changed. Applied,
+/// A move that reaches the state service late, after its owner has assigned
+/// numbers of the job, changes nothing: a page of assignments has changed. Applied,
 /// it would have given a running task to another part.
 #[test]
 fn a_move_by_an_old_view_dies() {
--- a/crates/cherryyard-rehearsal/tests/submissions.rs
+++ b/crates/cherryyard-rehearsal/tests/submissions.rs
@@ -60,12 +60,12 @@
         let mut w = cluster(history, 0.0);
         // The first is created at once, so that no others' writes are counted.
         w.workers.values_mut().for_each(|x| x.run_ms = 1e9);
-        let before = w.state.writes - w.state.mark_writes;
+        let before = w.state.writes - w.state.assignment_writes;
         let (number, first) = w.queue("june", &[chunk(&[(60, 1), (1, 5)]), chunk(&[(39, 2)])]);
         w.run_until(60.0, |w| {
             w.submission(number).unwrap().phase == Phase::Created
         });
-        let writes = w.state.writes - w.state.mark_writes - before;
+        let writes = w.state.writes - w.state.assignment_writes - before;
         // A hundred jobs; with them the queue's own records and claims renewed.
         assert!(writes < most_writes, "{history:?}: {writes} writes");
         assert_eq!(open_jobs(&w), 100);
--- a/crates/cherryyard-wire/src/page.rs
+++ b/crates/cherryyard-wire/src/page.rs
@@ -21,7 +21,7 @@
 //! out of it, or goes over from running to completed.
 
 use crate::RangeSet;
-use crate::record::{MarkGroup, PageRecord};
+use crate::record::{AssignmentGroup, PageRecord};
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD_NO_PAD as BASE64;
 use integer_encoding::VarInt;
@@ -160,7 +160,7 @@
 
 /// A job's entries, in order; none if its assignments make no sense.
 fn entries(
-    groups: &[MarkGroup],
+    groups: &[AssignmentGroup],
     completed: &RangeSet,
     machines: &[u64],
     attempts: &[(u64, u64)],
@@ -287,8 +287,8 @@
     from: &mut Reader<'_>,
     machines: usize,
     attempts: &[(u64, u64)],
-) -> Option<(Vec<MarkGroup>, RangeSet)> {
-    let mut groups: BTreeMap<(u64, u64), MarkGroup> = BTreeMap::new();
+) -> Option<(Vec<AssignmentGroup>, RangeSet)> {
+    let mut groups: BTreeMap<(u64, u64), AssignmentGroup> = BTreeMap::new();
     let mut completed = RangeSet::new();
     let mut next = 0u32;
     for _ in 0..from.take_count()? {
--- a/crates/cherryyard-wire/src/record.rs
+++ b/crates/cherryyard-wire/src/record.rs
@@ -59,8 +59,8 @@
     format!("c/job/{}", crate::job::job_id(job))
 }
 
-/// Key of one page of a part's marks.
-pub fn mark_key(part: usize, page: u32) -> String {
+/// Key of one page of a part's assignments.
+pub fn assignments_key(part: usize, page: u32) -> String {
     format!("c/mark/{part}/{page}")
 }
 
@@ -90,7 +90,7 @@
     Arrivals(u64),
     Format,
     Packed,
-    Mark { part: usize, page: u32 },
+    Assignment { part: usize, page: u32 },
     Grant { team: usize, part: usize },
 }
 
@@ -128,7 +128,7 @@
             "jobs" => Self::Bucket(hex(words.next()?)?),
             "new" => Self::Arrivals(hex(words.next()?)?),
             "sub" => Self::Submission(hex(words.next()?)?),
-            "mark" => Self::Mark {
+            "mark" => Self::Assignment {
                 part: words.next()?.parse().ok()?,
                 page: words.next()?.parse().ok()?,
             },
@@ -271,22 +271,22 @@
     pub ram: f64,
 }
 
-/// Marks of one attempt and session: `[attempt, session, machine, number,
+/// Assignments of one attempt and session: `[attempt, session, machine, number,
 /// machine, number, ...]`, each machine by its place in the page's list. Tasks
 /// of a job mostly start together, so this is a few bytes for each.
-pub type MarkGroup = Vec<u64>;
+pub type AssignmentGroup = Vec<u64>;
 
-/// One page of a part's marks: of all jobs that have some there.
+/// One page of a part's assignments: of all jobs that have some there.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PageRecord {
-    /// Machines that the marks name.
+    /// Machines that the assignments name.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub h: Vec<String>,
-    /// By job's number: its marks, and its numbers done.
-    pub j: Vec<(u64, Vec<MarkGroup>, RangeSet)>,
+    /// By job's number: its assignments, and its numbers done.
+    pub j: Vec<(u64, Vec<AssignmentGroup>, RangeSet)>,
 }
 
-/// A page of a part's marks as it is stored: packed ([`crate::page`]), or plain as builds
+/// A page of a part's assignments as it is stored: packed ([`crate::page`]), or plain as builds
 /// before [`DEPENDENCIES`] write it and an empty page always is.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(untagged)]
