--- /dev/null
+++ b/crates/cherryyard-rehearsal/src/world/machines.rs
@@ -0,0 +1,183 @@
+//! Machines: their steps, reports, direct commands and questions.
+
+use super::*;
+
+impl World {
+    pub(super) fn worker_step(&mut self, name: &str) {
+        let now = self.now;
+        let hung = self.hung.contains(name);
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        if hung {
+            worker.hang(now);
+            return;
+        }
+        if worker.recall_at.is_some_and(|at| now >= at) {
+            self.workers.remove(name);
+            self.say(format!("{name} is taken"));
+            return;
+        }
+        let log = worker.advance(now, &self.services);
+        if let Some(&sent_at) = self.waiting.get(name) {
+            if now - sent_at > ANSWER_MS {
+                self.waiting.remove(name);
+                worker.node = (worker.node + 1) % self.nodes.len();
+                worker.report_at = now + 1000.0;
+            }
+        } else if now >= worker.report_at
+            && !self.unreachable.contains(name)
+            && !self.mute.contains(name)
+        {
+            worker.report_at = now + 2000.0;
+            let (i, report) = (worker.node, worker.report(now));
+            let yard = worker.yard.clone();
+            if self.copies_for_next {
+                let kept = self.kept_copies.entry(name.to_string());
+                kept.or_insert_with(|| report.clone());
+            }
+            if let Some(ms) = self.copies_ms {
+                for k in [i, (i + 1) % self.nodes.len()] {
+                    self.copies.push((now + ms, k, report.clone()));
+                }
+            }
+            self.waiting.insert(name.to_string(), now);
+            match self.late.get(&i) {
+                _ if !self.reaches(i, &yard) => {}
+                Some(late) => self.inbox.push((now + late, now, i, report)),
+                None => self.reported(i, &report, now),
+            }
+        }
+        for line in log {
+            self.say(line);
+        }
+    }
+
+    /// A controller takes a report that was sent at `sent_at`, and answers.
+    pub(super) fn reported(&mut self, i: usize, report: &Report, sent_at: f64) {
+        let now = self.now;
+        let hears = !self.deaf.contains(&i) && !self.frozen.contains(&i);
+        let node = self.nodes[i].as_mut().filter(|_| hears);
+        let reply = node.map(|n| n.report(report, now));
+        let name = &report.host;
+        let mut log = Vec::new();
+        // A worker that has given up drops the answer.
+        if let Some(worker) = self.workers.get_mut(name)
+            && self.waiting.get(name) == Some(&sent_at)
+            && !self.one_way.contains(name)
+        {
+            self.waiting.remove(name);
+            match reply {
+                // The answer to a report of the session before.
+                Some(Reply::Answer(_)) if worker.tenure != report.tenure => {
+                    worker.report_at = now;
+                }
+                Some(Reply::Answer(answer)) => {
+                    log.extend(worker.answered(&answer, sent_at, now));
+                }
+                Some(Reply::Elsewhere(Some(label))) => {
+                    worker.node = label.trim_start_matches("node-").parse().expect("a label");
+                    worker.report_at = now + 100.0;
+                }
+                _ => {
+                    worker.node = (i + 1) % self.nodes.len();
+                    worker.report_at = now + 1000.0;
+                }
+            }
+        }
+        self.effects(i);
+        for line in log {
+            self.say(line);
+        }
+    }
+
+    pub(super) fn push(&mut self, i: usize, host: u32, addr: &str, request: DoRequest) {
+        let now = self.now;
+        let name = addr.trim_end_matches(":9000").to_string();
+        let mut log = Vec::new();
+        let cut = self.unreachable.contains(&name) || self.one_way.contains(&name);
+        let yard = self.workers.get(&name).map(|w| w.yard.clone());
+        let cut = cut || yard.is_some_and(|yard| !self.reaches(i, &yard));
+        let cut = cut || self.hung.contains(&name);
+        let outcome = if self.slow_direct.contains(&name) || cut {
+            self.held_direct.push((name, request.clone()));
+            PushOutcome::Unknown
+        } else if let Some(worker) = self.workers.get_mut(&name) {
+            log = worker.direct(&request, now).1;
+            PushOutcome::Answered(Box::new(worker.report(now)))
+        } else {
+            PushOutcome::Unsent
+        };
+        for line in log {
+            self.say(line);
+        }
+        if let Some(node) = &mut self.nodes[i] {
+            node.pushed(host, &request, outcome, now);
+        }
+    }
+
+    /// A controller asks a machine for its report.
+    pub(super) fn ask(&mut self, i: usize, host: u32, addr: &str) {
+        let now = self.now;
+        self.questions += 1;
+        let name = addr.trim_end_matches(":9000");
+        let cut = self.unreachable.contains(name) || self.one_way.contains(name);
+        let cut = cut || self.deaf.contains(&i) || self.hung.contains(name);
+        let yard = self.workers.get(name).map(|w| w.yard.clone());
+        let cut = cut || yard.is_some_and(|yard| !self.reaches(i, &yard));
+        let worker = self.workers.get_mut(name).filter(|_| !cut);
+        let report = worker.map(|w| w.report(now));
+        if let Some(node) = &mut self.nodes[i] {
+            node.asked(host, report.as_ref(), now);
+        }
+    }
+
+    /// A machine ends with all that is on it and is back at once, its worker new. What
+    /// was held back on connections to it is lost with them.
+    pub fn reborn(&mut self, name: &str) {
+        self.say(format!("{name} begins anew"));
+        self.waiting.remove(name);
+        self.held_direct.retain(|held| held.0 != name);
+        let now = self.now;
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.begin_anew(now);
+        }
+    }
+
+    /// Delivers the direct commands that were held back; says how many of them
+    /// a worker executed.
+    pub fn deliver_direct(&mut self) -> usize {
+        let now = self.now;
+        let mut executed = 0;
+        for (name, request) in std::mem::take(&mut self.held_direct) {
+            if let Some(worker) = self.workers.get_mut(&name) {
+                let (done, log) = worker.direct(&request, now);
+                executed += usize::from(done);
+                for line in log {
+                    self.say(format!("late: {line}"));
+                }
+            }
+        }
+        self.check();
+        executed
+    }
+
+    /// Whether nothing keeps a machine from taking tasks.
+    pub fn in_order(&self, host: &str) -> bool {
+        let bad = [&self.unreachable, &self.hung, &self.one_way, &self.mute];
+        !bad.iter().any(|set| set.contains(host))
+    }
+
+    /// How many machines run this task.
+    pub fn copies(&self, piece: &str) -> usize {
+        self.workers.values().filter(|w| w.runs(piece)).count()
+    }
+
+    /// How many tasks run.
+    pub fn running(&self) -> usize {
+        self.workers
+            .values()
+            .map(|w| w.pieces.values().filter(|p| p.2.is_none()).count())
+            .sum()
+    }
+}
