Placement of a part's waiting tasks in functions of one step each

The one function of 270 lines is now twelve, with what a round goes by in one struct and a job's next step as a type. Behaviour is the same but for one thing that cannot be seen: which order two checks without effects on each other have.

--- a/crates/cherryyard-core/src/owner/place.rs
+++ b/crates/cherryyard-core/src/owner/place.rs
@@ -1,6 +1,7 @@
 //! Placement: which waiting number goes to which machine.
 
 use super::blame::Trouble;
+use super::preempt::Preemptible;
 use super::search::{Looks, Search};
 use super::*;
 use crate::admission::flows::Flow;
@@ -8,6 +9,95 @@
 use cherryyard_wire::RangeSet;
 use std::cmp::Reverse;
 
+/// Tasks that one round places.
+const MOST_PLACED: usize = 300;
+/// Tasks of a job that may find no room before the rest of it is passed over.
+const MOST_UNPLACED: usize = 8;
+/// A fetch of an image for which arrays make way elsewhere, in seconds.
+const SHORT_FETCH_S: f64 = 1.5;
+
+/// What a round of placement goes by, and what it has come to.
+struct Placement {
+    p: usize,
+    now: Millis,
+    /// Free room by machine, as it is used up.
+    rooms: Vec<(u32, Needs)>,
+    /// What each team uses in the part, and everywhere.
+    used: Vec<Needs>,
+    totals: Vec<Needs>,
+    preemptible: Preemptible,
+    search: Search,
+    /// Services that another part should get.
+    handing: BTreeSet<u64>,
+    /// How many tasks have been placed.
+    placed: usize,
+    /// Cores that flows may start ahead of rank, and that may be stopped of them.
+    ahead: HashMap<Flow, f64>,
+    may_stop: HashMap<Flow, f64>,
+    looks: Looks,
+    /// Cores started, by flow.
+    started: HashMap<Flow, f64>,
+    /// Teams whose rest of the limit here is kept for a job whose turn it is.
+    kept_for: HashMap<usize, u64>,
+    /// Of jobs that were put back, up to which number this round has gone.
+    gone_to: HashMap<u64, u32>,
+}
+
+impl Placement {
+    /// Whether a flow goes ahead of rank, and what is left of that is too little.
+    fn is_beyond_level(&mut self, flow: Flow, needs: &Needs) -> bool {
+        let beyond = self
+            .ahead
+            .get(&flow)
+            .is_some_and(|left| *left < needs.cores);
+        if beyond {
+            self.ahead.remove(&flow);
+        }
+        beyond
+    }
+
+    /// Takes cores from what a flow may start ahead of rank; whether too little is left
+    /// for as much again.
+    fn use_level(&mut self, flow: Flow, cores: f64) -> bool {
+        let Some(left) = self.ahead.get_mut(&flow) else {
+            return false;
+        };
+        *left -= cores;
+        let used_up = *left < cores;
+        if used_up {
+            self.ahead.remove(&flow);
+        }
+        used_up
+    }
+}
+
+/// A waiting job as a round sees it.
+struct Candidate {
+    job: u64,
+    flow: Flow,
+    team: u32,
+    /// Its team, if that has a limit.
+    limited: Option<u32>,
+    needs: Needs,
+    service: bool,
+    /// Since when it waits here.
+    since: Option<Millis>,
+    waiting: RangeSet,
+    /// Whether it fails everywhere, and where else it has failed.
+    blamed: bool,
+    failed_on: Option<BTreeSet<u32>>,
+}
+
+/// How a round goes on after a job.
+enum Next {
+    /// With the next job.
+    Job,
+    /// With the next job; this one comes once more, in its own place.
+    JobAgain,
+    /// It has no room for more.
+    Nothing,
+}
+
 impl Node {
     /// Which of the deadline's multiples the job can still make if its waiting
     /// tasks start now, and when that is over, by the day's clock; the later ones only
@@ -123,267 +213,408 @@
         round: &mut Round,
         pending: &mut Pending,
     ) {
-        let silence = self.silence_ms();
-        let mut rooms: Vec<(u32, Needs)> = self
-            .machines
-            .values()
-            .filter(|m| m.part == p && m.usable(now, silence))
-            .filter_map(|m| Some((m.host, self.free_on(m, Some(round))?)))
-            .collect();
-        rooms.sort_by_key(|r| r.0);
-        let mut used = self.mirror.usage(p);
-        for task in &round.gone {
-            // What this very round proves gone makes room under the limit too.
-            if let Some((team, needs)) = self.mirror.uses(task.0)
-                && let Some(u) = used.get_mut(team as usize)
-            {
-                u.take(&needs);
-            }
-        }
-        let totals = self.team_totals();
-        let preemptible = self.preemptible(p, &totals);
-        let mut search = Search::default();
-        let mut handing = BTreeSet::new();
-        let mut placed = 0;
+        let mut placement = self.begin_placement(p, round, now);
         let mut line = queues.line();
-        let allowed = self.allowances(p, &round.gone, now);
-        let mut ahead = allowed.start;
-        ahead.retain(|_, cores| *cores > 0.0);
-        ahead.keys().for_each(|&flow| line.ahead(flow, true));
-        let mut may_stop = allowed.stop;
-        let mut looks = Looks::default();
-        let mut started: HashMap<Flow, f64> = HashMap::new();
-        // Teams whose rest of the limit here is kept for a job whose turn it is.
-        let mut kept_for: HashMap<usize, u64> = HashMap::new();
-        // Of jobs that were put back, up to which number this round has gone.
-        let mut gone_to: HashMap<u64, u32> = HashMap::new();
-        'jobs: while let Some((flow, at)) = line.step() {
-            let job = &at.job;
+        let ahead = placement.ahead.keys();
+        ahead.for_each(|&flow| line.ahead(flow, true));
+        while let Some((flow, at)) = line.step() {
             self.looked_jobs += 1;
             // Counted as stuck until one of its tasks is placed.
-            if looks.look(flow, at) {
+            if placement.looks.look(flow, at) {
                 line.close(flow);
             }
-            let (Some(open), Some(waiting)) =
-                (self.mirror.open.get(job), self.mirror.waiting(p, *job))
-            else {
+            let Some(needs) = self.needs_of_waiting(p, at.job) else {
                 continue;
             };
-            let needs = open.needs();
-            if ahead.get(&flow).is_some_and(|left| *left < needs.cores) {
+            if placement.is_beyond_level(flow, &needs) {
                 // Not all of it has its turn now; what is next in its own place may.
-                ahead.remove(&flow);
                 line.ahead(flow, false);
                 line.back(flow, at);
                 continue;
             }
-            let team = open.team as usize;
-            let trouble = self.parts[p].trouble.get(job);
-            if trouble.is_some_and(|t| t.held_off(now)) {
+            let Some(candidate) = self.candidate(&placement, flow, at.job, queues, round) else {
                 continue;
-            }
-            // Of a job that fails everywhere one task at a time is tried.
-            let blamed = trouble.is_some_and(Trouble::blamed);
-            let tried = || {
-                let assignments = self.mirror.assignments.get(&(p, *job));
-                assignments.is_some_and(|m| m.assignments.len() > round.gone_of(*job))
             };
-            if blamed && tried() {
+            if !self.may_start(&mut placement, &candidate, queues) {
                 continue;
             }
+            match self.place_job(&mut placement, &candidate, queues, round, pending) {
+                Next::Job => {}
+                Next::JobAgain => {
+                    line.ahead(flow, false);
+                    line.back(flow, at);
+                }
+                Next::Nothing => break,
+            }
+        }
+        self.end_placement(placement, queues);
+    }
+
+    fn begin_placement(&self, p: usize, round: &Round, now: Millis) -> Placement {
+        let silence = self.silence_ms();
+        let usable = self.machines.values();
+        let usable = usable.filter(|m| m.part == p && m.usable(now, silence));
+        let free = |m: &Machine| Some((m.host, self.free_on(m, Some(round))?));
+        let mut rooms: Vec<(u32, Needs)> = usable.filter_map(free).collect();
+        rooms.sort_by_key(|room| room.0);
+        let mut used = self.mirror.usage(p);
+        for task in &round.gone {
+            // What this very round proves gone makes room under the limit too.
+            if let Some((team, needs)) = self.mirror.uses(task.0)
+                && let Some(used) = used.get_mut(team as usize)
+            {
+                used.take(&needs);
+            }
+        }
+        let totals = self.team_totals();
+        let allowed = self.allowances(p, &round.gone, now);
+        let mut ahead = allowed.start;
+        ahead.retain(|_, cores| *cores > 0.0);
+        Placement {
+            p,
+            now,
+            rooms,
+            used,
+            preemptible: self.preemptible(p, &totals),
+            totals,
+            search: Search::default(),
+            handing: BTreeSet::new(),
+            placed: 0,
+            ahead,
+            may_stop: allowed.stop,
+            looks: Looks::default(),
+            started: HashMap::new(),
+            kept_for: HashMap::new(),
+            gone_to: HashMap::new(),
+        }
+    }
+
+    /// What a task of a job takes that waits in the part.
+    fn needs_of_waiting(&self, p: usize, job: u64) -> Option<Needs> {
+        self.mirror.waiting(p, job)?;
+        self.mirror.open.get(&job).map(OpenJob::needs)
+    }
+
+    /// A waiting job as this round sees it; none if nothing of it may be tried now.
+    fn candidate(
+        &self,
+        placement: &Placement,
+        flow: Flow,
+        job: u64,
+        queues: &Queues,
+        round: &Round,
+    ) -> Option<Candidate> {
+        let p = placement.p;
+        let open = self.mirror.open.get(&job)?;
+        let mut waiting = self.mirror.waiting(p, job)?.clone();
+        let trouble = self.parts[p].trouble.get(&job);
+        if trouble.is_some_and(|t| t.held_off(placement.now)) {
+            return None;
+        }
+        // Of a job that fails everywhere one task at a time is tried.
+        let blamed = trouble.is_some_and(Trouble::blamed);
+        let is_tried = || {
+            let here = self.mirror.assignments.get(&(p, job));
+            here.is_some_and(|all| all.assignments.len() > round.gone_of(job))
+        };
+        if blamed && is_tried() {
+            return None;
+        }
+        if let Some(&last) = placement.gone_to.get(&job) {
+            waiting = waiting.minus(&RangeSet::span(0, last));
+        }
+        let team = open.team;
+        let limited = self.config.teams[team as usize].limited();
+        Some(Candidate {
+            job,
+            flow,
+            team,
+            limited: limited.then_some(team),
+            needs: open.needs(),
+            service: open.spec.shape == Shape::Service,
+            since: queues.since(job),
+            waiting,
+            blamed,
             // Elsewhere than where it failed, while that may tell whose fault it is.
-            let failed_on = trouble.filter(|t| !t.blamed()).map(|t| t.hosts.clone());
-            let limited = self.config.teams[team].limited().then_some(team as u32);
-            if kept_for.get(&team).is_some_and(|other| other != job) {
-                continue;
+            failed_on: trouble.filter(|t| !t.blamed()).map(|t| t.hosts.clone()),
+        })
+    }
+
+    /// Whether the team's limit lets a task of the job start; one whose turn it is keeps
+    /// what is left of the limit here.
+    fn may_start(
+        &mut self,
+        placement: &mut Placement,
+        candidate: &Candidate,
+        queues: &Queues,
+    ) -> bool {
+        let (p, job, team) = (placement.p, candidate.job, candidate.team);
+        let kept_for = placement.kept_for.get(&(team as usize));
+        if kept_for.is_some_and(|other| *other != job) {
+            return false;
+        }
+        if !self.beyond_grant(p, team, &placement.used, &candidate.needs) {
+            return true;
+        }
+        // Smaller tasks would take what comes free, each before it is enough.
+        if queues.turn(candidate.flow) == Some(job)
+            && !self.begun(job)
+            && !self.beyond_grant(p, team, &self.held_by_services(p), &candidate.needs)
+            && self.parts[p]
+                .kept_rests
+                .keep(team as usize, job, placement.now)
+        {
+            placement.kept_for.insert(team as usize, job);
+        }
+        false
+    }
+
+    /// Places what waits of a job, as far as there is room.
+    fn place_job(
+        &mut self,
+        placement: &mut Placement,
+        candidate: &Candidate,
+        queues: &Queues,
+        round: &mut Round,
+        pending: &mut Pending,
+    ) -> Next {
+        let (p, job, needs) = (placement.p, candidate.job, &candidate.needs);
+        let waiting = &candidate.waiting;
+        let mut zones = self.zone_counts(p, job, round);
+        let mut unplaced = Vec::new();
+        for number in waiting.iter() {
+            if placement.placed >= MOST_PLACED {
+                return Next::Nothing;
             }
-            if self.beyond_grant(p, team as u32, &used, &needs) {
-                // Smaller tasks would take what comes free, each before it is enough.
-                if queues.turn(flow) == Some(*job)
-                    && !self.begun(*job)
-                    && !self.beyond_grant(p, team as u32, &self.held_by_services(p), &needs)
-                    && self.parts[p].kept_rests.keep(team, *job, now)
-                {
-                    kept_for.insert(team, *job);
-                }
-                continue;
+            if self.beyond_grant(p, candidate.team, &placement.used, needs) {
+                return Next::Job;
             }
-            let mut waiting = waiting.clone();
-            if let Some(&last) = gone_to.get(job) {
-                waiting = waiting.minus(&RangeSet::span(0, last));
+            if placement.search.too_large(needs) {
+                unplaced.extend(waiting.iter().filter(|n| *n >= number).take(4));
+                break;
             }
-            let mut zones = self.zone_counts(p, *job, round);
-            let mut unplaced = Vec::new();
-            for number in waiting.iter() {
-                if placed >= 300 {
-                    break 'jobs;
-                }
-                if self.beyond_grant(p, team as u32, &used, &needs) {
-                    continue 'jobs;
+            let kept = self.kept_machine(p, (job, number));
+            let Some(room) = self.best_room(placement, candidate, number, kept, &zones) else {
+                unplaced.push(number);
+                // Where no machine has room for one of them, none has for the next.
+                let none = !placement.rooms.iter().any(|r| needs.fits(&r.1));
+                if none {
+                    placement.search.none_fits(*needs);
                 }
-                if search.too_large(&needs) {
-                    unplaced.extend(waiting.iter().filter(|n| *n >= number).take(4));
+                if none || unplaced.len() >= MOST_UNPLACED {
+                    unplaced.extend(waiting.iter().filter(|n| *n > number).take(3));
                     break;
                 }
-                let kept = self.parts[p]
-                    .reserved
-                    .iter()
-                    .find(|(_, (task, _))| *task == (*job, number))
-                    .map(|(&host, _)| host);
-                let open = &self.mirror.open[job];
-                let best = rooms
-                    .iter()
-                    .enumerate()
-                    .filter(|(_, (host, free))| {
-                        let m = &self.machines[host];
-                        needs.fits(free)
-                            && kept.is_none_or(|k| k == *host)
-                            && self.allowed(open, m)
-                            && !m.seen.contains_key(&(*job, number))
-                            && self.parts[p]
-                                .reserved
-                                .get(host)
-                                .is_none_or(|(task, _)| *task == (*job, number))
-                            && !self.kept_from(p, *host, open)
-                            && self.zone_open(p, open, &m.zone, &zones)
-                    })
-                    .max_by(|(_, a), (_, b)| {
-                        let key = |r: &(u32, Needs)| {
-                            let m = &self.machines[&r.0];
-                            let image = match open.spec.shape {
-                                Shape::Service => m.image(&open.spec.bundle),
-                                Shape::Sweep => u8::from(m.has_image(&open.spec.bundle)),
-                            };
-                            // A spot machine may be taken with its work: only for
-                            // what finds no other room.
-                            let tier = open.tier(&m.kind, &m.zone, m.spot);
-                            let failed = failed_on.as_ref().is_some_and(|f| f.contains(&r.0));
-                            (!failed, Reverse(tier), image, !m.spot)
-                        };
-                        key(a)
-                            .cmp(&key(b))
-                            .then(a.1.cores.total_cmp(&b.1.cores))
-                            .then(a.1.ram.total_cmp(&b.1.ram))
-                            .then(b.0.cmp(&a.0))
-                    })
-                    .map(|(i, _)| i);
-                let Some(i) = best else {
-                    unplaced.push(number);
-                    // Where no machine has room for one of them, none has for
-                    // the next.
-                    let none = !rooms.iter().any(|r| needs.fits(&r.1));
-                    if none {
-                        search.none_fits(needs);
-                    }
-                    if none || unplaced.len() >= 8 {
-                        unplaced.extend(waiting.iter().filter(|n| *n > number).take(3));
-                        break;
-                    }
-                    continue;
-                };
-                let host = rooms[i].0;
-                if open.spec.shape == Shape::Service
-                    && kept.is_none()
-                    && self.fetch_s(open, host) > 1.5
-                    && self.may_preempt(open, &preemptible)
-                {
-                    // Where the image is, the replica runs at once; the arrays
-                    // there can make way more easily than it can wait.
-                    let job = *job;
-                    if self.preempt(
-                        p,
-                        job,
-                        &[number],
-                        round,
-                        now,
-                        true,
-                        &totals,
-                        &mut search,
-                        &mut may_stop,
-                    ) {
-                        continue;
-                    }
-                }
-                let open = &self.mirror.open[job];
-                if open.spec.shape == Shape::Service
-                    && kept.is_none()
-                    && self.fetch_s(open, host) > HAND_OVER_FETCH_S
-                    && now - queues.since(*job).unwrap_or(now) < HAND_OVER_MS
-                    && self.held_elsewhere(p, open, now) >= 1.0
-                {
-                    handing.insert(*job);
-                    continue;
-                }
-                let m = &self.machines[&host];
-                // Above every attempt before: each of those was at most the
-                // revision of its own assignment, which has been seen since.
-                let attempt = self.mirror.epoch.max(self.newest_epoch) + 1;
-                let assignment = Assignment {
-                    host,
-                    session: m.newest.0,
-                    attempt,
-                };
-                *zones.entry(m.zone.clone()).or_default() += 1;
-                if !round.assign(&self.mirror, (*job, number), assignment, limited) {
-                    self.parts[p].dirty = true;
-                    break 'jobs;
-                }
-                let open = &self.mirror.open[job];
-                if open.spec.shape == Shape::Service {
-                    let waited = queues.since(*job).map(|at| now - at);
-                    let age = now + self.wall_offset - open.at as f64;
-                    let fetch_s = self.fetch_s(open, host);
-                    tracing::debug!(job, host, fetch_s, ?waited, age, "place a service");
-                }
-                rooms[i].1.take(&needs);
-                used[team].give(&needs);
-                pending.hosts.insert(host);
-                placed += 1;
-                looks.found(flow);
-                *started.entry(flow).or_insert(0.0) += needs.cores;
-                if let Some(left) = ahead.get_mut(&flow) {
-                    *left -= needs.cores;
-                    if *left < needs.cores {
-                        ahead.remove(&flow);
-                        line.ahead(flow, false);
-                        line.back(flow, at);
-                        gone_to.insert(*job, number);
-                        continue 'jobs;
-                    }
-                }
-                if blamed {
-                    continue 'jobs;
-                }
+                continue;
+            };
+            let host = placement.rooms[room].0;
+            if candidate.service
+                && kept.is_none()
+                && self.better_elsewhere(placement, candidate, number, host, round)
+            {
+                continue;
             }
-            if let Some(&first) = unplaced.first() {
-                self.keep_machine(p, flow, (*job, first), queues, &zones, now);
+            let zone = self.machines[&host].zone.clone();
+            *zones.entry(zone).or_default() += 1;
+            if !self.assign(placement, candidate, number, room, round, pending) {
+                return Next::Nothing;
             }
-            if !unplaced.is_empty() && self.may_preempt(&self.mirror.open[job], &preemptible) {
-                let job = *job;
-                self.preempt(
-                    p,
-                    job,
-                    &unplaced,
-                    round,
-                    now,
-                    false,
-                    &totals,
-                    &mut search,
-                    &mut may_stop,
-                );
+            if placement.use_level(candidate.flow, needs.cores) {
+                placement.gone_to.insert(job, number);
+                return Next::JobAgain;
+            }
+            if candidate.blamed {
+                return Next::Job;
             }
         }
-        for (flow, cores) in started {
+        self.make_room(placement, candidate, &unplaced, queues, &zones, round);
+        Next::Job
+    }
+
+    /// The machine that is kept for a task, because others were stopped there for it.
+    fn kept_machine(&self, p: usize, task: Task) -> Option<u32> {
+        let mut kept = self.parts[p].reserved.iter();
+        kept.find(|kept| kept.1.0 == task).map(|kept| *kept.0)
+    }
+
+    /// The best of the machines that have room for a task, by its place.
+    fn best_room(
+        &self,
+        placement: &Placement,
+        candidate: &Candidate,
+        number: u32,
+        kept: Option<u32>,
+        zones: &HashMap<String, u32>,
+    ) -> Option<usize> {
+        let (p, task) = (placement.p, (candidate.job, number));
+        let open = &self.mirror.open[&candidate.job];
+        let reserved = &self.parts[p].reserved;
+        let is_possible = |(host, free): &(u32, Needs)| {
+            let m = &self.machines[host];
+            candidate.needs.fits(free)
+                && kept.is_none_or(|kept| kept == *host)
+                && self.allowed(open, m)
+                && !m.seen.contains_key(&task)
+                && reserved.get(host).is_none_or(|other| other.0 == task)
+                && !self.kept_from(p, *host, open)
+                && self.zone_open(p, open, &m.zone, zones)
+        };
+        let preference = |host: u32| {
+            let m = &self.machines[&host];
+            let image = match open.spec.shape {
+                Shape::Service => m.image(&open.spec.bundle),
+                Shape::Sweep => u8::from(m.has_image(&open.spec.bundle)),
+            };
+            let tier = open.tier(&m.kind, &m.zone, m.spot);
+            let failed = candidate.failed_on.as_ref();
+            let failed = failed.is_some_and(|hosts| hosts.contains(&host));
+            // A spot machine may be taken with its work: only for what finds no other
+            // room.
+            (!failed, Reverse(tier), image, !m.spot)
+        };
+        let rooms = placement.rooms.iter().enumerate();
+        let best = rooms
+            .filter(|(_, room)| is_possible(room))
+            .max_by(|(_, a), (_, b)| {
+                preference(a.0)
+                    .cmp(&preference(b.0))
+                    .then(a.1.cores.total_cmp(&b.1.cores))
+                    .then(a.1.ram.total_cmp(&b.1.ram))
+                    .then(b.0.cmp(&a.0))
+            });
+        best.map(|(room, _)| room)
+    }
+
+    /// Whether a replica that would have to fetch its image on the best machine is not
+    /// started there: arrays make way where the image is, or another part gets it.
+    fn better_elsewhere(
+        &mut self,
+        placement: &mut Placement,
+        candidate: &Candidate,
+        number: u32,
+        host: u32,
+        round: &Round,
+    ) -> bool {
+        let (p, job, now) = (placement.p, candidate.job, placement.now);
+        let open = &self.mirror.open[&job];
+        if self.fetch_s(open, host) > SHORT_FETCH_S
+            && self.may_preempt(open, &placement.preemptible)
+            // Where the image is, the replica runs at once; the arrays there can make
+            // way more easily than it can wait.
+            && self.preempt(
+                p,
+                job,
+                &[number],
+                round,
+                now,
+                true,
+                &placement.totals,
+                &mut placement.search,
+                &mut placement.may_stop,
+            )
+        {
+            return true;
+        }
+        let open = &self.mirror.open[&job];
+        let waits_ms = now - candidate.since.unwrap_or(now);
+        let hand_over = self.fetch_s(open, host) > HAND_OVER_FETCH_S
+            && waits_ms < HAND_OVER_MS
+            && self.held_elsewhere(p, open, now) >= 1.0;
+        if hand_over {
+            placement.handing.insert(job);
+        }
+        hand_over
+    }
+
+    /// Assigns a task to a machine; false if the round has no room for more.
+    fn assign(
+        &mut self,
+        placement: &mut Placement,
+        candidate: &Candidate,
+        number: u32,
+        room: usize,
+        round: &mut Round,
+        pending: &mut Pending,
+    ) -> bool {
+        let host = placement.rooms[room].0;
+        let assignment = Assignment {
+            host,
+            session: self.machines[&host].newest.0,
+            // Above every attempt before: each of those was at most the revision of its
+            // own assignment, which has been seen since.
+            attempt: self.mirror.epoch.max(self.newest_epoch) + 1,
+        };
+        let task = (candidate.job, number);
+        if !round.assign(&self.mirror, task, assignment, candidate.limited) {
+            self.parts[placement.p].dirty = true;
+            return false;
+        }
+        if candidate.service {
+            self.tell_placed(candidate, host, placement.now);
+        }
+        placement.rooms[room].1.take(&candidate.needs);
+        placement.used[candidate.team as usize].give(&candidate.needs);
+        placement.placed += 1;
+        placement.looks.found(candidate.flow);
+        let started = placement.started.entry(candidate.flow).or_insert(0.0);
+        *started += candidate.needs.cores;
+        pending.hosts.insert(host);
+        true
+    }
+
+    fn tell_placed(&self, candidate: &Candidate, host: u32, now: Millis) {
+        let job = candidate.job;
+        let open = &self.mirror.open[&job];
+        let waited = candidate.since.map(|at| now - at);
+        let age = now + self.wall_offset - open.at as f64;
+        let fetch_s = self.fetch_s(open, host);
+        tracing::debug!(job, host, fetch_s, ?waited, age, "place a service");
+    }
+
+    /// Makes room for what has found none: a machine is kept for the job whose turn it
+    /// is, less important work is stopped.
+    fn make_room(
+        &mut self,
+        placement: &mut Placement,
+        candidate: &Candidate,
+        unplaced: &[u32],
+        queues: &Queues,
+        zones: &HashMap<String, u32>,
+        round: &Round,
+    ) {
+        let (p, job, now) = (placement.p, candidate.job, placement.now);
+        let Some(&first) = unplaced.first() else {
+            return;
+        };
+        self.keep_machine(p, candidate.flow, (job, first), queues, zones, now);
+        if self.may_preempt(&self.mirror.open[&job], &placement.preemptible) {
+            self.preempt(
+                p,
+                job,
+                unplaced,
+                round,
+                now,
+                false,
+                &placement.totals,
+                &mut placement.search,
+                &mut placement.may_stop,
+            );
+        }
+    }
+
+    fn end_placement(&mut self, placement: Placement, queues: &mut Queues) {
+        for (flow, cores) in placement.started {
             queues.started(flow, cores);
         }
-        for (flow, others, last) in looks.others() {
+        for (flow, others, last) in placement.looks.others() {
             queues.looked_at(flow, others, last);
         }
-        if !handing.is_empty() && handing != self.parts[p].handing {
+        let handing = placement.handing;
+        if !handing.is_empty() && handing != self.parts[placement.p].handing {
             self.effects.push(Effect::Heartbeat);
             self.leader.dirty = true;
         }
-        self.parts[p].handing = handing;
+        self.parts[placement.p].handing = handing;
     }
 
     /// Whether one more task would take its team beyond what the part may use of
