--- a/crates/cherryyard-rehearsal/tests/checker.rs
+++ b/crates/cherryyard-rehearsal/tests/checker.rs
@@ -205,3 +205,70 @@
     let waits = |x: &String| x.contains("j-000002 waits for") && x.contains("though there is room");
     assert!(wrong.iter().any(waits), "{wrong:?}");
 }
+
+fn waits_for(id: &str, need: &str) -> JobSpec {
+    let mut spec = World::spec(id, "sweep", 1);
+    spec.waits_on = vec![need.into()];
+    spec
+}
+
+/// A build that starts a job before what it needs is done.
+#[test]
+fn a_start_before_all_that_is_needed_is_done() {
+    let mut w = cluster(0.0);
+    w.submit_at(0, &World::spec("j-000001", "sweep", 1));
+    w.run(3.0);
+    w.submit_at(1, &waits_for("j-000002", "j-000001"));
+    w.run(3.0);
+    assert!(w.broken.is_empty(), "{:?}", w.broken);
+    let host = free_host(&w, "b");
+    start_anyway(&mut w, &host, "j-000002/0");
+    sees(&w, "j-000002/0 starts before all that it needs is done");
+}
+
+/// A build that forgets what a job waits for: it is called queued long after its user was
+/// told that the job before it is cancelled.
+#[test]
+fn a_job_that_outlives_what_it_needs() {
+    let mut w = cluster(0.0);
+    // All cores are taken, so that neither starts.
+    w.submit(&World::spec("j-000009", "service", 18));
+    w.run(3.0);
+    w.submit_at(0, &World::spec("j-000001", "sweep", 1));
+    w.run(3.0);
+    w.requests.without_dependencies = true;
+    w.submit_at(1, &waits_for("j-000002", "j-000001"));
+    w.run(3.0);
+    w.insist(0, "j-000001", Question::Cancel);
+    w.run(30.0);
+    w.ask_once(2, "j-000002", Question::Poll);
+    w.run(8.0);
+    assert!(w.broken.is_empty(), "{:?}", w.broken);
+    w.run(5.0);
+    w.ask_once(2, "j-000002", Question::Poll);
+    w.run(2.0);
+    sees(&w, "j-000002: called Queued long after what it needs");
+}
+
+/// A build that cancels a job that nobody called off, nor anything that it needs.
+#[test]
+fn a_job_that_is_cancelled_for_nothing() {
+    let mut w = cluster(0.0);
+    w.submit_at(0, &World::spec("j-000001", "sweep", 1));
+    w.submit_at(0, &World::spec("j-000003", "sweep", 1));
+    w.run(3.0);
+    w.submit_at(1, &waits_for("j-000002", "j-000001"));
+    w.run(3.0);
+    // Another one's cancellation says nothing of it.
+    w.insist(0, "j-000003", Question::Cancel);
+    w.run(3.0);
+    let node = w.nodes[0].as_ref().expect("it is up");
+    let commit = node.cancellation(2).expect("an open job");
+    w.state.commit(&commit);
+    w.ask_once(2, "j-000002", Question::Poll);
+    w.run(3.0);
+    sees(
+        &w,
+        "j-000002: it is called cancelled, and nobody asked for that",
+    );
+}
