--- a/crates/cherryyard-rehearsal/src/lib.rs
+++ b/crates/cherryyard-rehearsal/src/lib.rs
@@ -20,6 +20,18 @@
 pub use world::pipelines::Pipelines;
 pub use world::{Question, Said, Setup, World, small_kind};
 
+/// Plays days by seed, by hand: `FROM` names the first seed and `SEEDS` how many there
+/// are, else these.
+///
+/// # Panics
+///
+/// If either variable is not a number.
+pub fn play_seeds(first: u64, count: u64, play: impl Fn(u64)) {
+    let number = |name: &str, or: u64| std::env::var(name).map_or(or, |s| s.parse().expect(name));
+    let from = number("FROM", first);
+    (from..from + number("SEEDS", count)).for_each(play);
+}
+
 /// Draws below a number, the same for the same seed in every version of every
 /// library: a seed that breaks a rule is kept.
 pub fn draws(seed: u64) -> impl FnMut(u64) -> u64 {
--- a/crates/cherryyard-rehearsal/src/process.rs
+++ b/crates/cherryyard-rehearsal/src/process.rs
@@ -1,5 +1,7 @@
 //! The real program as a process on loopback, and a client of it.
 
+use crate::StateStandIn;
+use crate::http::{Budgets, HttpState};
 use cherryyard_io::http::Http;
 use serde_json::{Value, json};
 use std::net::TcpListener;
@@ -75,6 +77,25 @@
         }
     }
 
+    /// Starts a controller alone on a state service whose store has these contents, and
+    /// waits until it is ready.
+    pub async fn start_alone(
+        program: &Path,
+        state: StateStandIn,
+        operator: &str,
+    ) -> (HttpState, Self, Client) {
+        let budgets = Budgets {
+            rps: 400.0,
+            write_rps: 100.0,
+        };
+        let service = HttpState::new(state, budgets);
+        let addr = service.serve().await;
+        let controller = Self::start(program, &settings(&addr.to_string()), operator);
+        let client = controller.client();
+        client.ready().await;
+        (service, controller, client)
+    }
+
     /// Most memory that it has taken, in MB.
     pub fn memory_mb(&self) -> f64 {
         let path = format!("/proc/{}/status", self.child.id());
--- a/crates/cherryyard-rehearsal/tests/end_of_day.rs
+++ b/crates/cherryyard-rehearsal/tests/end_of_day.rs
@@ -1,7 +1,7 @@
 //! What is checked at the end of a day: nothing forgotten, nobody left out, and the new
 //! troubles alone, overlapping, and at every step of a claim.
 
-use cherryyard_rehearsal::{Setup, Users, World, draws};
+use cherryyard_rehearsal::{Setup, Users, World, draws, play_seeds};
 use cherryyard_wire::job::JobSpec;
 
 fn cluster(tuning: impl Fn(&mut Setup)) -> World {
@@ -262,7 +262,5 @@
 #[test]
 #[ignore = "minutes"]
 fn random_days_by_the_hundred() {
-    let number = |name: &str, or: u64| std::env::var(name).map_or(or, |s| s.parse().expect(name));
-    let from = number("FROM", 10);
-    (from..from + number("SEEDS", 200)).for_each(day);
+    play_seeds(10, 200, day);
 }
--- a/crates/cherryyard-rehearsal/tests/gap.rs
+++ b/crates/cherryyard-rehearsal/tests/gap.rs
@@ -2,7 +2,7 @@
 //! cancellations, then it refuses everybody for longer than a cancellation has. What an
 //! owner may take for known of the others' cancellations decides.
 
-use cherryyard_rehearsal::{Setup, World, draws};
+use cherryyard_rehearsal::{Setup, World, draws, play_seeds};
 
 fn id(job: usize) -> String {
     format!("j-{job:06}")
@@ -524,7 +524,5 @@
 #[test]
 #[ignore = "minutes"]
 fn random_gaps_by_the_thousand() {
-    let number = |name: &str, or: u64| std::env::var(name).map_or(or, |s| s.parse().expect(name));
-    let from = number("FROM", 40);
-    (from..from + number("SEEDS", 1000)).for_each(day);
+    play_seeds(40, 1000, day);
 }
--- a/crates/cherryyard-rehearsal/tests/late_writes.rs
+++ b/crates/cherryyard-rehearsal/tests/late_writes.rs
@@ -3,7 +3,7 @@
 //! are those that did harm, and days on which any transaction may be so late.
 
 use cherryyard_core::{Node, Outcome};
-use cherryyard_rehearsal::{Setup, Users, World, draws};
+use cherryyard_rehearsal::{Setup, Users, World, draws, play_seeds};
 use cherryyard_wire::job::JobSpec;
 use cherryyard_wire::record::{PageRecord, StoredPage, arrivals_key, assignments_key};
 use cherryyard_wire::state::{Apply, Commit, Json};
@@ -352,9 +352,7 @@
 #[test]
 #[ignore = "minutes"]
 fn random_days_by_the_hundred() {
-    let number = |name: &str, or: u64| std::env::var(name).map_or(or, |s| s.parse().expect(name));
-    let from = number("FROM", 12);
-    (from..from + number("SEEDS", 200)).for_each(day);
+    play_seeds(12, 200, day);
 }
 
 /// New jobs stand undivided in a page that has no room for their divisions, so the leader
--- a/crates/cherryyard-rehearsal/tests/pipelines.rs
+++ b/crates/cherryyard-rehearsal/tests/pipelines.rs
@@ -2,7 +2,9 @@
 //! pipelines on days with troubles.
 
 use cherryyard_rehearsal::trouble::{NEWER, OLDER};
-use cherryyard_rehearsal::{Pipelines, Question, Said, Setup, Trouble, Users, World, draws};
+use cherryyard_rehearsal::{
+    Pipelines, Question, Said, Setup, Trouble, Users, World, draws, play_seeds,
+};
 use cherryyard_wire::job::{JobSpec, JobStatus};
 use cherryyard_wire::record::{ARRIVALS, job_key};
 
@@ -542,7 +544,5 @@
 #[test]
 #[ignore = "minutes"]
 fn random_days_with_pipelines_by_the_thousand() {
-    let number = |name: &str, or: u64| std::env::var(name).map_or(or, |s| s.parse().expect(name));
-    let from = number("FROM", 24);
-    (from..from + number("SEEDS", 1000)).for_each(|seed| day(seed, &every()));
+    play_seeds(24, 1000, |seed| day(seed, &every()));
 }
--- a/crates/cherryyard-rehearsal/tests/reach.rs
+++ b/crates/cherryyard-rehearsal/tests/reach.rs
@@ -1,7 +1,7 @@
 //! Machines that report but do not hear, copies of reports that come late, and workers
 //! that begin anew.
 
-use cherryyard_rehearsal::{Setup, World, draws};
+use cherryyard_rehearsal::{Setup, World, draws, play_seeds};
 
 fn settled(setup: Setup) -> World {
     let mut w = World::new(setup);
@@ -324,9 +324,7 @@
 #[test]
 #[ignore = "minutes"]
 fn random_overlaps_by_the_thousand() {
-    let number = |name: &str, or: u64| std::env::var(name).map_or(or, |s| s.parse().expect(name));
-    let from = number("FROM", 40);
-    (from..from + number("SEEDS", 1000)).for_each(day);
+    play_seeds(40, 1000, day);
 }
 
 /// Whoever names none of our messages for three seconds is connected to anew, and again
--- a/crates/cherryyard-rehearsal/tests/two_troubles.rs
+++ b/crates/cherryyard-rehearsal/tests/two_troubles.rs
@@ -3,7 +3,7 @@
 //! meetings and tests; the gap and late transactions have files of their own.
 
 use cherryyard_rehearsal::trouble::{NEWER, OLDER, leader};
-use cherryyard_rehearsal::{Question, Setup, Trouble, Users, World, draws};
+use cherryyard_rehearsal::{Question, Setup, Trouble, Users, World, draws, play_seeds};
 use cherryyard_wire::job::{JobSpec, JobStatus, Shape};
 use std::collections::BTreeSet;
 
@@ -478,34 +478,28 @@
     (0..8).for_each(|seed| day_of(seed, &every(), 3, SIX.to_vec()));
 }
 
-fn by_hand(play: impl Fn(u64)) {
-    let number = |name: &str, or: u64| std::env::var(name).map_or(or, |s| s.parse().expect(name));
-    let from = number("FROM", 24);
-    (from..from + number("SEEDS", 1000)).for_each(play);
-}
-
 /// By hand; `SEEDS` and `FROM` choose which.
 #[test]
 #[ignore = "minutes"]
 fn random_pairs_by_the_thousand() {
-    by_hand(|seed| day(seed, &OLDER, 2));
+    play_seeds(24, 1000, |seed| day(seed, &OLDER, 2));
 }
 
 /// The same with all troubles, two and three at once.
 #[test]
 #[ignore = "minutes"]
 fn random_pairs_of_all_by_the_thousand() {
-    by_hand(|seed| day(seed, &every(), 2));
+    play_seeds(24, 1000, |seed| day(seed, &every(), 2));
 }
 
 #[test]
 #[ignore = "minutes"]
 fn random_threes_by_the_thousand() {
-    by_hand(|seed| day(seed, &every(), 3));
+    play_seeds(24, 1000, |seed| day(seed, &every(), 3));
 }
 
 #[test]
 #[ignore = "minutes"]
 fn random_threes_of_six_by_the_thousand() {
-    by_hand(|seed| day_of(seed, &every(), 3, SIX.to_vec()));
+    play_seeds(24, 1000, |seed| day_of(seed, &every(), 3, SIX.to_vec()));
 }
--- a/crates/cherryyard/tests/condor.rs
+++ b/crates/cherryyard/tests/condor.rs
@@ -1,6 +1,6 @@
 //! The real program with submissions of many jobs turned on, over loopback.
 
-use cherryyard_rehearsal::http::{Budgets, HttpState};
+use cherryyard_rehearsal::http::HttpState;
 use cherryyard_rehearsal::process::{self, Client, Process};
 use cherryyard_rehearsal::{StateStandIn, World, small_kind};
 use cherryyard_wire::condor::{NO_ID, Phase, SubmissionView};
@@ -17,18 +17,8 @@
 async fn start() -> (HttpState, Process, Client) {
     let mut state = StateStandIn::default();
     state.seed(KINDS, &[small_kind(vec!["a".into()])]);
-    let budgets = Budgets {
-        rps: 400.0,
-        write_rps: 100.0,
-    };
-    let service = HttpState::new(state, budgets);
-    let addr = service.serve().await;
     let program = Path::new(env!("CARGO_BIN_EXE_cherryyard"));
-    let settings = process::settings(&addr.to_string());
-    let controller = Process::start(program, &settings, OPERATOR);
-    let client = controller.client();
-    client.ready().await;
-    (service, controller, client)
+    Process::start_alone(program, state, OPERATOR).await
 }
 
 fn chunk(name: &str, chunk: u32, of: u32, requirements: Value) -> Option<String> {
--- a/crates/cherryyard/tests/pipelines.rs
+++ b/crates/cherryyard/tests/pipelines.rs
@@ -1,6 +1,6 @@
 //! Jobs that wait for others, with the real program over loopback and its command line.
 
-use cherryyard_rehearsal::http::{Budgets, HttpState};
+use cherryyard_rehearsal::http::HttpState;
 use cherryyard_rehearsal::process::{self, Client, Process};
 use cherryyard_rehearsal::{StateStandIn, World, small_kind};
 use cherryyard_wire::record::KINDS;
@@ -10,18 +10,8 @@
 async fn start() -> (HttpState, Process, Client) {
     let mut state = StateStandIn::default();
     state.seed(KINDS, &[small_kind(vec!["a".into()])]);
-    let budgets = Budgets {
-        rps: 400.0,
-        write_rps: 100.0,
-    };
-    let service = HttpState::new(state, budgets);
-    let addr = service.serve().await;
     let program = Path::new(env!("CARGO_BIN_EXE_cherryyard"));
-    let settings = process::settings(&addr.to_string());
-    let controller = Process::start(program, &settings, "");
-    let client = controller.client();
-    client.ready().await;
-    (service, controller, client)
+    Process::start_alone(program, state, "").await
 }
 
 fn body(id: &str, waits_on: &Value) -> String {
