Samples: the heartbeat's is kept under its first name

The rename of heartbeats had changed the name that the test looks for, and the test was red since then; no program source was touched by that.

--- a/crates/cherryyard-wire/tests/production.rs
+++ b/crates/cherryyard-wire/tests/production.rs
@@ -130,7 +130,7 @@
             refused: 1,
         }],
     };
-    same_frame("heartbeat", &Message::Heartbeat(Box::new(heartbeat)));
+    same_frame("beat", &Message::Heartbeat(Box::new(heartbeat)));
     let ask = Ask {
         label: "orchard-1".into(),
         ticket: 99,
