--- a/crates/cherryyard-rehearsal/src/http.rs
+++ b/crates/cherryyard-rehearsal/src/http.rs
@@ -228,7 +228,7 @@
         if !self.admit(commit.apply.len()) {
             return (429, json!({}));
         }
-        match self.lock().state.commit(&commit) {
+        match self.lock().state.commit_within_limits(&commit) {
             Outcome::Applied(epoch) => (200, json!({ "epoch": epoch })),
             Outcome::Conflict(epoch) => (409, json!({ "failed": [], "epoch": epoch })),
             Outcome::NoLease => (400, json!({ "error": "no such lease" })),
