A leaf of the history that was written under larger limits is divided in steps

Cause, found by reading: a leaf of 12 KiB needs seven of 2 KiB, and the packer put them into one transaction however many changes that may have; the fold was refused for ever.

Change: what comes first goes into leaves of its own, as many at a time as a transaction may put, and the leaf is written anew with the last of it; whoever goes on after a leader has ended finds by reading what has been moved. Only where the history is turned on.

The test fails without it (more puts than allowed); 22 cuts at 2 and 4 changes.

--- a/crates/cherryyard-history/src/leaf.rs
+++ b/crates/cherryyard-history/src/leaf.rs
@@ -49,6 +49,11 @@
         self.jobs.get(at)
     }
 
+    /// Drops the jobs up to this number.
+    pub(crate) fn drop_up_to(&mut self, job: u64) {
+        self.jobs.retain(|p| p.job > job);
+    }
+
     /// The record: for each job the gap to the one before, the tasks done with
     /// the end as lowest bit, and the days since the first one's, as varints.
     /// Dense ids take three bytes a job, ids of 18 digits some eight.
--- a/crates/cherryyard-history/src/packer.rs
+++ b/crates/cherryyard-history/src/packer.rs
@@ -131,9 +131,27 @@
     Write(Write),
 }
 
+/// A leaf that has to be divided into more leaves than one transaction may put, as the
+/// limits have fallen since it was written. Its first jobs go into leaves of their own, as
+/// many at a time as may be; the leaf itself is written anew with the last of them. Until
+/// then it holds jobs that stand in the leaves before it too, which are found there: what
+/// is left to divide is what comes after those.
+#[derive(Clone, Debug)]
+struct Division {
+    level: Level,
+    /// The leaf's last possible id, and its stamp.
+    last: u64,
+    stamp: u64,
+    /// Its jobs, less those that have been found in leaves before it.
+    leaf: Leaf,
+    /// Jobs that are to be folded into it.
+    more: Vec<Past>,
+}
+
 /// What is to be done once the transaction under way is durable.
 #[derive(Clone, Debug)]
 enum Then {
+    Divided,
     Folded(usize),
     Spilled(usize),
     LeafGone,
@@ -152,10 +170,36 @@
     ready: Option<(Write, Then)>,
     /// What follows the transaction under way.
     then: Option<Then>,
+    /// The leaf that is being divided; what comes before it is being read.
+    division: Option<Division>,
     reading: bool,
     day: u32,
 }
 
+impl Division {
+    /// Where what is left of it begins.
+    fn first_job(&self) -> Option<(Level, u64)> {
+        let first = self.leaf.jobs().first()?;
+        Some((self.level, first.job))
+    }
+}
+
+/// A transaction that puts leaves before the one that holds ids up to `last`.
+fn put_heads(level: Level, last: u64, stamp: u64, heads: &[Leaf]) -> Write {
+    let mut write = Write {
+        when: vec![(leaf_key(level, last), stamp)],
+        ..Write::default()
+    };
+    for head in heads {
+        if let Some(end) = head.jobs().last() {
+            let key = leaf_key(level, end.job);
+            write.when.push((key.clone(), 0));
+            write.put.push((key, head.record()));
+        }
+    }
+    write
+}
+
 impl Packer {
     /// A packer that has nothing to do.
     pub fn new(limits: Limits) -> Self {
@@ -165,6 +209,7 @@
             record: PackedRecord::default(),
             ready: None,
             then: None,
+            division: None,
             reading: false,
             day: 0,
         }
@@ -195,6 +240,7 @@
         self.change(Event::Stop);
         self.ready = None;
         self.then = None;
+        self.division = None;
         self.reading = false;
     }
 
@@ -228,6 +274,11 @@
             self.then = Some(then);
             return Step::Write(write);
         }
+        let begins_at = self.division.as_ref().and_then(Division::first_job);
+        if let Some((level, job)) = begins_at {
+            self.reading = true;
+            return Step::Read(level, job);
+        }
         let step = match &self.phase {
             Phase::Idle => Step::Nothing,
             Phase::Folding { done, own, rest } => match rest.first() {
@@ -269,6 +320,10 @@
             return;
         }
         let Ok(found) = answer else { return };
+        if let Some(division) = self.division.take() {
+            self.read_before(division, found);
+            return;
+        }
         match self.phase.clone() {
             Phase::Folding { rest, .. } => self.fold_into(Level::Small, &rest, found),
             Phase::Spilling { rest, .. } => self.fold_into(Level::Large, &rest, found),
@@ -297,17 +352,43 @@
         // Ids beyond the last leaf's go into a new one that is open to the end.
         let (last, stamp, leaf) = found.unwrap_or((LAST, 0, Leaf::default()));
         let mut taken = rest.partition_point(|p| p.job <= last);
-        let oldest = match self.limits.keep_days {
-            0 => 0,
-            days => self.day.saturating_sub(days),
-        };
         let pieces = loop {
-            let pieces = fold(&leaf, &rest[..taken], oldest, self.limits.leaf_bytes);
-            if pieces.len() <= self.limits.txn_ops.max(2) || taken <= 1 {
+            let pieces = self.fold(&leaf, &rest[..taken]);
+            if pieces.len() <= self.most_leaves() || taken <= 1 {
                 break pieces;
             }
             taken = taken.div_ceil(2);
         };
+        if pieces.len() > self.most_leaves() {
+            let more = rest[..taken].to_vec();
+            self.division = Some(Division {
+                level,
+                last,
+                stamp,
+                leaf,
+                more,
+            });
+            return;
+        }
+        self.write_leaves(level, last, stamp, &pieces, taken);
+    }
+
+    /// Leaves that one transaction may put.
+    fn most_leaves(&self) -> usize {
+        self.limits.txn_ops.max(2)
+    }
+
+    fn fold(&self, leaf: &Leaf, more: &[Past]) -> Vec<Leaf> {
+        let oldest = match self.limits.keep_days {
+            0 => 0,
+            days => self.day.saturating_sub(days),
+        };
+        fold(leaf, more, oldest, self.limits.leaf_bytes)
+    }
+
+    /// Prepares the transaction that puts these leaves in the place of one, which ends a
+    /// fold of so many jobs.
+    fn write_leaves(&mut self, level: Level, last: u64, stamp: u64, pieces: &[Leaf], taken: usize) {
         let folded = match level {
             Level::Small => Then::Folded(taken),
             Level::Large => Then::Spilled(taken),
@@ -317,19 +398,38 @@
             self.finish(folded);
             return;
         };
-        let mut write = Write {
-            when: vec![(leaf_key(level, last), stamp)],
-            ..Write::default()
+        let mut write = put_heads(level, last, stamp, heads);
+        write.put.push((leaf_key(level, last), tail.record()));
+        self.ready = Some((write, folded));
+    }
+
+    /// Takes the leaf that holds the first job of one that is being divided: an earlier
+    /// one, or that leaf itself, of which then all that is left to divide is known.
+    fn read_before(&mut self, mut division: Division, found: Option<(u64, u64, Leaf)>) {
+        let Some((last, stamp, _)) = found else {
+            return;
         };
-        for head in heads {
-            if let Some(end) = head.jobs().last() {
-                let key = leaf_key(level, end.job);
-                write.when.push((key.clone(), 0));
-                write.put.push((key, head.record()));
+        if last < division.last {
+            division.leaf.drop_up_to(last);
+            if division.first_job().is_some() {
+                self.division = Some(division);
+                return;
             }
+        } else if (last, stamp) != (division.last, division.stamp) {
+            // It has changed: the fold begins anew.
+            return;
+        }
+        let Division {
+            level, last, stamp, ..
+        } = division;
+        let pieces = self.fold(&division.leaf, &division.more);
+        let most = self.most_leaves();
+        if pieces.len() <= most {
+            self.write_leaves(level, last, stamp, &pieces, division.more.len());
+        } else {
+            let write = put_heads(level, last, stamp, &pieces[..most]);
+            self.ready = Some((write, Then::Divided));
         }
-        write.put.push((leaf_key(level, last), tail.record()));
-        self.ready = Some((write, folded));
     }
 
     /// Takes how the transaction under way came out; one that was not applied, or
@@ -347,6 +447,7 @@
 
     fn finish(&mut self, then: Then) {
         match then {
+            Then::Divided => {}
             Then::Folded(taken) => {
                 // Those that are there already were folded by a leader that ended
                 // before it could count them.
--- a/crates/cherryyard-history/tests/packer.rs
+++ b/crates/cherryyard-history/tests/packer.rs
@@ -248,3 +248,77 @@
     assert!(writes < 0.2, "{writes} writes a job");
     assert_eq!(store.record.0.n.iter().sum::<u64>(), jobs as u64);
 }
+
+/// Batches in the leaf of before.
+const OLD_BATCHES: u64 = 14;
+
+/// Folds a batch into a store whose one leaf was written under larger limits; the leader
+/// ends with transaction `cut`, before it is applied or after.
+fn fold_into_a_large_leaf(txn_ops: usize, cut: Option<(usize, bool)>) -> Store {
+    let mut store = Store {
+        lead: 1,
+        ..Store::default()
+    };
+    let old: Vec<Past> = (0..OLD_BATCHES).flat_map(batch).collect();
+    let leaf = Leaf::of(old);
+    let key = leaf_key(Level::Small, cherryyard_wire::history::LAST);
+    store.leaves.insert(key, (leaf.record(), 1));
+    store.epoch = 1;
+    let lower = Limits {
+        txn_ops,
+        ..limits(10_000)
+    };
+    let mut packer = Packer::new(lower);
+    let mut sent = 0;
+    for steps in 0.. {
+        assert!(steps < 5000, "it never ends");
+        packer.resume(store.record.0);
+        if packer.is_idle() {
+            if store.record.0.gen_done > 0 {
+                break;
+            }
+            packer.begin(1, 0, batch(50), 1);
+        }
+        match packer.step() {
+            Step::Nothing => {}
+            Step::Read(level, job) => packer.read(Ok(store.leaf(level, job))),
+            Step::Write(write) => {
+                assert!(write.put.len() <= txn_ops, "{} changes", write.put.len());
+                assert!(write.when.len() + 2 <= txn_ops * 4);
+                let large = |put: &&(String, LeafRecord)| put.1.b.len() > 120;
+                assert_eq!(write.put.iter().find(large), None);
+                sent += 1;
+                let ends = cut.filter(|c| c.0 == sent);
+                if ends.is_none_or(|c| c.1) {
+                    assert!(store.apply(&write, store.lead, store.record.1), "{write:?}");
+                    for past in (0..OLD_BATCHES).flat_map(batch) {
+                        assert!(store.has(Level::Small, past.job), "{} is lost", past.job);
+                    }
+                }
+                if ends.is_some() {
+                    store.lead += 1;
+                    packer = Packer::new(lower);
+                } else {
+                    packer.written(true);
+                }
+            }
+        }
+    }
+    store
+}
+
+/// A leaf that was written under larger limits is divided in as many transactions as it
+/// takes, whenever a leader ends, and no job is missing from its place in between.
+#[test]
+fn a_leaf_of_larger_limits_is_divided_in_steps() {
+    for txn_ops in [2, 4] {
+        let whole = fold_into_a_large_leaf(txn_ops, None);
+        assert!(whole.leaves.len() > 6, "{} leaves", whole.leaves.len());
+        for cut in (1..12).flat_map(|n| [(n, false), (n, true)]) {
+            let store = fold_into_a_large_leaf(txn_ops, Some(cut));
+            for past in (0..OLD_BATCHES).chain([50]).flat_map(batch) {
+                assert!(store.has(Level::Small, past.job), "{cut:?}: {}", past.job);
+            }
+        }
+    }
+}
