Known red: jobs do not inherit urgency from those that need them

Found by reading the change once more: insert_open works out the urgency of the job that comes, finds it unchanged, and never looks at those that it needs. The test shows it and is red.

--- a/crates/cherryyard-rehearsal/tests/pipelines.rs
+++ b/crates/cherryyard-rehearsal/tests/pipelines.rs
@@ -546,3 +546,23 @@
 fn random_days_with_pipelines_by_the_thousand() {
     play_seeds(24, 1000, |seed| day(seed, &every()));
 }
+
+/// A job is as urgent as the most urgent one that needs it, directly or through others.
+#[test]
+fn what_is_needed_inherits_urgency() {
+    let mut w = cluster(f64::INFINITY);
+    let mut last = sweep(3, 1, &[2]);
+    (last.rank, last.due_s) = (cherryyard_wire::job::Rank::High, Some(600.0));
+    for spec in [sweep(1, 1, &[]), sweep(2, 1, &[1]), last] {
+        accepted(&mut w, 0, &spec);
+    }
+    w.run(2.0);
+    for node in w.nodes.iter().flatten() {
+        let due = |job: u64| node.mirror.open[&job].due_ms();
+        assert!(due(1) < due(2) && due(2) < due(3));
+        for job in 1..=3 {
+            let rank = node.mirror.open[&job].rank();
+            assert_eq!(rank, cherryyard_wire::job::Rank::High, "job {job}");
+        }
+    }
+}
