--- a/review/standin/cluster.py
+++ b/review/standin/cluster.py
@@ -4,13 +4,13 @@
 import json
 import os
 import random
+import re
 import shutil
 import signal
 import socket
 import subprocess
 import tempfile
 import time
-import tomllib
 
 from .cloud import Cloud
 from .http import NoAnswer, call
@@ -87,8 +87,8 @@
         self.state = State(site["state"])
         self.fleet = Fleet(site, self.labels, self.public, self.record, seed)
         self.cloud = Cloud(site, self.fleet)
-        with open(os.path.join(ROOT, "deploy", "service.toml"), "rb") as f:
-            self.command = tomllib.load(f)["run"].split()
+        with open(os.path.join(ROOT, "deploy", "service.toml")) as f:
+            self.command = re.search(r'^run = "(.*)"$', f.read(), re.MULTILINE)[1].split()
         if not os.path.exists(os.path.join(ROOT, self.command[0])):
             raise CannotRun("%s is not built" % self.command[0])
 
