Count the steps of walks over dependencies of jobs, and log long walks

Change: Mirror::dependency_steps counts the steps of the three kinds of walks. A walk of 100,000 steps is logged at WARN while it is in progress, and again each time its length has doubled, as a walk that does not end keeps the controller from logging anything later.

--- a/crates/cherryyard-core/src/mirror/dependencies.rs
+++ b/crates/cherryyard-core/src/mirror/dependencies.rs
@@ -7,6 +7,7 @@
 //! state is ever reversed, and controllers that have read up to different revisions never
 //! contradict each other: some only lack changes that others have read.
 
+use super::dependency_steps::{DependencySteps, Walk, WalkKind};
 use super::{Mirror, OpenJob};
 use crate::admission::flows::Flow;
 use cherryyard_wire::job::{Rank, Shape};
@@ -75,6 +76,8 @@
     dependents: HashMap<u64, BTreeSet<u64>>,
     /// Open jobs that are cancelled with a dependency, and the number of that dependency.
     cancelled: BTreeMap<u64, u64>,
+    /// Steps of all walks over the graph.
+    steps: DependencySteps,
 }
 
 impl DependencyGraph {
@@ -163,10 +166,23 @@
     /// Updates the dependents of a job that has ended: they may be ready now, or are cancelled with
     /// the job.
     pub(super) fn refresh_dependents(&mut self, job: u64) {
+        let mut walk = Walk::new(WalkKind::Readiness, job);
         for dependent in self.graph.dependents(job) {
+            walk.count(1 + self.dependency_count(dependent));
             self.cancel_with_dependency(dependent);
             self.refresh_job(dependent);
         }
+        self.graph.steps.add(&walk);
+    }
+
+    fn dependency_count(&self, job: u64) -> usize {
+        let open = self.open.get(&job);
+        open.map_or(0, |open| open.dependencies.jobs.len())
+    }
+
+    /// Returns the steps that walks over the graph of dependencies have taken.
+    pub fn dependency_steps(&self) -> DependencySteps {
+        self.graph.steps
     }
 
     /// Returns the cancelled job that an open job depends on, if there is one.
@@ -184,11 +200,14 @@
     /// Marks a job as cancelled if a job that it depends on is cancelled, and marks all its direct
     /// and indirect dependents with it.
     fn cancel_with_dependency(&mut self, job: u64) {
+        let mut walk = Walk::new(WalkKind::Cancellation, job);
         let mut pending = vec![job];
         while let Some(job) = pending.pop() {
+            walk.count(1);
             if self.graph.cancelled.contains_key(&job) {
                 continue;
             }
+            walk.count(self.dependency_count(job));
             let Some(dependency) = self.cancelled_dependency(job) else {
                 continue;
             };
@@ -196,6 +215,7 @@
             self.undivided.remove(&job);
             pending.extend(self.graph.dependents(job));
         }
+        self.graph.steps.add(&walk);
     }
 
     /// Returns the dependency with which an open job is cancelled; none if it is not cancelled.
@@ -260,11 +280,14 @@
     /// Recomputes the urgency of a job and, where it changes, of the jobs that it depends on,
     /// directly or indirectly.
     fn refresh_urgency(&mut self, job: u64) {
+        let mut walk = Walk::new(WalkKind::Urgency, job);
         let mut pending = vec![job];
         while let Some(job) = pending.pop() {
+            walk.count(1);
             let Some(open) = self.open.get(&job) else {
                 continue;
             };
+            walk.count(self.graph.dependents.get(&job).map_or(0, BTreeSet::len));
             let urgency = self.urgency_of(job, open);
             let dependencies = open.dependencies.jobs.clone();
             if let Some(open) = self.open.get_mut(&job) {
@@ -276,6 +299,7 @@
             self.tasks.note_waiting_change(job);
             pending.extend(dependencies);
         }
+        self.graph.steps.add(&walk);
     }
 
     /// Returns whether a job is an open service, whose tasks run until the job is cancelled.
