Look once at each dependent of a job that ends, not at all its dependencies

By reading, the cost grows without a bound by the number of events: a job with 64 dependencies was looked at 64 times for each of its 64 ends, and again each time that a bucket with one of these ends was written, whichever job that write was for. Each cycle of the leader looked at all dependencies of all waiting jobs (waits_for_others), twice or three times.

Cause: a mirror did not keep which dependencies of a job are not done; each question went through the whole list, and put_end refreshed all dependents although it knew the end already.

Change: the graph keeps the dependencies of each job that are not done. An end takes itself out of the lists of its dependents, and only a dependent whose list becomes empty is refreshed. An end that the mirror holds already changes nothing. A cancellation marks dependents directly, without a search for the cancelled one among their dependencies.

--- a/crates/cherryyard-core/src/mirror/dependencies.rs
+++ b/crates/cherryyard-core/src/mirror/dependencies.rs
@@ -11,6 +11,14 @@
 use super::{Mirror, OpenJob};
 use cherryyard_wire::job::Shape;
 use cherryyard_wire::record::{JobOutcome, JobRecord};
+use std::collections::VecDeque;
+
+/// Open job that is to be marked as cancelled with a dependency.
+#[derive(Clone, Copy, Debug)]
+struct CancelledDependent {
+    job: u64,
+    dependency: u64,
+}
 
 impl Mirror {
     /// Inserts an open job, or replaces an earlier version of it; returns the earlier version.
@@ -24,9 +32,8 @@
             if let Some(linked) = linked {
                 self.unlink(job, linked);
             }
-            self.graph.link(job, &dependencies);
+            self.link(job, &dependencies);
         }
-        self.cancel_with_dependency(job);
         if !dependencies.is_empty() {
             self.graph.mark_changed(job);
         }
@@ -39,6 +46,16 @@
         previous
     }
 
+    fn link(&mut self, job: u64, dependencies: &[u64]) {
+        let unmet = dependencies.iter().copied();
+        let unmet = unmet.filter(|dependency| self.end(*dependency) != Some(JobOutcome::Done));
+        let unmet = unmet.collect();
+        self.graph.link(job, dependencies, unmet);
+        if let Some(dependency) = self.cancelled_dependency(job) {
+            self.cancel_with_dependency(CancelledDependent { job, dependency });
+        }
+    }
+
     /// Removes the dependencies of a job. They no longer inherit its priority and deadline.
     fn unlink(&mut self, job: u64, dependencies: &[u64]) {
         self.graph.unlink(job, dependencies);
@@ -60,22 +77,26 @@
     }
 
     /// Updates the dependents of a job that has ended: they may be ready now, or are cancelled with
-    /// the job.
-    pub(super) fn refresh_dependents(&mut self, job: u64) {
+    /// the job. Called once for each job, so each of its dependents is visited once.
+    pub(super) fn refresh_dependents(&mut self, job: u64, end: JobOutcome) {
         let mut walk = Walk::new(WalkKind::Readiness, job);
         for dependent in self.graph.dependents(job) {
-            walk.count(1 + self.dependency_count(dependent));
-            self.cancel_with_dependency(dependent);
-            self.refresh_job(dependent);
+            walk.count(1);
+            match end {
+                JobOutcome::Done => {
+                    if self.graph.dependency_done(dependent, job) {
+                        self.refresh_job(dependent);
+                    }
+                }
+                JobOutcome::Cancelled => self.cancel_with_dependency(CancelledDependent {
+                    job: dependent,
+                    dependency: job,
+                }),
+            }
         }
         self.graph.steps.add(&walk);
     }
 
-    fn dependency_count(&self, job: u64) -> usize {
-        let open = self.open.get(&job);
-        open.map_or(0, |open| open.dependencies.jobs.len())
-    }
-
     /// Returns the steps that walks over the graph of dependencies have taken.
     pub fn dependency_steps(&self) -> DependencySteps {
         self.graph.steps
@@ -93,24 +114,24 @@
         dependencies.cancelled_by.or_else(first_cancelled)
     }
 
-    /// Marks a job as cancelled if a job that it depends on is cancelled, and marks all its direct
-    /// and indirect dependents with it.
-    fn cancel_with_dependency(&mut self, job: u64) {
-        let mut walk = Walk::new(WalkKind::Cancellation, job);
-        let mut pending = vec![job];
-        while let Some(job) = pending.pop() {
+    /// Marks a job as cancelled with a dependency, and all its direct and indirect dependents with
+    /// it. Each job is marked once, and each of its dependents is looked at once.
+    fn cancel_with_dependency(&mut self, first: CancelledDependent) {
+        let mut walk = Walk::new(WalkKind::Cancellation, first.job);
+        let mut pending = VecDeque::from([first]);
+        while let Some(CancelledDependent { job, dependency }) = pending.pop_front() {
             walk.count(1);
             if self.graph.cancelled.contains_key(&job) {
                 continue;
             }
-            walk.count(self.dependency_count(job));
-            let Some(dependency) = self.cancelled_dependency(job) else {
-                continue;
-            };
             self.graph.cancelled.insert(job, dependency);
             self.undivided.remove(&job);
             self.graph.mark_changed(job);
-            pending.extend(self.graph.dependents(job));
+            let dependents = self.graph.dependents(job).into_iter();
+            pending.extend(dependents.map(|dependent| CancelledDependent {
+                job: dependent,
+                dependency: job,
+            }));
         }
         self.graph.steps.add(&walk);
     }
@@ -135,13 +156,12 @@
         if open.divided() {
             return false;
         }
-        self.graph.cancelled.contains_key(&job) || self.unmet_dependencies(open).next().is_some()
+        self.graph.cancelled.contains_key(&job) || !self.unmet_dependencies(job).is_empty()
     }
 
-    /// Returns the jobs that an open job depends on and that are not done.
-    pub fn unmet_dependencies<'a>(&'a self, open: &'a OpenJob) -> impl Iterator<Item = u64> + 'a {
-        let dependencies = open.dependencies.jobs.iter().copied();
-        dependencies.filter(|dependency| self.end(*dependency) != Some(JobOutcome::Done))
+    /// Returns the jobs that an open job depends on and that are not done, in ascending order.
+    pub fn unmet_dependencies(&self, job: u64) -> &[u64] {
+        self.graph.unmet(job)
     }
 
     /// Returns whether open jobs depend on a job. The job's end must stay stored until they have
--- a/crates/cherryyard-core/src/mirror/dependency_graph.rs
+++ b/crates/cherryyard-core/src/mirror/dependency_graph.rs
@@ -5,6 +5,8 @@
 //!   highest level next visits a job only after all its dependents, and thus once.
 //! - Each job keeps what its dependents pass on to it in order, so that one dependent of many can
 //!   change without a look at the others.
+//! - Each job keeps the dependencies that are not done yet, so that the end of one of them is one
+//!   step.
 
 use super::dependency_steps::{DependencySteps, Walk, WalkKind};
 use super::urgency::{Deadline, Urgency};
@@ -63,8 +65,8 @@
     dependents: BTreeSet<Dependent>,
     /// Number of dependents that pass on each priority, by the priority's index.
     dependents_by_rank: [usize; RANKS.len()],
-    /// Number of dependencies.
-    dependency_count: usize,
+    /// Dependencies that are not done, in ascending order.
+    unmet: Vec<u64>,
     /// Priority and deadline that the job has passed on to its dependencies; none if it has passed
     /// on nothing yet, or is cancelled.
     passed_on: Option<Urgency>,
@@ -72,7 +74,7 @@
 
 impl Node {
     fn is_unused(&self) -> bool {
-        self.dependents.is_empty() && self.dependency_count == 0 && self.passed_on.is_none()
+        self.dependents.is_empty() && self.unmet.is_empty() && self.passed_on.is_none()
     }
 
     fn add_dependent(&mut self, job: u64, passed_on: Option<&Urgency>) {
@@ -131,8 +133,13 @@
         node.is_some_and(|node| !node.dependents.is_empty())
     }
 
-    /// Adds the dependencies of a job.
-    pub fn link(&mut self, job: u64, dependencies: &[u64]) {
+    /// Returns the dependencies of a job that are not done, in ascending order.
+    pub fn unmet(&self, job: u64) -> &[u64] {
+        self.nodes.get(&job).map_or(&[], |node| &node.unmet)
+    }
+
+    /// Adds the dependencies of a job; `unmet` are those that are not done.
+    pub fn link(&mut self, job: u64, dependencies: &[u64], unmet: Vec<u64>) {
         if dependencies.is_empty() {
             return;
         }
@@ -143,7 +150,7 @@
             node.add_dependent(job, passed_on.as_ref());
             highest = highest.max(node.level);
         }
-        self.nodes.entry(job).or_default().dependency_count = dependencies.len();
+        self.nodes.entry(job).or_default().unmet = unmet;
         if self.raise_level(job, highest + 1) && self.has_dependents(job) {
             self.out_of_order.insert(job);
         }
@@ -157,7 +164,7 @@
         let mut passed_on = None;
         if let Some(node) = self.nodes.get_mut(&job) {
             passed_on = node.passed_on.take();
-            node.dependency_count = 0;
+            node.unmet.clear();
         }
         for &dependency in dependencies {
             if let Some(node) = self.nodes.get_mut(&dependency) {
@@ -180,6 +187,18 @@
         }
     }
 
+    /// Records that a dependency of a job is done; returns whether it was the last one.
+    pub fn dependency_done(&mut self, job: u64, dependency: u64) -> bool {
+        let Some(node) = self.nodes.get_mut(&job) else {
+            return false;
+        };
+        let Ok(index) = node.unmet.binary_search(&dependency) else {
+            return false;
+        };
+        node.unmet.remove(index);
+        node.unmet.is_empty()
+    }
+
     /// Returns a job's own priority and deadline combined with those that its dependents pass on.
     pub fn urgency(&self, job: u64, own: Urgency) -> Urgency {
         let Some(node) = self.nodes.get(&job) else {
--- a/crates/cherryyard-core/src/mirror/jobs.rs
+++ b/crates/cherryyard-core/src/mirror/jobs.rs
@@ -160,8 +160,12 @@
         if was_open {
             self.refresh_job(job);
         }
+        // A bucket also lists ends that the dependents already know.
+        let is_listed = self.ended.contains(job);
         let was_known = self.ended.insert(job, ended);
-        self.refresh_dependents(job);
+        if !is_listed {
+            self.refresh_dependents(job, ended.end);
+        }
         // The end is also new if a full read returns a job that was added and ended since the
         // previous read.
         let is_new = was_open || (self.loaded && !was_known);
@@ -284,7 +288,9 @@
             };
             return Some(ended_job_view(job, job_end.end, done));
         }
-        let open = self.open.get(&job)?;
+        if !self.open.contains_key(&job) {
+            return None;
+        }
         if let Some(dependency) = self.cancelled_with(job) {
             return Some(cancelled_job_view(job, dependency));
         }
@@ -294,9 +300,8 @@
         } else {
             JobStatus::Queued
         };
-        let unmet: Vec<u64> = self.unmet_dependencies(open).collect();
         Some(JobView {
-            waits_on: dependency_ids(&unmet),
+            waits_on: dependency_ids(self.unmet_dependencies(job)),
             ..JobView::new(job, status, self.done(job), running)
         })
     }
--- a/crates/cherryyard-core/tests/dependency_walks/main.rs
+++ b/crates/cherryyard-core/tests/dependency_walks/main.rs
@@ -290,3 +290,35 @@
         }
     }
 }
+
+/// Guards against ends that cost more the more dependencies the dependents have: the end of a job is
+/// one step for each of its dependents, and none when its record is written again.
+#[test]
+fn an_end_is_one_step_for_each_dependent() {
+    for shape in SHAPES {
+        let graph = shape.graph();
+        let mut trial = Trial::with_jobs(&graph);
+        for job in in_order(&graph) {
+            let depends = |other: &&GraphJob| other.dependencies.contains(&job);
+            let dependents = trial.graph.values().filter(depends).count() as u64;
+            let steps = trial.end(job, JobOutcome::Done);
+            assert!(
+                steps <= dependents,
+                "{shape:?}: {steps} steps, {dependents} dependents"
+            );
+            let steps = trial.put(job, &ended_record(JobOutcome::Done));
+            assert_eq!(steps, 0, "{shape:?}: the end of {job}, written again");
+            for waiting in trial.graph.values() {
+                let mut dependencies = waiting.dependencies.iter();
+                let waits = dependencies.any(|job| trial.graph.contains_key(job));
+                let mirror = &trial.controller.mirror;
+                assert_eq!(mirror.waits_for_others(waiting.number), waits, "{shape:?}");
+                assert_eq!(
+                    mirror.undivided.contains(&waiting.number),
+                    !waits,
+                    "{shape:?}"
+                );
+            }
+        }
+    }
+}
