Take only as many cancelled dependents as a transaction can end

Each cycle of the leader copied the list of all jobs that are cancelled with another, also when thousands are left, although one transaction ends at most txn_ops of them. Now the list is read up to that number. Every job in it is open (remove_open takes it out), so none is passed over.

Tests: wide_and_deep_graphs ends 1,100 jobs; dependents_are_cancelled_with_their_dependencies.

--- a/crates/cherryyard-core/src/leader/dependents.rs
+++ b/crates/cherryyard-core/src/leader/dependents.rs
@@ -55,11 +55,7 @@
         }
         let mut commit = Commit::default();
         let mut records = Vec::new();
-        let jobs: Vec<u64> = self.mirror.cancelled_dependents().collect();
-        for job in jobs {
-            if records.len() >= self.config.txn_ops {
-                break;
-            }
+        for job in self.mirror.cancelled_dependents().take(self.config.txn_ops) {
             let Some(record) = self.mirror.end_of_dependent(job) else {
                 continue;
             };
