Find a job's status without a list of the jobs that it waits for

Resolving a submission's 64 dependencies built a view of each of them, with the ids of up to 64 jobs that it waits for itself, 4,096 texts for one submission; so did the checks whether a job is known. Mirror::status answers these, and Mirror::view goes on from it. The conversion of a job's outcome to its status stood twice.

--- a/crates/cherryyard-core/src/admission/intake.rs
+++ b/crates/cherryyard-core/src/admission/intake.rs
@@ -244,7 +244,7 @@
             && let Some(waiting) = self.queue.pop(weights)
         {
             let offer = &waiting.submission;
-            if mirror.view(offer.job).is_some() {
+            if mirror.status(offer.job).is_some() {
                 answer(effects, &waiting, SubmissionOutcome::AlreadyKnown);
             } else if mirror.history_progress_revision != offer.history_revision
                 && mirror.history_progress.may_have_jobs()
--- a/crates/cherryyard-core/src/dependencies.rs
+++ b/crates/cherryyard-core/src/dependencies.rs
@@ -1,7 +1,7 @@
 //! Resolution of a submission's dependencies, which are the jobs that have to be done before it
 //! runs.
 
-use crate::mirror::Mirror;
+use crate::mirror::{Mirror, status_of};
 use cherryyard_wire::dependencies::{Dependencies, dependency_numbers};
 use cherryyard_wire::job::{JobSpec, JobStatus, job_id};
 use cherryyard_wire::record::JobOutcome;
@@ -37,13 +37,6 @@
     NeverAccepted(u64),
 }
 
-fn status_of(end: JobOutcome) -> JobStatus {
-    match end {
-        JobOutcome::Done => JobStatus::Done,
-        JobOutcome::Cancelled => JobStatus::Cancelled,
-    }
-}
-
 impl Mirror {
     /// Resolves the dependencies of a submission by the jobs in this mirror and by the ends that
     /// were found in the history (`history_ends`). Dependencies that are done are left out; if one
@@ -56,7 +49,7 @@
         let mut dependencies = Dependencies::default();
         for job in dependency_jobs {
             let past_status = history_ends.get(&job).copied().map(status_of);
-            let status = self.view(job).map(|view| view.status).or(past_status);
+            let status = self.status(job).or(past_status);
             match status {
                 None => return Resolution::Unknown(job),
                 Some(JobStatus::Done) => {}
--- a/crates/cherryyard-core/src/leader/bulk_creation/handlers.rs
+++ b/crates/cherryyard-core/src/leader/bulk_creation/handlers.rs
@@ -148,7 +148,7 @@
             self.mirror.new_job(spec, rules, at)
         });
         // Blocks of ids are allocated only once, and only if none of their ids is in use.
-        let Some(mut open) = new.filter(|_| self.mirror.view(job).is_none()) else {
+        let Some(mut open) = new.filter(|_| self.mirror.status(job).is_none()) else {
             tracing::error!(job, "a submission's job cannot be created");
             return None;
         };
--- a/crates/cherryyard-core/src/mirror/buckets.rs
+++ b/crates/cherryyard-core/src/mirror/buckets.rs
@@ -189,7 +189,7 @@
         config: &Config,
     ) -> bool {
         let added = !self.format.uses_admission_log
-            && self.view(job).is_none()
+            && self.status(job).is_none()
             && self.write_jobs(commit, vec![(job, record)], config);
         if added {
             self.require(commit, Key::Format);
--- a/crates/cherryyard-core/src/mirror/jobs.rs
+++ b/crates/cherryyard-core/src/mirror/jobs.rs
@@ -11,13 +11,17 @@
 use cherryyard_wire::rules::Rules;
 use std::ops::Range;
 
-/// Returns the view of an ended job for its user.
-pub fn ended_job_view(job: u64, end: JobOutcome, done: u32) -> JobView {
-    let status = match end {
+/// Returns the status of a job that ended in the given way.
+pub(crate) fn status_of(end: JobOutcome) -> JobStatus {
+    match end {
         JobOutcome::Done => JobStatus::Done,
         JobOutcome::Cancelled => JobStatus::Cancelled,
-    };
-    JobView::new(job, status, done, 0)
+    }
+}
+
+/// Returns the view of an ended job for its user.
+pub fn ended_job_view(job: u64, end: JobOutcome, done: u32) -> JobView {
+    JobView::new(job, status_of(end), done, 0)
 }
 
 /// Returns the view of a job that is cancelled with a dependency for its user.
@@ -276,9 +280,29 @@
         Some((demand.team, demand.needs))
     }
 
+    /// Returns the status of a job, if this mirror holds the job.
+    pub fn status(&self, job: u64) -> Option<JobStatus> {
+        if let Some(job_end) = self.ended.job_end(job) {
+            return Some(status_of(job_end.end));
+        }
+        if !self.open.contains_key(&job) {
+            return None;
+        }
+        let status = if self.cancelled_with(job).is_some() {
+            JobStatus::Cancelled
+        } else if self.assigned(job) > 0 {
+            JobStatus::Running
+        } else {
+            JobStatus::Queued
+        };
+        Some(status)
+    }
+
     /// Returns the view of a job for its user, if this mirror holds the job.
     pub fn view(&self, job: u64) -> Option<JobView> {
-        if let Some(dependency) = self.ended.get(job).and_then(|ended| ended.cancelled_by) {
+        let status = self.status(job)?;
+        let ended_with = self.ended.get(job).and_then(|ended| ended.cancelled_by);
+        if let Some(dependency) = ended_with.or_else(|| self.cancelled_with(job)) {
             return Some(cancelled_job_view(job, dependency));
         }
         if let Some(job_end) = self.ended.job_end(job) {
@@ -288,21 +312,9 @@
             };
             return Some(ended_job_view(job, job_end.end, done));
         }
-        if !self.open.contains_key(&job) {
-            return None;
-        }
-        if let Some(dependency) = self.cancelled_with(job) {
-            return Some(cancelled_job_view(job, dependency));
-        }
-        let running = self.assigned(job);
-        let status = if running > 0 {
-            JobStatus::Running
-        } else {
-            JobStatus::Queued
-        };
         Some(JobView {
             waits_on: dependency_ids(self.unmet_dependencies(job)),
-            ..JobView::new(job, status, self.done(job), running)
+            ..JobView::new(job, status, self.done(job), self.assigned(job))
         })
     }
 }
--- a/crates/cherryyard-core/src/mirror/mod.rs
+++ b/crates/cherryyard-core/src/mirror/mod.rs
@@ -64,6 +64,7 @@
 pub use format::RecordFormat;
 pub use images::StoredImages;
 pub use jobs::ended_job_view;
+pub(crate) use jobs::status_of;
 pub use lease_holder::LeaseHolder;
 pub use open_job::OpenJob;
 use record_error::read;
