--- a/crates/cherryyard/src/app/metrics.rs
+++ b/crates/cherryyard/src/app/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics that a controller logs periodically.
 
 use super::App;
+use cherryyard_core::mirror::DependencySteps;
 use std::sync::{Arc, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -43,13 +44,36 @@
         }
     }
 
-    /// Logs every minute the latencies of users' requests and the outcomes of look-ups and
-    /// submissions.
+    /// Logs the steps of walks over dependencies of jobs since `previous`, if there were any, and
+    /// the number of jobs whose priority or deadline has not been passed on yet. Returns the steps
+    /// since the start of the process.
+    fn log_dependencies(self: &Arc<Self>, previous: DependencySteps) -> DependencySteps {
+        let (steps, urgency_backlog) = self.with(|controller, _| {
+            let mirror = &controller.mirror;
+            (mirror.dependency_steps(), mirror.urgency_backlog())
+        });
+        if steps != previous {
+            tracing::info!(
+                urgency = steps.urgency - previous.urgency,
+                order = steps.order - previous.order,
+                cancellation = steps.cancellation - previous.cancellation,
+                readiness = steps.readiness - previous.readiness,
+                urgency_backlog,
+                "steps over dependencies of jobs"
+            );
+        }
+        steps
+    }
+
+    /// Logs every minute the latencies of users' requests, the outcomes of look-ups and
+    /// submissions, and the work for dependencies of jobs.
     pub(crate) async fn log_latency(self: Arc<Self>) {
+        let mut dependency_steps = DependencySteps::default();
         loop {
             tokio::time::sleep(LATENCY_INTERVAL).await;
             self.log_lookups();
             self.log_submissions();
+            dependency_steps = self.log_dependencies(dependency_steps);
             let mut latency = self.latency.lock().unwrap_or_else(PoisonError::into_inner);
             if !latency.is_empty() {
                 tracing::info!(
