--- a/crates/cherryyard-core/src/mirror/dependencies.rs
+++ b/crates/cherryyard-core/src/mirror/dependencies.rs
@@ -1,5 +1,5 @@
-//! Dependencies between jobs: which jobs are ready, which are cancelled with a job that they depend
-//! on, and which priority and deadline a job inherits from its dependents.
+//! Dependencies between jobs: which jobs are ready, and which are cancelled with a job that they
+//! depend on. `urgency` passes on priorities and deadlines, `dependency_graph` holds the graph.
 //!
 //! All of this is derived from the stored records and is never stored itself. A job is *ready* when
 //! every job that it depends on is done. A job is *cancelled with* a dependency as soon as that
--- a/crates/cherryyard-core/src/mirror/dependency_steps.rs
+++ b/crates/cherryyard-core/src/mirror/dependency_steps.rs
@@ -5,7 +5,8 @@
 /// Number of steps in one walk from which on the log names the walk.
 const LONG_WALK_STEPS: u64 = 100_000;
 
-/// Reason for a walk over the graph of dependencies.
+/// Reason for a walk over the graph of dependencies. Passes of priorities and deadlines are not
+/// among them, since each makes a limited number of steps.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WalkKind {
     /// Dependents of a job that was inserted after them get higher levels.
