Repeat commands after the status 503 in the test of the command line

the_command_line sent each command once. Users repeat after 503, so the test does now, 30 times at most; what each command must print in the end is checked as before.

--- a/crates/cherryyard/tests/pipelines.rs
+++ b/crates/cherryyard/tests/pipelines.rs
@@ -6,6 +6,12 @@
 use cherryyard_wire::record::MACHINE_TYPES_KEY;
 use serde_json::{Value, json};
 use std::path::Path;
+use std::time::Duration;
+
+/// Largest number of attempts of a command.
+const MAX_COMMAND_ATTEMPTS: usize = 30;
+/// Time between two attempts of a command.
+const COMMAND_RETRY_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Starts a controller and its state service, which holds one machine type.
 async fn start() -> (HttpState, Process, Client) {
@@ -74,7 +80,8 @@
     let dir = std::env::temp_dir().join(format!("cherryyard-pipe-{}", process::free_port()));
     std::fs::create_dir_all(&dir).expect("a folder");
     let addr = controller.addr.clone();
-    let run = async |args: &[&str]| {
+    let unavailable = format!("{addr}: 503 ");
+    let run_once = async |args: &[&str]| {
         let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_cherryyard"));
         command
             .arg(args[0])
@@ -85,6 +92,17 @@
         let text = |b: &[u8]| String::from_utf8_lossy(b).into_owned();
         (out.status.code(), text(&out.stdout) + &text(&out.stderr))
     };
+    // Repeats a command after the status 503, as users do.
+    let run = async |args: &[&str]| {
+        for _ in 0..MAX_COMMAND_ATTEMPTS {
+            let (code, out) = run_once(args).await;
+            if !out.contains(&unavailable) {
+                return (code, out);
+            }
+            tokio::time::sleep(COMMAND_RETRY_INTERVAL).await;
+        }
+        panic!("{args:?}: no response other than 503");
+    };
     let mut files = Vec::new();
     for n in 1..=2 {
         let file = dir.join(format!("{n}.json"));
