Read lists of dependencies that are not in order, or name a job twice

Cause: DependencyGraph::link took the list as it stood. Change: insert_open sorts it and drops repeats.

--- a/crates/cherryyard-core/src/mirror/dependencies.rs
+++ b/crates/cherryyard-core/src/mirror/dependencies.rs
@@ -23,6 +23,10 @@
 impl Mirror {
     /// Inserts an open job, or replaces an earlier version of it; returns the earlier version.
     pub(super) fn insert_open(&mut self, job: u64, mut open: OpenJob) -> Option<OpenJob> {
+        // The graph needs each dependency once, in order. Lists are written so, but records come from
+        // outside this process.
+        open.dependencies.jobs.sort_unstable();
+        open.dependencies.jobs.dedup();
         let dependencies = open.dependencies.jobs.clone();
         open.urgency = self.graph.urgency(job, open.own_urgency());
         let urgency = open.urgency;
--- a/crates/cherryyard-core/tests/dependency_walks/main.rs
+++ b/crates/cherryyard-core/tests/dependency_walks/main.rs
@@ -5,6 +5,7 @@
 
 use cherryyard_core::mirror::MAX_URGENCY_STEPS;
 use cherryyard_core::{Config, Controller, Tuning};
+use cherryyard_wire::job::Rank;
 use cherryyard_wire::record::{JobOutcome, JobRecord, job_key};
 use cherryyard_wire::settings::Settings;
 use cherryyard_wire::state::{Json, Pair, WatchEvent, WatchResponse};
@@ -353,3 +354,24 @@
     trial.finish_passes();
     trial.assert_jobs(shape);
 }
+
+/// Guards against a job that never becomes ready because its stored list of dependencies is not in
+/// order or names one of them twice.
+#[test]
+fn a_list_of_dependencies_in_any_order_is_read() {
+    let mut trial = Trial::new();
+    trial.add(GraphJob::new(1, Vec::new(), 1.0));
+    trial.add(GraphJob::new(2, Vec::new(), 1.0));
+    trial.add(GraphJob::new(3, vec![2, 1, 2], 1.0).urgent(900.0));
+    let rank = |trial: &Trial, job: u64| trial.controller.mirror.open[&job].rank();
+    assert_eq!((rank(&trial, 1), rank(&trial, 2)), (Rank::High, Rank::High));
+    trial.add(GraphJob::new(3, vec![2, 1, 2], 1.0));
+    assert_eq!(rank(&trial, 1), Rank::BestEffort);
+    assert_eq!(rank(&trial, 2), Rank::BestEffort);
+    for job in [2, 1] {
+        assert!(trial.controller.mirror.waits_for_others(3));
+        trial.put(job, &ended_record(JobOutcome::Done));
+    }
+    assert!(!trial.controller.mirror.waits_for_others(3));
+    assert!(trial.controller.mirror.undivided.contains(&3));
+}
