Log each start, stop and clear with its reason, token, session and attempt

Each start, stop and clear is now logged at debug level with what was read of the state service and when; at info where an operator names the machine or job in the new block trace, which is read again while the controller runs, and where a task that is not assigned is stopped. A refused batch of direct commands is logged at info. Counters are logged every minute.

No behaviour changes: the commands are those of before.

--- /dev/null
+++ b/crates/cherryyard-core/src/command_log.rs
@@ -0,0 +1,218 @@
+//! Log lines and counters of the commands to workers.
+//!
+//! The lines have the level `debug`, or `info` for the machines and jobs that a [`CommandTrace`]
+//! names.
+
+use crate::Millis;
+use crate::controller::Controller;
+use crate::machine::Task;
+use crate::owner::reconciliation::CommandChannel;
+use cherryyard_wire::worker::{CommandBatch, WorkerCommand, WorkerHeartbeat, parse_task_name};
+use std::collections::BTreeSet;
+
+/// Logs an event at the level `info` if it is traced, else at the level `debug`.
+macro_rules! log_event {
+    ($is_traced:expr, $($event:tt)+) => {
+        if $is_traced {
+            tracing::info!($($event)+);
+        } else {
+            tracing::debug!($($event)+);
+        }
+    };
+}
+
+/// Machines and jobs whose commands are logged at the level `info`.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct CommandTrace {
+    /// Names of the machines.
+    pub machines: BTreeSet<String>,
+    /// Numbers of the jobs.
+    pub jobs: BTreeSet<u64>,
+}
+
+impl CommandTrace {
+    fn includes(&self, machine: &str, job: u64) -> bool {
+        self.jobs.contains(&job) || self.machines.contains(machine)
+    }
+}
+
+/// Numbers of commands to workers since the start of the process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CommandCounts {
+    /// Starts.
+    pub starts: u64,
+    /// Direct starts of an attempt whose earlier direct start got no answer.
+    pub repeated_starts: u64,
+    /// Kills.
+    pub kills: u64,
+    /// Clears.
+    pub clears: u64,
+    /// Batches of direct commands that a worker refused.
+    pub refused: u64,
+}
+
+/// Reason for a command to a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CommandReason {
+    /// The task is assigned to the machine and not reported there.
+    Assigned,
+    /// The attempt has ended, and its end is durable.
+    EndDurable,
+    /// The job is cancelled.
+    Cancelled,
+    /// The job is over.
+    JobOver,
+    /// The attempt is not assigned to the machine.
+    NotAssigned,
+    /// The attempt makes room for another task.
+    Preempted,
+    /// The cloud is about to reclaim the machine.
+    Reclaimed,
+    /// The cloud is about to reclaim the machine, and the attempt can start elsewhere.
+    RestartsElsewhere,
+}
+
+impl CommandReason {
+    /// Returns the reason as it is logged.
+    fn text(self) -> &'static str {
+        match self {
+            Self::Assigned => "assigned",
+            Self::EndDurable => "end durable",
+            Self::Cancelled => "cancelled",
+            Self::JobOver => "job over",
+            Self::NotAssigned => "not assigned",
+            Self::Preempted => "preempted",
+            Self::Reclaimed => "reclaimed",
+            Self::RestartsElsewhere => "restarts elsewhere",
+        }
+    }
+}
+
+/// A command that is due, with the reason for it.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct DueCommand {
+    pub command: WorkerCommand,
+    pub reason: CommandReason,
+}
+
+impl DueCommand {
+    /// Returns whether the command is a start.
+    pub fn is_start(&self) -> bool {
+        matches!(self.command, WorkerCommand::Start { .. })
+    }
+
+    /// Returns the task and attempt that the command names.
+    pub fn subject(&self) -> Option<(Task, u64)> {
+        let (WorkerCommand::Start { task_name, attempt }
+        | WorkerCommand::Kill {
+            task_name, attempt, ..
+        }
+        | WorkerCommand::Clear { task_name, attempt }) = &self.command;
+        Some((parse_task_name(task_name)?, *attempt))
+    }
+}
+
+impl Controller {
+    /// Returns the numbers of commands to workers since the start of the process.
+    pub fn command_counts(&self) -> CommandCounts {
+        self.command_counts
+    }
+
+    /// Sets the machines and jobs whose commands are logged at the level `info`.
+    pub fn set_command_trace(&mut self, trace: CommandTrace) {
+        self.command_trace = trace;
+    }
+
+    /// Counts and logs commands that are sent to a machine under this token.
+    pub(crate) fn log_commands(
+        &mut self,
+        host: u32,
+        token: u64,
+        channel: CommandChannel,
+        commands: &[DueCommand],
+        now: Millis,
+    ) {
+        for due in commands {
+            let counts = &mut self.command_counts;
+            let (count, event) = match due.command {
+                WorkerCommand::Start { .. } => (&mut counts.starts, "start sent"),
+                WorkerCommand::Kill { .. } => (&mut counts.kills, "stop sent"),
+                WorkerCommand::Clear { .. } => (&mut counts.clears, "clear sent"),
+            };
+            *count += 1;
+            self.log_command(host, token, channel, due, event, now);
+        }
+    }
+
+    fn log_command(
+        &self,
+        host: u32,
+        token: u64,
+        channel: CommandChannel,
+        due: &DueCommand,
+        event: &str,
+        now: Millis,
+    ) {
+        let (Some(machine), Some(((job, number), attempt))) =
+            (self.machines.get(&host), due.subject())
+        else {
+            return;
+        };
+        let name = self.mirror.hosts.name(host);
+        let is_unexpected = due.reason == CommandReason::NotAssigned;
+        log_event!(
+            is_unexpected || self.command_trace.includes(name, job),
+            machine = name,
+            job,
+            number,
+            attempt,
+            incarnation = machine.newest.0,
+            token,
+            shown_token = machine.token,
+            channel = ?channel,
+            reason = due.reason.text(),
+            store_revision = self.mirror.store_revision,
+            state_read_age_ms = self.state_contact.read_age(now),
+            "{event}"
+        );
+    }
+
+    /// Logs that a heartbeat of a traced machine is answered, and what permits the answer.
+    pub(crate) fn log_answer(&self, heartbeat: &WorkerHeartbeat, token: u64, now: Millis) {
+        if self.command_trace.machines.contains(&heartbeat.host) {
+            tracing::info!(
+                machine = %heartbeat.host,
+                incarnation = heartbeat.incarnation,
+                sequence = heartbeat.sequence,
+                shown_token = heartbeat.fencing_token,
+                token,
+                store_revision = self.mirror.store_revision,
+                state_read_age_ms = self.state_contact.read_age(now),
+                "heartbeat answered"
+            );
+        }
+    }
+
+    /// Counts and logs a batch of direct commands that the worker refused, as its answer shows: the
+    /// worker has seen a higher token, or is in another incarnation.
+    pub(crate) fn note_refused_commands(
+        &mut self,
+        request: &CommandBatch,
+        status: &WorkerHeartbeat,
+    ) {
+        let is_refused = status.fencing_token > request.fencing_token
+            || status.incarnation != request.incarnation;
+        if is_refused {
+            self.command_counts.refused += 1;
+            tracing::info!(
+                machine = %status.host,
+                token = request.fencing_token,
+                shown_token = status.fencing_token,
+                incarnation = request.incarnation,
+                shown_incarnation = status.incarnation,
+                commands = request.commands.len(),
+                "direct commands refused by a worker"
+            );
+        }
+    }
+}
--- a/crates/cherryyard-core/src/config.rs
+++ b/crates/cherryyard-core/src/config.rs
@@ -1,5 +1,6 @@
 //! Configuration of a controller: the settings, converted to the types and units of the core.
 
+use crate::command_log::CommandTrace;
 use crate::names::Names;
 use crate::shard_map::ShardMap;
 use cherryyard_wire::record::NEWEST_FORMAT;
@@ -68,6 +69,8 @@
     pub attributes: Attributes,
     /// Settings of admission and fair sharing.
     pub admission: Admission,
+    /// Machines and jobs whose commands are logged at the level `info`.
+    pub command_trace: CommandTrace,
 }
 
 impl Default for Tuning {
@@ -84,6 +87,7 @@
             condor: false,
             attributes: Attributes::default(),
             admission: Admission::default(),
+            command_trace: CommandTrace::default(),
         }
     }
 }
--- a/crates/cherryyard-core/src/controller.rs
+++ b/crates/cherryyard-core/src/controller.rs
@@ -26,6 +26,7 @@
 use crate::admission::entitlements::Entitlements;
 use crate::admission::intake::Intake;
 use crate::cancelled::Cancellations;
+use crate::command_log::{CommandCounts, CommandTrace};
 use crate::effects::{Effect, Outcome, Ticket};
 use crate::event_loop_lag::EventLoopLag;
 use crate::leader::state::Leader;
@@ -78,6 +79,10 @@
     // Ownership of shards, and leadership.
     pub(crate) shards: Vec<Shard>,
     pub(crate) machines: BTreeMap<u32, Machine>,
+    /// Numbers of commands to workers.
+    pub(crate) command_counts: CommandCounts,
+    /// Machines and jobs whose commands are logged at the level `info`.
+    pub(crate) command_trace: CommandTrace,
     pub(crate) leader: Leader,
 
     // The other controllers.
@@ -141,6 +146,8 @@
                 .map(|_| Shard::new(config.cycle_writes_per_s, now))
                 .collect(),
             machines: BTreeMap::new(),
+            command_counts: CommandCounts::default(),
+            command_trace: config.tuning.command_trace.clone(),
             leader: Leader::new(&config, now),
             peers: Peers::new(config.own_index, shard_count, now),
             misdirected: MisdirectedWorkers::default(),
--- a/crates/cherryyard-core/src/lib.rs
+++ b/crates/cherryyard-core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod admission;
 pub mod admit;
 mod cancelled;
+pub mod command_log;
 pub mod config;
 pub mod controller;
 pub mod dependencies;
--- a/crates/cherryyard-core/src/owner/direct_commands.rs
+++ b/crates/cherryyard-core/src/owner/direct_commands.rs
@@ -3,9 +3,10 @@
 
 use super::reconciliation::CommandChannel;
 use crate::Millis;
+use crate::command_log::DueCommand;
 use crate::controller::Controller;
 use crate::effects::Effect;
-use crate::machine::{Machine, PushedStart};
+use crate::machine::{Machine, PushedStart, Task};
 use crate::reachability::Reachability;
 use cherryyard_wire::worker::{CommandBatch, WorkerCommand, parse_task_name};
 
@@ -69,14 +70,16 @@
         {
             return;
         }
-        let commands = self.reconcile(host, now, CommandChannel::Direct);
-        if commands.is_empty() {
+        let due = self.reconcile(host, now, CommandChannel::Direct);
+        if due.is_empty() {
             return;
         }
+        self.count_repeated_starts(host, &due);
+        self.log_commands(host, token, CommandChannel::Direct, &due, now);
         let Some(machine) = self.machines.get_mut(&host) else {
             return;
         };
-        tracing::debug!(machine = %machine.addr, ?commands, "direct commands sent");
+        let commands = due.into_iter().map(|due| due.command).collect();
         let request = CommandBatch {
             fencing_token: token,
             incarnation: machine.newest.0,
@@ -93,6 +96,20 @@
         });
     }
 
+    /// Counts the starts among direct commands whose earlier start got no answer.
+    fn count_repeated_starts(&mut self, host: u32, due: &[DueCommand]) {
+        let Some(machine) = self.machines.get(&host) else {
+            return;
+        };
+        let was_sent = |subject: (Task, u64)| {
+            let mut pushed = machine.pushed.iter();
+            pushed.any(|start| (start.task, start.attempt) == subject)
+        };
+        let starts = due.iter().filter(|due| due.is_start());
+        let repeated = starts.filter(|due| due.subject().is_some_and(was_sent));
+        self.command_counts.repeated_starts += repeated.count() as u64;
+    }
+
     /// Sends direct commands to each machine of the shard that has commands due.
     pub(crate) fn push_due(&mut self, shard_id: usize, now: Millis) {
         let due = |m: &&Machine| m.shard == shard_id && !m.pushing && now >= m.push_after;
--- a/crates/cherryyard-core/src/owner/reconciliation.rs
+++ b/crates/cherryyard-core/src/owner/reconciliation.rs
@@ -4,9 +4,11 @@
 //! message, so commands can be repeated and a new owner can continue for the previous one.
 
 use crate::Millis;
+use crate::command_log::{CommandReason, DueCommand};
 use crate::controller::Controller;
 use crate::machine::{Machine, MachineState, ReportedTask, Task};
 use crate::mirror::OpenJob;
+use cherryyard_wire::record::JobOutcome;
 use cherryyard_wire::worker::{TaskStatus, WorkerCommand, task_name_of};
 
 /// Maximum number of commands in one message to a worker.
@@ -40,7 +42,7 @@
 
 impl Reconciliation<'_> {
     /// Returns the command that is due for a task that the machine reports, if any.
-    fn command_for_reported(&self, task: Task, reported: &ReportedTask) -> Option<WorkerCommand> {
+    fn command_for_reported(&self, task: Task, reported: &ReportedTask) -> Option<DueCommand> {
         let assignment = self
             .controller
             .mirror
@@ -69,14 +71,17 @@
         task: Task,
         reported: &ReportedTask,
         is_assigned: bool,
-    ) -> Option<WorkerCommand> {
+    ) -> Option<DueCommand> {
         let should_clear = self.channel == CommandChannel::HeartbeatResponse
             && !is_assigned
             && !self.machine.start_pending(task, reported.attempt)
             && self.assignments_are_current;
-        should_clear.then(|| WorkerCommand::Clear {
-            task_name: task_name_of(task.0, task.1),
-            attempt: reported.attempt,
+        should_clear.then(|| DueCommand {
+            command: WorkerCommand::Clear {
+                task_name: task_name_of(task.0, task.1),
+                attempt: reported.attempt,
+            },
+            reason: CommandReason::EndDurable,
         })
     }
 
@@ -87,11 +92,9 @@
         task: Task,
         reported: &ReportedTask,
         open: &OpenJob,
-    ) -> Option<WorkerCommand> {
-        let must_stop = self.is_preempted(task, reported.attempt)
-            || self.must_save_before_reclaim(open)
-            || self.should_restart_elsewhere(task, reported.attempt, open);
-        if !must_stop || reported.status == TaskStatus::Saving {
+    ) -> Option<DueCommand> {
+        let reason = self.reason_to_stop(task, reported.attempt, open)?;
+        if reported.status == TaskStatus::Saving {
             return None;
         }
         let has_snapshots = open.spec.snapshot_every_s > 0.0;
@@ -100,7 +103,20 @@
         } else {
             0.0
         };
-        Some(kill(task, reported, grace_period_s))
+        Some(kill(task, reported, grace_period_s, reason))
+    }
+
+    /// Returns why a task that should run must stop, if it must.
+    fn reason_to_stop(&self, task: Task, attempt: u64, open: &OpenJob) -> Option<CommandReason> {
+        if self.is_preempted(task, attempt) {
+            Some(CommandReason::Preempted)
+        } else if self.must_save_before_reclaim(open) {
+            Some(CommandReason::Reclaimed)
+        } else if self.should_restart_elsewhere(task, attempt, open) {
+            Some(CommandReason::RestartsElsewhere)
+        } else {
+            None
+        }
     }
 
     fn is_preempted(&self, task: Task, attempt: u64) -> bool {
@@ -134,16 +150,21 @@
         task: Task,
         reported: &ReportedTask,
         is_cancelled: bool,
-    ) -> Option<WorkerCommand> {
-        let is_over = || self.controller.mirror.end(task.0).is_some();
-        (self.assignments_are_current || is_cancelled || is_over())
-            .then(|| kill(task, reported, 0.0))
+    ) -> Option<DueCommand> {
+        let reason = match self.controller.mirror.end(task.0) {
+            _ if is_cancelled => CommandReason::Cancelled,
+            Some(JobOutcome::Cancelled) => CommandReason::Cancelled,
+            Some(JobOutcome::Done) => CommandReason::JobOver,
+            None if self.assignments_are_current => CommandReason::NotAssigned,
+            None => return None,
+        };
+        Some(kill(task, reported, 0.0, reason))
     }
 
     /// Returns the starts of assigned tasks that the machine does not report. Abandoned attempts
     /// are not started again: only if no start of theirs is sent does a message without the task
     /// prove that it is absent.
-    fn missing_starts(&self) -> impl Iterator<Item = WorkerCommand> {
+    fn missing_starts(&self) -> impl Iterator<Item = DueCommand> {
         let may_start = self.machine.state == MachineState::Ready
             && self.assignments_are_current
             && !self.machine.is_reclaimed_soon(self.now);
@@ -155,18 +176,29 @@
                 && !machine.reported.contains_key(task)
                 && mirror.open.contains_key(&task.0)
         });
-        missing.map(|(task, assignment)| WorkerCommand::Start {
-            task_name: task_name_of(task.0, task.1),
-            attempt: assignment.attempt,
+        missing.map(|(task, assignment)| DueCommand {
+            command: WorkerCommand::Start {
+                task_name: task_name_of(task.0, task.1),
+                attempt: assignment.attempt,
+            },
+            reason: CommandReason::Assigned,
         })
     }
 }
 
-fn kill(task: Task, reported: &ReportedTask, grace_period_s: f64) -> WorkerCommand {
-    WorkerCommand::Kill {
-        task_name: task_name_of(task.0, task.1),
-        attempt: reported.attempt,
-        grace_period_s,
+fn kill(
+    task: Task,
+    reported: &ReportedTask,
+    grace_period_s: f64,
+    reason: CommandReason,
+) -> DueCommand {
+    DueCommand {
+        command: WorkerCommand::Kill {
+            task_name: task_name_of(task.0, task.1),
+            attempt: reported.attempt,
+            grace_period_s,
+        },
+        reason,
     }
 }
 
@@ -177,7 +209,7 @@
         host: u32,
         now: Millis,
         channel: CommandChannel,
-    ) -> Vec<WorkerCommand> {
+    ) -> Vec<DueCommand> {
         let mut commands = Vec::new();
         let Some(machine) = self.machines.get(&host) else {
             return commands;
--- a/crates/cherryyard-core/src/worker_heartbeats.rs
+++ b/crates/cherryyard-core/src/worker_heartbeats.rs
@@ -4,6 +4,7 @@
 mod queries;
 
 use crate::Millis;
+use crate::command_log::{CommandReason, DueCommand};
 use crate::config::MAX_MACHINES;
 use crate::controller::Controller;
 use crate::effects::{Effect, PushOutcome, Reply};
@@ -31,7 +32,7 @@
     pub fn handle_worker_heartbeat(&mut self, heartbeat: &WorkerHeartbeat, now: Millis) -> Reply {
         match self.answer_heartbeat(heartbeat, now) {
             Reply::Answer(mut response) => {
-                self.kill_cancelled(heartbeat, &mut response);
+                self.kill_cancelled(heartbeat, &mut response, now);
                 Reply::Answer(response)
             }
             other => other,
@@ -61,9 +62,17 @@
             HeartbeatOutcome::Stale => Vec::new(),
             HeartbeatOutcome::FromRestartedWorker => self.commands_for_restarted_worker(host, now),
         };
+        self.log_commands(
+            host,
+            token,
+            CommandChannel::HeartbeatResponse,
+            &commands,
+            now,
+        );
+        self.log_answer(heartbeat, token, now);
         Reply::Answer(HeartbeatResponse {
             fencing_token: token,
-            commands,
+            commands: commands.into_iter().map(|due| due.command).collect(),
         })
     }
 
@@ -190,16 +199,11 @@
 
     /// Returns the commands for the answer to a heartbeat, and records the starts among them as
     /// offered.
-    fn commands_in_answer(&mut self, host: u32, now: Millis) -> Vec<WorkerCommand> {
+    fn commands_in_answer(&mut self, host: u32, now: Millis) -> Vec<DueCommand> {
         let commands = self.reconcile(host, now, CommandChannel::HeartbeatResponse);
         if let Some(machine) = self.machines.get_mut(&host) {
-            let starts = commands.iter().filter_map(|command| match command {
-                WorkerCommand::Start { task_name, attempt } => {
-                    Some((parse_task_name(task_name)?, *attempt))
-                }
-                WorkerCommand::Kill { .. } | WorkerCommand::Clear { .. } => None,
-            });
-            machine.offered_starts = starts.collect();
+            let starts = commands.iter().filter(|due| due.is_start());
+            machine.offered_starts = starts.filter_map(DueCommand::subject).collect();
         }
         commands
     }
@@ -208,14 +212,14 @@
     /// late copy of a heartbeat from before the restart, and has the worker queried. Starts are
     /// left out and sent as direct commands only: a heartbeat without the task would not prove that
     /// a start in the answer to another heartbeat has not arrived.
-    fn commands_for_restarted_worker(&mut self, host: u32, now: Millis) -> Vec<WorkerCommand> {
+    fn commands_for_restarted_worker(&mut self, host: u32, now: Millis) -> Vec<DueCommand> {
         if let Some(machine) = self.machines.get_mut(&host) {
             machine.request_query();
             let shard_id = machine.shard;
             self.query_machines(shard_id, now);
         }
         let mut commands = self.reconcile(host, now, CommandChannel::HeartbeatResponse);
-        commands.retain(|command| !matches!(command, WorkerCommand::Start { .. }));
+        commands.retain(|due| !due.is_start());
         commands
     }
 
@@ -226,7 +230,13 @@
     /// these kills, an owner that had just acquired its shard could answer, without commands, a
     /// machine that still showed the previous token, and then exit: the cancelled task would run
     /// for one more lease.
-    fn kill_cancelled(&self, heartbeat: &WorkerHeartbeat, response: &mut HeartbeatResponse) {
+    fn kill_cancelled(
+        &mut self,
+        heartbeat: &WorkerHeartbeat,
+        response: &mut HeartbeatResponse,
+        now: Millis,
+    ) {
+        let mut kills = Vec::new();
         for reported in &heartbeat.tasks {
             let is_cancelled = || {
                 parse_task_name(&reported.task_name).is_some_and(|task| self.is_cancelled(task.0))
@@ -235,13 +245,24 @@
                 && !is_killed(reported, &response.commands)
                 && is_cancelled()
             {
-                response.commands.push(WorkerCommand::Kill {
-                    task_name: reported.task_name.clone(),
-                    attempt: reported.attempt,
-                    grace_period_s: 0.0,
+                kills.push(DueCommand {
+                    command: WorkerCommand::Kill {
+                        task_name: reported.task_name.clone(),
+                        attempt: reported.attempt,
+                        grace_period_s: 0.0,
+                    },
+                    reason: CommandReason::Cancelled,
                 });
             }
         }
+        if let Some(host) = self.mirror.hosts.get(&heartbeat.host) {
+            let token = response.fencing_token;
+            let channel = CommandChannel::HeartbeatResponse;
+            self.log_commands(host, token, channel, &kills, now);
+        }
+        response
+            .commands
+            .extend(kills.into_iter().map(|due| due.command));
     }
 
     /// Handles the outcome of a batch of direct commands.
@@ -253,6 +274,9 @@
         now: Millis,
     ) {
         self.advance_clock(now);
+        if let PushOutcome::Answered(status) = &outcome {
+            self.note_refused_commands(request, status);
+        }
         let Some(machine) = self.machines.get_mut(&host) else {
             return;
         };
--- a/crates/cherryyard/src/app/metrics.rs
+++ b/crates/cherryyard/src/app/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics that a controller logs periodically.
 
 use super::App;
+use cherryyard_core::command_log::CommandCounts;
 use cherryyard_core::mirror::DependencySteps;
 use std::sync::{Arc, PoisonError};
 use std::time::{Duration, Instant};
@@ -65,15 +66,34 @@
         steps
     }
 
+    /// Logs the commands to workers since `previous`, if there were any. Returns their numbers
+    /// since the start of the process.
+    fn log_command_counts(self: &Arc<Self>, previous: CommandCounts) -> CommandCounts {
+        let counts = self.with(|controller, _| controller.command_counts());
+        if counts != previous {
+            tracing::info!(
+                starts = counts.starts - previous.starts,
+                repeated_starts = counts.repeated_starts - previous.repeated_starts,
+                stops = counts.kills - previous.kills,
+                clears = counts.clears - previous.clears,
+                refused = counts.refused - previous.refused,
+                "commands to workers"
+            );
+        }
+        counts
+    }
+
     /// Logs every minute the latencies of users' requests, the outcomes of look-ups and
-    /// submissions, and the work for dependencies of jobs.
+    /// submissions, the work for dependencies of jobs, and the commands to workers.
     pub(crate) async fn log_latency(self: Arc<Self>) {
         let mut dependency_steps = DependencySteps::default();
+        let mut command_counts = CommandCounts::default();
         loop {
             tokio::time::sleep(LATENCY_INTERVAL).await;
             self.log_lookups();
             self.log_submissions();
             dependency_steps = self.log_dependencies(dependency_steps);
+            command_counts = self.log_command_counts(command_counts);
             let mut latency = self.latency.lock().unwrap_or_else(PoisonError::into_inner);
             if !latency.is_empty() {
                 tracing::info!(
--- a/crates/cherryyard/src/app/mod.rs
+++ b/crates/cherryyard/src/app/mod.rs
@@ -2,6 +2,7 @@
 //! effects.
 
 mod barriers;
+mod command_trace;
 mod effects;
 mod forwarding;
 mod history;
--- a/crates/cherryyard/src/cli.rs
+++ b/crates/cherryyard/src/cli.rs
@@ -219,7 +219,7 @@
             let config = cli.config.ok_or(CliError::NoConfig)?;
             let (settings, tuning) = load_settings(&config, cli.operator.as_deref())?;
             init_logging();
-            Ok(runtime()?.block_on(run::run(settings, tuning))?)
+            Ok(runtime()?.block_on(run::run(settings, tuning, cli.operator))?)
         }
         Some(Command::Check { config, operator }) => check_settings(&config, operator.as_deref()),
         Some(Command::Submit {
--- a/crates/cherryyard/src/operator.rs
+++ b/crates/cherryyard/src/operator.rs
@@ -1,11 +1,13 @@
 //! Operators' settings: an optional HCL file in addition to the platform's settings file.
 
 use cherryyard_core::Tuning;
+use cherryyard_core::command_log::CommandTrace;
 use cherryyard_core::config::{Admission, ClassShare};
 use cherryyard_wire::error::AttributeError;
+use cherryyard_wire::job::job_number;
 use cherryyard_wire::rules::{AttributeGroup, Attributes};
 use serde::Deserialize;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::ops::RangeInclusive;
 use thiserror::Error;
 
@@ -28,6 +30,12 @@
         /// Largest allowed value.
         to: f64,
     },
+    /// A traced job has no valid id.
+    #[error("trace.jobs: `{id}` is not a job id such as j-000412")]
+    NotAJobId {
+        /// The text in place of the id.
+        id: String,
+    },
     /// An attribute of machines is invalid.
     #[error(transparent)]
     Attribute(#[from] AttributeError),
@@ -48,6 +56,8 @@
     condor: Option<bool>,
     #[serde(default)]
     admission: AdmissionFile,
+    #[serde(default)]
+    trace: TraceFile,
     /// Attributes of all machines.
     #[serde(default)]
     machines: AttributeGroup,
@@ -73,6 +83,16 @@
     class: BTreeMap<String, ClassFile>,
 }
 
+/// Block that names the machines and jobs whose commands are logged at the level `info`.
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct TraceFile {
+    #[serde(default)]
+    machines: BTreeSet<String>,
+    #[serde(default)]
+    jobs: Vec<String>,
+}
+
 /// Block with the settings of one job class.
 #[derive(Debug, Default, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -144,6 +164,19 @@
     Ok(admission)
 }
 
+/// Checks the trace block.
+fn command_trace(file: TraceFile) -> Result<CommandTrace, OperatorError> {
+    let number = |id: String| job_number(&id).ok_or(OperatorError::NotAJobId { id });
+    Ok(CommandTrace {
+        machines: file.machines,
+        jobs: file
+            .jobs
+            .into_iter()
+            .map(number)
+            .collect::<Result<_, _>>()?,
+    })
+}
+
 /// Parses operators' settings; errors name the field.
 pub fn parse(text: &str) -> Result<Tuning, OperatorError> {
     let file: File = hcl::from_str(text).map_err(|e| OperatorError::Unreadable {
@@ -193,6 +226,7 @@
     tuning.account = file.account.unwrap_or(tuning.account);
     tuning.condor = file.condor.unwrap_or(tuning.condor);
     tuning.admission = admission(file.admission)?;
+    tuning.command_trace = command_trace(file.trace)?;
     tuning.attributes = Attributes {
         all: file.machines,
         machine_types: file.machine_type,
--- a/crates/cherryyard/src/operator/tests.rs
+++ b/crates/cherryyard/src/operator/tests.rs
@@ -1,4 +1,5 @@
 use super::parse;
+use cherryyard_core::command_log::CommandTrace;
 
 /// Guards against attributes that are lost or assigned to the wrong machine type or zone: both
 /// are given as blocks with a label. Attributes that every machine has cannot be set.
@@ -91,3 +92,20 @@
     assert!(errors[2].contains("head_room"), "{}", errors[2]);
     assert!(!errors[3].contains('\n'), "{}", errors[3]);
 }
+
+/// Guards against a trace block that names no valid job, or is ignored.
+#[test]
+fn the_trace_block_names_machines_and_jobs() {
+    let trace = |text: &str| parse(text).map(|tuning| tuning.command_trace);
+    assert_eq!(trace("").unwrap(), CommandTrace::default());
+    let both = "trace {\nmachines = [\"host-000091\"]\njobs = [\"j-850998\"]\n}";
+    let both = trace(both).unwrap();
+    assert_eq!(both.machines, ["host-000091".to_string()].into());
+    assert_eq!(both.jobs, [850_998].into());
+    assert_eq!(
+        trace("trace { jobs = [\"850998\"] }")
+            .unwrap_err()
+            .to_string(),
+        "trace.jobs: `850998` is not a job id such as j-000412"
+    );
+}
--- a/crates/cherryyard/src/run.rs
+++ b/crates/cherryyard/src/run.rs
@@ -15,6 +15,7 @@
 use salvo::conn::Listener;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use thiserror::Error;
@@ -156,8 +157,13 @@
     })
 }
 
-/// Runs a controller until it is killed.
-pub async fn run(settings: Settings, tuning: Tuning) -> Result<(), StartError> {
+/// Runs a controller until it is killed. The trace block of `operator_file` is read again while it
+/// runs.
+pub async fn run(
+    settings: Settings,
+    tuning: Tuning,
+    operator_file: Option<PathBuf>,
+) -> Result<(), StartError> {
     let (build_heartbeat, heartbeats) = watch::channel(None);
     let (peers, queues) = peer_queues(&settings);
     let sender = peers.sender.clone();
@@ -189,6 +195,9 @@
     tokio::spawn(app.clone().measure_event_loop_lag());
     tokio::spawn(app.clone().serve_lookups());
     tokio::spawn(app.clone().log_latency());
+    if let Some(path) = operator_file {
+        tokio::spawn(app.clone().follow_command_trace(path));
+    }
     if app.with(|controller, _| controller.accounting) {
         tokio::spawn(app.clone().log_account());
     }
