Simulate copies of answered direct commands: a task runs on two machines (known red)

The stand-ins delivered each direct command once. Now an answered command can reach its machine again at any later time, as often as a test wants, and Fault::DuplicatedCommands delivers a copy of each after 1 to 60 s.

--- a/crates/cherryyard-simulation/src/fault.rs
+++ b/crates/cherryyard-simulation/src/fault.rs
@@ -83,6 +83,9 @@
     ZonePartitioned,
     /// The leader is killed every 12 s and restarted half a second later.
     LeaderKilledRepeatedly,
+    /// Each direct command that a machine carries out and answers reaches it once more, after a
+    /// delay between 1 and 60 s.
+    DuplicatedCommands,
 }
 
 /// Faults that the first random scenarios draw from. Their order decides what a recorded seed
@@ -92,7 +95,11 @@
     .expect("19 faults before those of ADDED_FAULTS");
 
 /// Faults that were added after those of [`ORIGINAL_FAULTS`].
-pub const ADDED_FAULTS: [Fault; 10] = *Fault::VARIANTS.last_chunk().expect("10 further faults");
+pub const ADDED_FAULTS: [Fault; 10] = *Fault::VARIANTS
+    .split_at(ORIGINAL_FAULTS.len())
+    .1
+    .first_chunk()
+    .expect("10 faults after those of ORIGINAL_FAULTS");
 
 /// Returns the index of the leader, or of the first controller if there is no leader.
 pub fn leader(world: &World) -> usize {
@@ -222,6 +229,7 @@
             }
             Self::CancelRunningJobs => cancel_running_jobs(world, draw),
             Self::CancelEndingJobs => world.submissions.cancel_at_end_percent = 50,
+            Self::DuplicatedCommands => world.begin_random_command_copies(draw(1 << 20)),
             Self::OddRequests => world.requests.odd_requests = true,
             Self::ConcurrentRequests => world.requests.query_all_controllers = true,
         }
@@ -270,6 +278,7 @@
                 world.machines.hung.clear();
             }
             Self::CancelEndingJobs => world.submissions.cancel_at_end_percent = 0,
+            Self::DuplicatedCommands => world.finish_random_command_copies(),
             Self::OddRequests => world.requests.odd_requests = false,
             Self::ConcurrentRequests => world.requests.query_all_controllers = false,
         }
@@ -277,7 +286,7 @@
 
     /// Ends all faults, so that nothing fails any more.
     pub fn finish_all(world: &mut World) {
-        for fault in ORIGINAL_FAULTS.into_iter().chain(ADDED_FAULTS) {
+        for fault in Fault::VARIANTS {
             fault.finish(world);
         }
     }
--- a/crates/cherryyard-simulation/src/world.rs
+++ b/crates/cherryyard-simulation/src/world.rs
@@ -11,6 +11,7 @@
 mod cancellations;
 mod checker;
 mod cloud;
+mod command_copies;
 mod controllers;
 mod duplicates;
 mod effects;
@@ -24,6 +25,7 @@
 
 pub use checker::Checker;
 pub use cloud::{BootingMachine, Cloud};
+pub use command_copies::CommandCopies;
 pub use controllers::Processes;
 pub use duplicates::HeartbeatDuplicates;
 pub use machines::{HeldCommand, Machines};
@@ -58,6 +60,8 @@
     pub state_link: StateLink,
     /// Workers' heartbeats that are delivered more than once.
     pub duplicates: HeartbeatDuplicates,
+    /// Direct commands that are delivered more than once.
+    pub command_copies: CommandCopies,
     /// Faults of machines, and direct commands on their way to them.
     pub machines: Machines,
     /// Stand-in of the cloud, which provisions and releases machines.
@@ -131,6 +135,7 @@
         self.deliver_queued_heartbeats();
         self.deliver_duplicates();
         self.step_workers();
+        self.deliver_command_copies();
         self.retry_cancellations();
         self.list_machines_when_due();
         self.send_odd_requests();
--- /dev/null
+++ b/crates/cherryyard-simulation/src/world/command_copies.rs
@@ -0,0 +1,94 @@
+//! Copies of direct commands that a worker has carried out and answered, which may arrive again at
+//! any later time.
+
+use super::{HeldCommand, World};
+use crate::seeded_draws;
+use cherryyard_wire::worker::WorkerCommand;
+
+/// Shortest and longest delay of a copy in a random scenario, in milliseconds.
+const MIN_DELAY_MS: u64 = 1000;
+const MAX_DELAY_MS: u64 = 60_000;
+
+/// Answered direct commands, and the times at which copies of them are delivered. No copy leaves
+/// [`CommandCopies::answered`]: each may arrive any number of times.
+#[derive(Debug, Default)]
+pub struct CommandCopies {
+    /// Whether answered commands are recorded.
+    pub recording: bool,
+    /// The recorded commands, in the order in which they were answered.
+    pub answered: Vec<HeldCommand>,
+    /// Number of copies that have reached a worker.
+    pub delivered: usize,
+    /// Whether a copy of each answered command is delivered after a random delay.
+    random: bool,
+    seed: u64,
+    /// Copies that are due at a time.
+    pending: Vec<(f64, HeldCommand)>,
+}
+
+impl CommandCopies {
+    /// Records a command that a machine has carried out and answered.
+    pub(super) fn record(&mut self, command: &HeldCommand, now: f64) {
+        if self.recording {
+            self.answered.push(command.clone());
+        }
+        if self.random {
+            self.seed += 1;
+            let delay_ms = MIN_DELAY_MS + seeded_draws(self.seed)(MAX_DELAY_MS - MIN_DELAY_MS);
+            self.pending.push((now + delay_ms as f64, command.clone()));
+        }
+    }
+
+    fn take_due(&mut self, now: f64) -> Vec<HeldCommand> {
+        let due = self.pending.extract_if(.., |(due, _)| *due <= now);
+        due.map(|(_, command)| command).collect()
+    }
+}
+
+impl World {
+    /// Begins to deliver a copy of each answered direct command, with delays drawn from `seed`.
+    pub fn begin_random_command_copies(&mut self, seed: u64) {
+        self.command_copies.random = true;
+        self.command_copies.seed = seed << 32;
+    }
+
+    /// Ends the copying of further commands; copies on their way are still delivered.
+    pub fn finish_random_command_copies(&mut self) {
+        self.command_copies.random = false;
+    }
+
+    /// Delivers a copy of each recorded command that starts a task.
+    pub fn deliver_recorded_starts(&mut self) {
+        for command in self.command_copies.answered.clone() {
+            let mut commands = command.request.commands.iter();
+            if commands.any(|command| matches!(command, WorkerCommand::Start { .. })) {
+                self.deliver_command_copy(&command);
+                self.check_rules();
+            }
+        }
+    }
+
+    /// Delivers the copies that are due.
+    pub(super) fn deliver_command_copies(&mut self) {
+        for command in self.command_copies.take_due(self.now) {
+            self.deliver_command_copy(&command);
+        }
+    }
+
+    /// Delivers a copy of a command. Nobody waits for the answer.
+    fn deliver_command_copy(&mut self, command: &HeldCommand) {
+        let now = self.now;
+        if self.machines.hung.contains(&command.machine) {
+            self.machines.held_commands.push(command.clone());
+            return;
+        }
+        let Some(worker) = self.workers.get_mut(&command.machine) else {
+            return;
+        };
+        let (_, log) = worker.handle_direct_commands(&command.request, now);
+        self.command_copies.delivered += 1;
+        for line in log {
+            self.trace_line(format!("copy: {line}"));
+        }
+    }
+}
--- a/crates/cherryyard-simulation/src/world/machines.rs
+++ b/crates/cherryyard-simulation/src/world/machines.rs
@@ -172,8 +172,15 @@
             });
             PushOutcome::Unknown
         } else if let Some(worker) = self.workers.get_mut(name) {
-            let (_, log) = worker.handle_direct_commands(&request, now);
+            let (is_executed, log) = worker.handle_direct_commands(&request, now);
             let status = worker.next_heartbeat(now);
+            if is_executed {
+                let command = HeldCommand {
+                    machine: name.into(),
+                    request: request.clone(),
+                };
+                self.command_copies.record(&command, now);
+            }
             self.trace_all(log);
             PushOutcome::Answered(Box::new(status))
         } else {
--- a/crates/cherryyard-simulation/src/world/setup.rs
+++ b/crates/cherryyard-simulation/src/world/setup.rs
@@ -1,8 +1,8 @@
 //! Initial state of a simulation, and the settings that its controllers get.
 
 use super::{
-    Checker, Cloud, HeartbeatDuplicates, Machines, Network, Processes, Requests, StateLink,
-    Submissions, World,
+    Checker, Cloud, CommandCopies, HeartbeatDuplicates, Machines, Network, Processes, Requests,
+    StateLink, Submissions, World,
 };
 use crate::state::ServiceLimits;
 use crate::{StateStandIn, WorkerStandIn};
@@ -177,6 +177,7 @@
             processes: Processes::default(),
             state_link: StateLink::default(),
             duplicates: HeartbeatDuplicates::default(),
+            command_copies: CommandCopies::default(),
             machines: Machines::default(),
             cloud: Cloud::default(),
             submissions: Submissions::default(),
