--- a/crates/cherryyard-core/src/command_log.rs
+++ b/crates/cherryyard-core/src/command_log.rs
@@ -49,6 +49,8 @@
     pub clears: u64,
     /// Batches of direct commands that a worker refused.
     pub refused: u64,
+    /// Renewals of a held shard lease under a higher token.
+    pub token_raises: u64,
 }
 
 /// Reason for a command to a worker.
--- a/crates/cherryyard-core/src/lease_acquisition.rs
+++ b/crates/cherryyard-core/src/lease_acquisition.rs
@@ -115,11 +115,13 @@
     /// shard's machines and queues. Every change of the phase goes through this function.
     pub(crate) fn change_shard_lease(&mut self, shard_id: usize, event: LeaseEvent) {
         let now = self.state_contact.clock();
+        let was_held = self.shards[shard_id].lease.held_token().is_some();
         match self.shards[shard_id].lease.change(event, now) {
             Some(LeasePhase::NotHeld) => {
                 self.machines.retain(|_, machine| machine.shard != shard_id);
                 self.shards[shard_id].clear();
             }
+            Some(LeasePhase::Held(token)) if was_held => self.token_raised(shard_id, token),
             Some(LeasePhase::Held(token)) => {
                 tracing::info!(shard = shard_id, token, "shard lease acquired");
                 self.shards[shard_id].needs_cycle = true;
@@ -135,6 +137,21 @@
         }
     }
 
+    /// Applies the renewal of a held lease under a higher token: workers that see it refuse all that
+    /// was sent to them before. What machines have shown under the earlier tokens stays proven,
+    /// because no other controller has commanded them since.
+    fn token_raised(&mut self, shard_id: usize, token: u64) {
+        tracing::info!(
+            shard = shard_id,
+            token,
+            "shard lease renewed under a new token"
+        );
+        self.command_counts.token_raises += 1;
+        self.shards[shard_id].needs_cycle = true;
+        self.capacity_changed = true;
+        self.effects.push(Effect::Heartbeat);
+    }
+
     /// Returns the shard's token, if this controller holds the lease and the mirror is as recent
     /// as the lease.
     pub(crate) fn owned_token(&self, shard_id: usize) -> Option<u64> {
@@ -178,13 +195,15 @@
     /// Returns whether the shard's lease is to be acquired, or renewed under a new token, now.
     fn wants_lease(&mut self, shard_id: usize, now: Millis) -> bool {
         let holder = self.stored_holder(shard_id);
+        // A renewal makes a scheduling cycle in flight fail, as this names the earlier token.
+        let is_cycle_pending = self.shards[shard_id].pending.is_some();
         let lease = &mut self.shards[shard_id].lease;
         if !lease.may_acquire(now) {
             return false;
         }
         let is_held = lease.last_token().is_some();
         match holder {
-            StoredHolder::ThisController if is_held => lease.wants_new_token(),
+            StoredHolder::ThisController if is_held => lease.wants_new_token() && !is_cycle_pending,
             // An earlier process of this controller acquired the lease, and has ended.
             StoredHolder::ThisController => {
                 lease.note_owner();
@@ -318,7 +337,7 @@
         let shard = &self.shards[shard_id];
         let is_settled = !shard.lease.transaction_pending()
             && shard.pending.is_none()
-            && now - shard.lease.token_since() >= 2.0 * silence_ms
+            && now - shard.lease.held_since() >= 2.0 * silence_ms
             && self.state_fresh(now);
         is_settled.then_some(token)
     }
--- a/crates/cherryyard-core/src/machine.rs
+++ b/crates/cherryyard-core/src/machine.rs
@@ -1,5 +1,6 @@
 //! State of one machine as its shard's owner sees it.
 
+mod direct_starts;
 mod images;
 mod messages;
 mod proofs;
@@ -10,11 +11,12 @@
 use crate::reachability::{Reachability, ReachabilityEvent};
 use cherryyard_wire::cloud::{Instance, MachineType};
 use cherryyard_wire::worker::WorkerHeartbeat;
+pub use direct_starts::{DirectStart, MAX_DIRECT_STARTS, StartOutcome};
 pub use images::{Image, ImageState};
 pub use messages::Freshness;
-pub use state::{MachineEvent, MachineState};
+pub use state::{MachineEvent, MachineState, OwnTokens};
 use std::collections::{BTreeMap, BTreeSet};
-pub use tasks::{PushedStart, ReportedTask, Task};
+pub use tasks::{ReportedTask, Task};
 
 /// Time after the announced reclaim at which a machine counts as taken by the cloud.
 const RECLAIMED_AFTER_MS: f64 = 1000.0;
@@ -49,9 +51,11 @@
     pub newest: (u64, u64),
     /// Fencing token in the newest message.
     pub token: u64,
-    /// Fencing token that the owner held when the newest message arrived; 0 before the first
-    /// message and after a change of the token.
-    pub confirmed_token: u64,
+    /// Whether the newest message shows a token of the owner's present holding of the shard's lease.
+    pub is_confirmed: bool,
+    /// First token of the owner's holding of the lease when the newest message arrived; 0 before the
+    /// first message and after a change of the owner.
+    answered_under: u64,
     /// Tasks in the newest message.
     pub reported: BTreeMap<Task, ReportedTask>,
     /// Tasks of the newest message in their original order, for comparison with the next message.
@@ -81,12 +85,13 @@
     pub(crate) consecutive_stale: u32,
     /// Highest attempt from before the worker's last restart within a lease; 0 if there was none.
     pub(crate) last_attempt_before_restart: u64,
-    /// Whether the worker has restarted under the present token. Delayed copies of messages from
-    /// before the restart may still arrive and would look newer than the worker's new messages, so
-    /// only direct answers are evaluated.
-    pub(crate) has_restarted: bool,
-    /// Directly sent starts whose outcome is unknown.
-    pub pushed: Vec<PushedStart>,
+    /// The owner's token when it noticed that the worker had restarted under it. Delayed copies of
+    /// messages from before the restart may still arrive and would look newer than the worker's new
+    /// messages, so heartbeats that do not show a higher token are not evaluated; direct answers are.
+    pub(crate) restarted_under: Option<u64>,
+    /// Direct starts that the worker would still carry out if they, or copies of them, arrived while
+    /// it does not hold the attempt.
+    pub direct_starts: Vec<DirectStart>,
     /// Task and attempt of the starts in the answer to the newest heartbeat.
     pub offered_starts: Vec<(Task, u64)>,
     /// Whether a direct command is in flight.
@@ -123,7 +128,8 @@
             state: MachineState::Unconfirmed,
             newest: (0, 0),
             token: 0,
-            confirmed_token: 0,
+            is_confirmed: false,
+            answered_under: 0,
             reported: BTreeMap::new(),
             last_reported: Vec::new(),
             runs: BTreeMap::new(),
@@ -137,8 +143,8 @@
             query_pending: false,
             consecutive_stale: 0,
             last_attempt_before_restart: 0,
-            has_restarted: false,
-            pushed: Vec::new(),
+            restarted_under: None,
+            direct_starts: Vec::new(),
             offered_starts: Vec::new(),
             pushing: false,
             push_after: now,
@@ -177,14 +183,15 @@
     /// Applies an event to the machine's state. No other function changes the state.
     pub fn change(&mut self, event: MachineEvent) {
         match event {
-            MachineEvent::LeaseExpired => self.lease_over = self.shows_current_token(),
+            MachineEvent::LeaseExpired => self.lease_over = self.shows_own_token(),
             MachineEvent::Confirmed => self.lease_over = false,
             MachineEvent::TokenChanged => {
                 self.lease_over = false;
-                self.confirmed_token = 0;
+                self.is_confirmed = false;
+                self.answered_under = 0;
                 // Messages sent before this change carry older tokens, so delayed copies of them
                 // cannot be mistaken for messages under the new token.
-                self.has_restarted = false;
+                self.restarted_under = None;
             }
             MachineEvent::ReleaseRequested
             | MachineEvent::ReleaseFailed
@@ -218,7 +225,10 @@
             && now - self.last_heard_at < silence_limit_ms;
         // Stale messages are either delayed copies or come from a worker that has restarted; only a
         // direct answer of the worker distinguishes the two.
-        let stale_interval = if self.has_restarted {
+        let stale_interval = if self
+            .restarted_under
+            .is_some_and(|token| self.token <= token)
+        {
             RESTARTED_QUERY_MS
         } else {
             STALE_QUERY_MS
@@ -233,6 +243,12 @@
             )
     }
 
+    /// Returns whether a heartbeat may be a copy of one from before the worker's restart.
+    pub(crate) fn may_precede_restart(&self, heartbeat: &WorkerHeartbeat) -> bool {
+        self.restarted_under
+            .is_some_and(|token| heartbeat.fencing_token <= token)
+    }
+
     /// Makes a query to the worker due as soon as the minimum time since the last query has passed.
     pub(crate) fn request_query(&mut self) {
         self.consecutive_stale = self.consecutive_stale.max(STALE_MESSAGES_BEFORE_QUERY);
--- a/crates/cherryyard-core/src/machine/messages.rs
+++ b/crates/cherryyard-core/src/machine/messages.rs
@@ -1,7 +1,7 @@
 //! Processing of a machine's messages: its heartbeats, and its answers to queries and direct
 //! commands.
 
-use super::{Machine, MachineEvent, MachineState, ReportedTask, Task};
+use super::{Machine, MachineEvent, MachineState, OwnTokens, ReportedTask, Task};
 use crate::Millis;
 use crate::reachability::ReachabilityEvent;
 use cherryyard_wire::worker::{TaskStatus, WorkerHeartbeat, parse_task_name};
@@ -23,23 +23,21 @@
     /// Most messages report no change. They are compared with the last message and leave the task
     /// list as it is, because rebuilding the list for each message took a fifth of all processor
     /// time.
-    pub fn receive(&mut self, message: &WorkerHeartbeat, own_token: u64, now: Millis) -> Freshness {
+    pub fn receive(&mut self, message: &WorkerHeartbeat, own: OwnTokens, now: Millis) -> Freshness {
         let order = (message.incarnation, message.sequence);
         if order <= self.newest {
             self.consecutive_stale += 1;
             return Freshness::Stale;
         }
         self.consecutive_stale = 0;
-        if self.reports_no_change(message, own_token) {
+        if self.reports_no_change(message, own) {
             self.newest = order;
             self.last_heard_at = now;
-            if !self.reported.is_empty() {
-                self.busy_at = now;
-            }
+            self.note_busy(now);
             return Freshness::Unchanged;
         }
         self.drop_outdated_starts(message);
-        self.update_reachability(message, own_token, now);
+        self.update_reachability(message, own, now);
         if message.incarnation > self.newest.0 {
             // A new incarnation has a whole lease, counted from its start, which was at the latest
             // now. Its first message may be a direct answer long after the last answered heartbeat;
@@ -48,7 +46,7 @@
             self.answered_at = now;
         }
         self.newest = order;
-        self.apply_report(message, own_token, now);
+        self.apply_report(message, own, now);
         Freshness::Changed
     }
 
@@ -58,18 +56,17 @@
     fn drop_outdated_starts(&mut self, message: &WorkerHeartbeat) {
         let (incarnation, token) = (message.incarnation, message.fencing_token);
         if incarnation > self.newest.0 || token > self.token {
-            self.pushed
-                .retain(|start| start.incarnation >= incarnation && start.token >= token);
+            self.drop_void_starts(incarnation, token);
         }
     }
 
     /// Updates reachability from what a newer message shows of earlier answers.
-    fn update_reachability(&mut self, message: &WorkerHeartbeat, own_token: u64, now: Millis) {
-        if message.fencing_token == own_token && self.token < own_token {
+    fn update_reachability(&mut self, message: &WorkerHeartbeat, own: OwnTokens, now: Millis) {
+        if message.fencing_token >= own.first && self.token < own.first {
             self.note_reachability(ReachabilityEvent::Reflected, now);
-        } else if message.fencing_token < own_token && self.confirmed_token == own_token {
-            // The previous message was answered with the owner's token, and this one does not show
-            // it.
+        } else if message.fencing_token < own.first && self.answered_under == own.first {
+            // The previous message was answered with one of the owner's tokens, and this one does
+            // not show it.
             self.note_reachability(ReachabilityEvent::NotReflected, now);
         } else if message.incarnation > self.newest.0 && self.newest.0 > 0 {
             self.note_reachability(ReachabilityEvent::NewIncarnation, now);
@@ -105,7 +102,7 @@
     pub(crate) fn receive_status(
         &mut self,
         status: &WorkerHeartbeat,
-        own_token: u64,
+        own: OwnTokens,
         newest_attempt: u64,
         now: Millis,
     ) -> Freshness {
@@ -113,7 +110,7 @@
         let order = (status.incarnation, status.sequence);
         let (_, newest_when_queried) = self.last_query;
         if order >= newest_when_queried {
-            return self.receive(status, own_token, now);
+            return self.receive(status, own, now);
         }
         tracing::info!(
             machine = %self.addr,
@@ -121,8 +118,7 @@
             before = self.newest.0,
             "worker restarted within its lease"
         );
-        self.pushed
-            .retain(|start| start.incarnation >= status.incarnation);
+        self.forget_held_attempts(status.incarnation);
         self.offered_starts.clear();
         self.runs.clear();
         self.images.clear();
@@ -131,15 +127,16 @@
         self.newest = order;
         self.consecutive_stale = 0;
         self.change(MachineEvent::TokenChanged);
-        self.has_restarted = true;
-        self.apply_report(status, own_token, now);
+        self.restarted_under = Some(own.current);
+        self.apply_report(status, own, now);
         Freshness::Changed
     }
 
     /// Copies what a message reports into the machine.
-    fn apply_report(&mut self, message: &WorkerHeartbeat, own_token: u64, now: Millis) {
+    fn apply_report(&mut self, message: &WorkerHeartbeat, own: OwnTokens, now: Millis) {
         self.token = message.fencing_token;
-        self.confirmed_token = own_token;
+        self.is_confirmed = (own.first..=own.current).contains(&message.fencing_token);
+        self.answered_under = own.first;
         self.last_heard_at = now;
         self.addr.clone_from(&message.addr);
         // An announced reclaim time only moves closer as long as messages announce one. A pending
@@ -152,14 +149,24 @@
         };
         self.replace_tasks(message);
         self.update_run_times(now);
-        if !self.reported.is_empty() {
-            self.busy_at = now;
-        }
-        if message.fencing_token == own_token {
+        self.note_busy(now);
+        if self.is_confirmed {
             self.change(MachineEvent::Confirmed);
         }
     }
 
+    /// Records the time if the machine has tasks that have not ended.
+    fn note_busy(&mut self, now: Millis) {
+        if self.has_tasks() {
+            self.busy_at = now;
+        }
+    }
+
+    /// Returns whether the newest message reports a task that has not ended.
+    pub(crate) fn has_tasks(&self) -> bool {
+        self.reported.values().any(|reported| !reported.ended())
+    }
+
     fn replace_tasks(&mut self, message: &WorkerHeartbeat) {
         self.reported.clear();
         self.last_reported.clear();
@@ -200,16 +207,16 @@
     /// Returns whether a message repeats the last one in everything that affects decisions. While
     /// starts are in flight every message counts as a change, because it shows whether they have
     /// arrived.
-    fn reports_no_change(&self, message: &WorkerHeartbeat, own_token: u64) -> bool {
+    fn reports_no_change(&self, message: &WorkerHeartbeat, own: OwnTokens) -> bool {
         self.state == MachineState::Ready
             && !self.lease_over
             && message.incarnation == self.newest.0
             && message.fencing_token == self.token
-            && own_token == self.token
-            && own_token == self.confirmed_token
+            && self.is_confirmed
+            && own.first == self.answered_under
             && message.reclaim_in_s.is_none()
             && self.reclaim_at.is_none()
-            && self.pushed.iter().all(|start| start.lost)
+            && !self.has_starts_in_flight()
             && self.offered_starts.is_empty()
             && message.addr == self.addr
             && self.lists_same_tasks(message)
--- a/crates/cherryyard-core/src/machine/proofs.rs
+++ b/crates/cherryyard-core/src/machine/proofs.rs
@@ -1,20 +1,40 @@
 //! Proofs from a machine's messages that an attempt is absent from the machine and cannot return.
 
-use super::{Machine, MachineState, Task};
+use super::{Machine, MachineState, StartOutcome, Task};
 
 impl Machine {
-    /// Returns whether the newest message carries the owner's current token.
-    pub fn shows_current_token(&self) -> bool {
-        self.confirmed_token != 0 && self.token == self.confirmed_token
+    /// Returns whether the newest message carries a token of the owner's present holding of the
+    /// lease.
+    pub fn shows_own_token(&self) -> bool {
+        self.is_confirmed
     }
 
-    /// Returns whether a start of this attempt may still take effect.
+    /// Returns whether a start of this attempt, or a copy of one, would take effect if it arrived
+    /// while the worker does not hold the attempt.
     pub fn start_pending(&self, task: Task, attempt: u64) -> bool {
-        let mut pushed = self.pushed.iter();
-        pushed.any(|start| start.task == task && start.attempt == attempt)
+        self.direct_starts_of(task, attempt).next().is_some()
             || self.offered_starts.contains(&(task, attempt))
     }
 
+    /// Returns whether a start of this attempt may still take effect, although the worker has not
+    /// answered that it holds the attempt.
+    fn start_unconfirmed(&self, task: Task, attempt: u64) -> bool {
+        let mut starts = self.direct_starts_of(task, attempt);
+        starts.any(|start| start.outcome != StartOutcome::Held)
+            || self.offered_starts.contains(&(task, attempt))
+    }
+
+    /// Returns whether an attempt that is not on the machine may be started there by a direct start
+    /// whose batch is no longer in flight.
+    pub(crate) fn is_threatened_by_start(&self, task: Task, attempt: u64) -> bool {
+        self.direct_starts_of(task, attempt)
+            .any(|start| match start.outcome {
+                StartOutcome::InFlight => false,
+                StartOutcome::Unknown => true,
+                StartOutcome::Held => !self.is_reported(task, attempt),
+            })
+    }
+
     /// Returns whether starts of this attempt are no longer sent. This is permanent: the scheduling
     /// cycle that withdraws the assignment may be applied at any later time.
     pub(crate) fn is_abandoned(&self, incarnation: u64, attempt: u64) -> bool {
@@ -27,7 +47,9 @@
         // A machine that hung beyond its lease may execute a command sent to it earlier before it
         // notices that its incarnation is over. While such a start is pending, only the machine's
         // release or a newer incarnation proves the attempt gone.
-        if self.lease_over && incarnation <= self.newest.0 && !self.start_pending(task, attempt) {
+        // A worker that holds the attempt does not carry out a copy of its start.
+        if self.lease_over && incarnation <= self.newest.0 && !self.start_unconfirmed(task, attempt)
+        {
             return true;
         }
         if self.last_attempt_before_restart > 0
@@ -41,7 +63,7 @@
             // Returning may follow Unconfirmed, so only a message that carries the current token is
             // a proof.
             MachineState::Ready | MachineState::Returning => {
-                self.shows_current_token() && self.is_absent(task, incarnation, attempt)
+                self.shows_own_token() && self.is_absent(task, incarnation, attempt)
             }
         }
     }
@@ -52,7 +74,9 @@
         // An attempt no higher than the current token in an incarnation that has not been reported
         // yet was assigned before the worker restarted, so it started before the worker showed this
         // token.
-        let is_of_future_incarnation = incarnation > self.newest.0 && attempt <= self.token;
+        let is_of_future_incarnation = incarnation > self.newest.0
+            && attempt <= self.token
+            && !self.start_pending(task, attempt);
         let is_unreported = || {
             incarnation == self.newest.0
                 && !self.start_pending(task, attempt)
@@ -65,12 +89,18 @@
     /// remains. The worker has shown the current token, so it refuses commands of earlier owners.
     fn is_from_before_restart(&self, task: Task, incarnation: u64, attempt: u64) -> bool {
         matches!(self.state, MachineState::Ready | MachineState::Returning)
-            && self.shows_current_token()
+            && self.shows_own_token()
             && (incarnation > self.newest.0 || attempt <= self.last_attempt_before_restart)
             && !self.start_pending(task, attempt)
             && !self.is_reported_running(task, attempt)
     }
 
+    /// Returns whether the newest message reports an attempt.
+    fn is_reported(&self, task: Task, attempt: u64) -> bool {
+        let reported = self.reported.get(&task);
+        reported.is_some_and(|reported| reported.attempt == attempt)
+    }
+
     /// Returns whether the newest message reports an attempt that has not ended.
     fn is_reported_running(&self, task: Task, attempt: u64) -> bool {
         let reported = self.reported.get(&task);
--- a/crates/cherryyard-core/src/machine/state.rs
+++ b/crates/cherryyard-core/src/machine/state.rs
@@ -15,10 +15,20 @@
     Gone,
 }
 
+/// Fencing tokens under which an owner has held its shard's lease without interruption.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OwnTokens {
+    /// The token under which the holding began. A message that shows it or a later one is of the
+    /// time in which only this owner has commanded the machine.
+    pub first: u64,
+    /// The present token, under which commands are sent.
+    pub current: u64,
+}
+
 /// Event that changes the lifecycle state of a machine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum MachineEvent {
-    /// A message with the current token arrived.
+    /// A message with a token of the present owner's holding arrived.
     Confirmed,
     /// The machine's lease has expired.
     LeaseExpired,
@@ -28,7 +38,7 @@
     ReleaseFailed,
     /// The cloud answered the release request with 200.
     Released,
-    /// The owner's token has changed, which invalidates everything reported under the previous one.
+    /// The owner has changed, which invalidates everything reported under the previous token.
     TokenChanged,
 }
 
--- a/crates/cherryyard-core/src/machine/tasks.rs
+++ b/crates/cherryyard-core/src/machine/tasks.rs
@@ -30,19 +30,3 @@
         self.status == TaskStatus::Ended
     }
 }
-
-/// A directly sent start that may still take effect.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct PushedStart {
-    /// The task to start.
-    pub task: Task,
-    /// Number of the attempt.
-    pub attempt: u64,
-    /// Incarnation of the worker that the start is addressed to.
-    pub incarnation: u64,
-    /// Fencing token under which the start was sent.
-    pub token: u64,
-    /// Whether the answer to the command was lost. A start without an answer may arrive at any
-    /// later time, even after the same start was sent again and answered.
-    pub lost: bool,
-}
--- a/crates/cherryyard-core/src/owner/collection.rs
+++ b/crates/cherryyard-core/src/owner/collection.rs
@@ -142,7 +142,7 @@
     /// Returns the proven outcome of an assigned attempt, or `None` if none is proven.
     fn proven_end(&self, task: Task, assignment: &Assignment, now: Millis) -> Option<ProvenEnd> {
         let machine = self.machines.get(&assignment.host)?;
-        if machine.shows_current_token()
+        if machine.shows_own_token()
             && machine.newest.0 == assignment.incarnation
             && let Some(reported) = machine.reported.get(&task)
             && reported.attempt == assignment.attempt
@@ -182,15 +182,11 @@
         };
         let is_from_before_restart = assignment.attempt <= machine.last_attempt_before_restart;
         let should_go = is_from_before_restart || !self.mirror.open.contains_key(&task.0);
-        let was_pushed = || {
-            let mut pushed = machine.pushed.iter();
-            pushed.any(|start| start.task == task && start.attempt == assignment.attempt)
-        };
         should_go
-            && machine.shows_current_token()
+            && machine.shows_own_token()
             && !machine.pushing
             && now >= machine.push_after
-            && was_pushed()
+            && machine.is_threatened_by_start(task, assignment.attempt)
     }
 
     fn log_lost(&self, task: Task, assignment: &Assignment) {
--- a/crates/cherryyard-core/src/owner/direct_commands.rs
+++ b/crates/cherryyard-core/src/owner/direct_commands.rs
@@ -6,54 +6,13 @@
 use crate::command_log::DueCommand;
 use crate::controller::Controller;
 use crate::effects::Effect;
-use crate::machine::{Machine, PushedStart, Task};
+use crate::machine::Machine;
 use crate::reachability::Reachability;
-use cherryyard_wire::worker::{CommandBatch, WorkerCommand, parse_task_name};
+use cherryyard_wire::worker::CommandBatch;
 
 /// Minimum time between two batches of direct commands to a machine.
 const PUSH_INTERVAL_MS: f64 = 50.0;
 
-impl Machine {
-    /// Records the starts of a batch of direct commands as in flight.
-    fn note_pushed_starts(&mut self, request: &CommandBatch) {
-        for command in &request.commands {
-            if let WorkerCommand::Start { task_name, attempt } = command
-                && let Some(task) = parse_task_name(task_name)
-            {
-                self.pushed.push(PushedStart {
-                    task,
-                    attempt: *attempt,
-                    incarnation: request.incarnation,
-                    token: request.fencing_token,
-                    lost: false,
-                });
-            }
-        }
-    }
-
-    /// Settles the starts of a batch of direct commands. Starts of an answered or unsent batch are
-    /// no longer in flight. Starts of a batch whose answer was lost (`lost`) may be, until the
-    /// incarnation or the token changes.
-    pub(crate) fn settle_push(&mut self, request: &CommandBatch, lost: bool) {
-        for command in &request.commands {
-            if let WorkerCommand::Start { task_name, attempt } = command
-                && let Some(task) = parse_task_name(task_name)
-                && let Some(i) = self.pushed.iter().position(|start| {
-                    start.task == task && start.attempt == *attempt && !start.lost
-                })
-            {
-                let start = PushedStart {
-                    lost,
-                    ..self.pushed.remove(i)
-                };
-                if lost && !self.pushed.contains(&start) {
-                    self.pushed.push(start);
-                }
-            }
-        }
-    }
-}
-
 impl Controller {
     /// Sends a machine its due commands directly, if there are any.
     pub(crate) fn push(&mut self, host: u32, now: Millis) {
@@ -87,7 +46,7 @@
         };
         machine.pushing = true;
         machine.push_after = now + PUSH_INTERVAL_MS;
-        machine.note_pushed_starts(&request);
+        machine.note_direct_starts(&request);
         let addr = machine.addr.clone();
         self.effects.push(Effect::Push {
             host,
@@ -101,10 +60,7 @@
         let Some(machine) = self.machines.get(&host) else {
             return;
         };
-        let was_sent = |subject: (Task, u64)| {
-            let mut pushed = machine.pushed.iter();
-            pushed.any(|start| (start.task, start.attempt) == subject)
-        };
+        let was_sent = |(task, attempt)| machine.direct_starts_of(task, attempt).next().is_some();
         let starts = due.iter().filter(|due| due.is_start());
         let repeated = starts.filter(|due| due.subject().is_some_and(was_sent));
         self.command_counts.repeated_starts += repeated.count() as u64;
--- a/crates/cherryyard-core/src/owner/fit.rs
+++ b/crates/cherryyard-core/src/owner/fit.rs
@@ -84,13 +84,33 @@
         best.map(|(capacity, _)| capacity)
     }
 
+    /// Returns whether a task could start on a machine if an ended attempt of it there were cleared.
+    pub(super) fn is_held_up_by_clear(
+        &self,
+        request: &FitRequest,
+        capacities: &[(u32, Resources)],
+    ) -> bool {
+        capacities.iter().any(|(host, free)| {
+            let machine = &self.machines[host];
+            let holds_ended = || {
+                let reported = machine.reported.get(&request.task);
+                reported.is_some_and(|reported| reported.ended())
+            };
+            request.needs.fits(free) && holds_ended() && self.is_permitted(request, machine)
+        })
+    }
+
     /// Returns whether a task may start on a machine now.
     fn is_possible(&self, request: &FitRequest, machine: &Machine) -> bool {
+        !machine.reported.contains_key(&request.task) && self.is_permitted(request, machine)
+    }
+
+    /// Returns whether a task may be on a machine that holds no attempt of it.
+    fn is_permitted(&self, request: &FitRequest, machine: &Machine) -> bool {
         let (shard_id, open, host) = (request.shard_id, request.open, machine.host);
         let reserved = self.shards[shard_id].reserved.get(&host);
         request.reserved_host.is_none_or(|kept| kept == host)
             && self.allowed(open, machine)
-            && !machine.reported.contains_key(&request.task)
             && reserved.is_none_or(|reservation| reservation.for_task == request.task)
             && !self.is_kept_for_other(shard_id, host, open)
             && self.is_within_zone_cap(shard_id, open, &machine.zone, request.zones)
--- a/crates/cherryyard-core/src/owner/images.rs
+++ b/crates/cherryyard-core/src/owner/images.rs
@@ -63,7 +63,7 @@
         // reported would drop the images of the others.
         let shard = &mut self.shards[shard_id];
         if now - shard.images_checked_at < IMAGES_RECORD_INTERVAL_MS
-            || now - shard.lease.token_since() < IMAGES_RECORD_INTERVAL_MS
+            || now - shard.lease.held_since() < IMAGES_RECORD_INTERVAL_MS
         {
             return None;
         }
@@ -83,7 +83,7 @@
         let mut images: Vec<(String, f64)> = Vec::new();
         let mut held_by_machine = Vec::new();
         for machine in self.machines.values() {
-            if machine.shard != shard_id || !machine.shows_current_token() {
+            if machine.shard != shard_id || !machine.shows_own_token() {
                 continue;
             }
             let mut held = Vec::new();
--- a/crates/cherryyard-core/src/owner/mod.rs
+++ b/crates/cherryyard-core/src/owner/mod.rs
@@ -36,6 +36,7 @@
 pub(crate) mod state;
 mod task_ends;
 mod team_limits;
+mod token_raise;
 mod unresponsive;
 
 /// Maximum total size of a transaction's values, in bytes.
--- a/crates/cherryyard-core/src/owner/planning.rs
+++ b/crates/cherryyard-core/src/owner/planning.rs
@@ -89,6 +89,7 @@
             self.release_with_cancelled_tasks(shard_id, now);
         }
         self.query_machines(shard_id, now);
+        self.raise_token_if_due(shard_id, now);
         self.push_due(shard_id, now);
     }
 
@@ -100,7 +101,7 @@
         for machine in self.machines.values_mut() {
             if machine.shard == shard_id
                 && !machine.lease_over
-                && machine.shows_current_token()
+                && machine.shows_own_token()
                 && now - machine.answered_at > lease
             {
                 machine.change(MachineEvent::LeaseExpired);
--- a/crates/cherryyard-core/src/owner/reconciliation.rs
+++ b/crates/cherryyard-core/src/owner/reconciliation.rs
@@ -64,8 +64,8 @@
         }
     }
 
-    /// Clears an ended task only once its end is durable and no start of it is in flight; otherwise
-    /// the worker could start the task a second time.
+    /// Clears an ended task only once its end is durable and the worker would carry out no start of
+    /// it any more, in flight or copied; otherwise it could start the task a second time.
     fn clear_ended(
         &self,
         task: Task,
@@ -217,7 +217,7 @@
         // A machine whose release is requested still gets commands until the cloud has taken it,
         // because cancelled tasks on it must be stopped in any case.
         let is_commanded = matches!(machine.state, MachineState::Ready | MachineState::Returning);
-        if !machine.shows_current_token() || !is_commanded {
+        if !machine.shows_own_token() || !is_commanded {
             return commands;
         }
         let reconciliation = Reconciliation {
@@ -231,7 +231,11 @@
         for (&task, reported) in &machine.reported {
             commands.extend(reconciliation.command_for_reported(task, reported));
         }
-        commands.extend(reconciliation.missing_starts());
+        let max_starts = match channel {
+            CommandChannel::HeartbeatResponse => MAX_COMMANDS,
+            CommandChannel::Direct => machine.direct_starts_left(),
+        };
+        commands.extend(reconciliation.missing_starts().take(max_starts));
         commands.truncate(MAX_COMMANDS);
         commands
     }
--- a/crates/cherryyard-core/src/owner/scale_in.rs
+++ b/crates/cherryyard-core/src/owner/scale_in.rs
@@ -166,7 +166,7 @@
                 .then_some(ReleaseReason::NeverUp),
             InstanceStatus::Running | InstanceStatus::Other => {
                 let shard_id = self.config.shard_map.shard(&entry.zone, name);
-                let owned_for = now - self.shards[shard_id].lease.token_since();
+                let owned_for = now - self.shards[shard_id].lease.held_since();
                 let max_wait_ms = self.config.lease_ms * 2.0 + FIRST_REPORT_MS;
                 let ready_ms = self.ready_s(&entry.machine_type) * 1000.0;
                 (owned_for > max_wait_ms && entry.held_s * 1000.0 > ready_ms + max_wait_ms)
@@ -188,7 +188,7 @@
     /// Returns whether a machine has had neither tasks nor assignments for a long time.
     fn is_idle(&self, machine: &Machine, now: Millis) -> bool {
         now - machine.busy_at > self.config.tuning.idle_return_s * 1000.0
-            && machine.reported.is_empty()
+            && !machine.has_tasks()
             && self.mirror.assignments_on(machine.host).next().is_none()
     }
 
@@ -240,7 +240,7 @@
         let shard_id = self.mirror.shard_of_assignment(host)?;
         self.owned_token(shard_id)?;
         // The list is delayed, so a new machine may not be listed yet.
-        let owned_for = now - self.shards[shard_id].lease.token_since();
+        let owned_for = now - self.shards[shard_id].lease.held_since();
         let list_delay = 3.0 * self.config.list_lag_ms + self.config.lease_ms;
         (owned_for >= list_delay).then_some(shard_id)
     }
--- a/crates/cherryyard-core/src/owner/unresponsive.rs
+++ b/crates/cherryyard-core/src/owner/unresponsive.rs
@@ -68,7 +68,7 @@
         // silence.
         if gain < MIN_GAIN
             || !self.state_fresh(now)
-            || now - self.shards[shard_id].lease.token_since() < 2.0 * limit
+            || now - self.shards[shard_id].lease.held_since() < 2.0 * limit
             || self.lag.time_without_lag(now) < limit
         {
             return;
@@ -107,7 +107,7 @@
     fn confirmed_machines(&self, shard_id: usize) -> impl Iterator<Item = &Machine> {
         self.machines
             .values()
-            .filter(move |m| m.shard == shard_id && m.shows_current_token())
+            .filter(move |m| m.shard == shard_id && m.shows_own_token())
     }
 
     /// Counts a shard's overdue machines and those with a recent message.
@@ -229,7 +229,7 @@
     /// the network is at fault.
     pub(crate) fn release_not_reaching_owner(&mut self, shard_id: usize, now: Millis) {
         let limit = self.reach_owner_ms();
-        let owned_for = now - self.shards[shard_id].lease.token_since();
+        let owned_for = now - self.shards[shard_id].lease.held_since();
         if owned_for < limit
             || owned_for > limit + NEW_OWNER_RELEASE_MS
             || self.lag.time_without_lag(now) < limit
@@ -264,7 +264,7 @@
     // An unreachable machine that reports will never show the current token.
     let may_show_token = now - machine.last_heard_at < limit
         && !matches!(machine.reachability, Reachability::Unreachable(_));
-    machine.shows_current_token()
+    machine.shows_own_token()
         || machine.state == MachineState::Gone
         || now < machine.release_after
         || may_show_token
--- a/crates/cherryyard-core/src/shard_lease.rs
+++ b/crates/cherryyard-core/src/shard_lease.rs
@@ -5,6 +5,7 @@
 //! [`crate::lease_acquisition`] applies their consequences to the shard's machines and queues.
 
 use crate::Millis;
+use crate::machine::OwnTokens;
 
 /// Base of the backoff during which a controller leaves a shard to the other controllers after
 /// it has released the shard's lease. The backoff is this time doubled once for each release so
@@ -72,6 +73,9 @@
     new_token_wanted: bool,
     /// Time since which the lease has been held under its present token.
     token_since: Millis,
+    /// Token under which the uninterrupted holding of the lease began; see
+    /// [`ShardLease::tokens`].
+    first_token: u64,
     /// Time since which the lease has been held without interruption, under any token.
     held_since: Millis,
     /// Number of times that this controller has released the lease.
@@ -90,6 +94,7 @@
             ownerless_since: None,
             new_token_wanted: false,
             token_since: now,
+            first_token: 0,
             held_since: now,
             releases: 0,
             backoff_until: f64::NEG_INFINITY,
@@ -112,6 +117,15 @@
         }
     }
 
+    /// Returns the tokens under which the lease has been held without interruption, if it is held
+    /// and no newer lease is known.
+    pub(crate) fn tokens(&self) -> Option<OwnTokens> {
+        self.held_token().map(|current| OwnTokens {
+            first: self.first_token,
+            current,
+        })
+    }
+
     /// Returns the time since which the lease has been held under its present token.
     pub(crate) fn token_since(&self) -> Millis {
         self.token_since
@@ -137,10 +151,11 @@
         }
         match self.phase {
             LeasePhase::NotHeld => self.new_token_wanted = false,
-            LeasePhase::Held(_) => {
+            LeasePhase::Held(token) => {
                 self.token_since = now;
                 if !matches!(before, LeasePhase::Held(_)) {
                     self.held_since = now;
+                    self.first_token = token;
                 }
             }
             LeasePhase::Acquiring | LeasePhase::Superseded(_) => {}
--- a/crates/cherryyard-core/src/worker_heartbeats.rs
+++ b/crates/cherryyard-core/src/worker_heartbeats.rs
@@ -8,7 +8,7 @@
 use crate::config::MAX_MACHINES;
 use crate::controller::Controller;
 use crate::effects::{Effect, PushOutcome, Reply};
-use crate::machine::{Freshness, Machine, MachineState};
+use crate::machine::{Freshness, Machine, MachineState, OwnTokens};
 use crate::owner::reconciliation::CommandChannel;
 use crate::reachability::ReachabilityEvent;
 use cherryyard_wire::record::JobOutcome;
@@ -45,9 +45,10 @@
             .config
             .shard_map
             .shard(&heartbeat.zone, &heartbeat.host);
-        let Some(token) = self.answering_token(shard_id, now) else {
+        let Some(own) = self.answering_tokens(shard_id, now) else {
             return self.answer_as_non_owner(shard_id, heartbeat, now);
         };
+        let token = own.current;
         if heartbeat.fencing_token > token {
             // Another controller holds a newer token. The worker would drop an answer under this
             // older token and would keep reporting to this controller instead of the owner.
@@ -57,7 +58,7 @@
         let Some(host) = self.reporting_machine(shard_id, heartbeat, now) else {
             return Reply::Unavailable;
         };
-        let commands = match self.apply_heartbeat(host, heartbeat, token, now) {
+        let commands = match self.apply_heartbeat(host, heartbeat, own, now) {
             HeartbeatOutcome::Current => self.commands_in_answer(host, now),
             HeartbeatOutcome::Stale => Vec::new(),
             HeartbeatOutcome::FromRestartedWorker => self.commands_for_restarted_worker(host, now),
@@ -76,10 +77,10 @@
         })
     }
 
-    /// Returns the token under which heartbeats of a shard are answered now, or `None` if this
+    /// Returns the tokens of a shard whose heartbeats may be answered now, or `None` if this
     /// controller must not answer them.
-    fn answering_token(&self, shard_id: usize, now: Millis) -> Option<u64> {
-        let token = self.shards[shard_id].lease.held_token()?;
+    fn answering_tokens(&self, shard_id: usize, now: Millis) -> Option<OwnTokens> {
+        let tokens = self.shards[shard_id].lease.tokens()?;
         // A cancellation that this controller cannot read must still take effect in time, so after
         // too long without a read of the state service it stops answering and lets the workers'
         // leases expire. If no controller can reach the state service, no new cancellation can be
@@ -87,7 +88,7 @@
         // the controllers that accepted them.
         let bound = self.config.cut_off_bound_ms();
         let outage = || self.all_cut_off(now) && self.knows_cancellations();
-        (self.state_contact.read_age(now) <= bound || outage()).then_some(token)
+        (self.state_contact.read_age(now) <= bound || outage()).then_some(tokens)
     }
 
     /// Answers a heartbeat of a shard that this controller does not certainly own: extends the
@@ -143,7 +144,7 @@
     /// Returns whether a start of a cancelled job may still take effect on a machine. A start whose
     /// attempt the machine has already reported cannot.
     fn may_start_cancelled_task(&self, machine: &Machine) -> bool {
-        machine.pushed.iter().any(|start| {
+        machine.direct_starts.iter().any(|start| {
             let reported = machine.reported.get(&start.task);
             self.is_cancelled(start.task.0)
                 && reported.is_none_or(|reported| reported.attempt != start.attempt)
@@ -162,19 +163,19 @@
         &mut self,
         host: u32,
         heartbeat: &WorkerHeartbeat,
-        token: u64,
+        own: OwnTokens,
         now: Millis,
     ) -> HeartbeatOutcome {
         let Some(machine) = self.machines.get_mut(&host) else {
             return HeartbeatOutcome::Stale;
         };
-        if machine.has_restarted {
+        if machine.may_precede_restart(heartbeat) {
             machine.answered_at = now;
             machine.last_heard_at = now;
             return HeartbeatOutcome::FromRestartedWorker;
         }
         let before = (machine.state, machine.reachability.is_reachable());
-        let freshness = machine.receive(heartbeat, token, now);
+        let freshness = machine.receive(heartbeat, own, now);
         // An answer to an older heartbeat renews the worker's lease at most from the time when that
         // heartbeat was sent, which is before the newest message arrived. Counting it from now
         // would let a delayed copy keep a dead machine's lease alive.
@@ -287,25 +288,25 @@
             PushOutcome::Answered(status) => {
                 let answered_by = status.incarnation;
                 tracing::debug!(machine = %machine.addr, incarnation, answered_by, "direct commands answered");
-                machine.settle_push(request, false);
+                machine.settle_direct_starts(request, Some(&status.tasks));
                 machine.note_reachability(ReachabilityEvent::Reflected, now);
-                let Some(token) = self.shards[shard_id].lease.held_token() else {
+                let Some(own) = self.shards[shard_id].lease.tokens() else {
                     return;
                 };
-                if machine.receive(&status, token, now) != Freshness::Stale {
+                if machine.receive(&status, own, now) != Freshness::Stale {
                     self.handle_message_arrival(host, now);
                 }
                 self.push(host, now);
             }
             PushOutcome::Unsent => {
                 tracing::debug!(machine = %machine.addr, incarnation, "direct commands not sent");
-                machine.settle_push(request, false);
+                machine.forget_unsent_starts(request);
                 machine.note_reachability(ReachabilityEvent::NotReflected, now);
                 machine.push_after = now + UNSENT_RETRY_MS;
             }
             PushOutcome::Unknown => {
                 tracing::debug!(machine = %machine.addr, incarnation, "direct commands not answered");
-                machine.settle_push(request, true);
+                machine.settle_direct_starts(request, None);
                 machine.note_reachability(ReachabilityEvent::NotReflected, now);
                 machine.push_after = now + UNANSWERED_RETRY_MS;
             }
--- a/crates/cherryyard-core/src/worker_heartbeats/queries.rs
+++ b/crates/cherryyard-core/src/worker_heartbeats/queries.rs
@@ -52,7 +52,7 @@
         };
         machine.query_pending = false;
         let shard_id = machine.shard;
-        let Some(token) = self.shards[shard_id].lease.held_token() else {
+        let Some(own) = self.shards[shard_id].lease.tokens() else {
             return;
         };
         let Some(status) = answer else {
@@ -66,7 +66,7 @@
             return;
         };
         self.capacity_changed |= !machine.reachability.is_reachable();
-        if machine.receive_status(status, token, newest_attempt, now) != Freshness::Stale {
+        if machine.receive_status(status, own, newest_attempt, now) != Freshness::Stale {
             self.handle_message_arrival(host, now);
         }
     }
--- a/crates/cherryyard-core/tests/lease_model.rs
+++ b/crates/cherryyard-core/tests/lease_model.rs
@@ -9,7 +9,7 @@
 //! is never assigned to another machine while it runs, and that it is gone `CANCEL_DEADLINE` after
 //! the cancellation was confirmed.
 //!
-//! The rules under test are those of `Controller::answering_token`, `may_extend_lease`,
+//! The rules under test are those of `Controller::answering_tokens`, `may_extend_lease`,
 //! `knows_cancellations`, `may_confirm_cancelled` and `expire_leases`. Each mutant omits one rule,
 //! and the model must find a violation with it.
 
@@ -141,10 +141,26 @@
     /// Faults that may still occur: changes of the state service's reachability, ends of processes,
     /// and suspensions of processes.
     faults_left: (u8, u8, u8),
+    /// Copies of the direct start of the task's first attempt, if the run has any.
+    copies: Option<StartCopies>,
     /// The property that is violated in this state, if any.
     violation: Option<&'static str>,
 }
 
+/// The direct start of the task's first attempt, which the worker has carried out and answered.
+/// Copies of it may arrive at any time.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
+struct StartCopies {
+    /// Token under which the start was sent.
+    token: u8,
+    /// Whether the incarnation of the worker that the start names is over.
+    incarnation_over: bool,
+    /// Whether the attempt has failed and the worker still holds it.
+    ended_held: bool,
+    /// Whether the owner has assigned the task to another machine, after its failure.
+    assigned_elsewhere: bool,
+}
+
 /// Rules that are omitted.
 #[derive(Clone, Copy, Default)]
 struct Mutant {
@@ -168,6 +184,8 @@
     does_not_relay: bool,
     /// A controller ignores the cancellations that heartbeats list.
     ignores_list: bool,
+    /// An ended attempt is cleared under the token of its direct start.
+    clears_under_same_token: bool,
 }
 
 /// Returns the state in which the first controller owns the shard and the state service is
@@ -210,6 +228,7 @@
         delayed: None,
         delay_left: may_delay,
         faults_left,
+        copies: None,
         violation: None,
     }
 }
@@ -377,9 +396,14 @@
         controller.answered = now;
         state.worker_token = controller.token;
         state.worker_lease_end = now + WORKER_LEASE;
-        if controller.learnt.is_some() || controller.announced {
-            state.task_present = false;
+        let is_cancelled = controller.learnt.is_some() || controller.announced;
+        if let Some(copies) = &mut state.copies {
+            let may_clear = controller.token > copies.token || mutant.clears_under_same_token;
+            let is_end_durable = copies.assigned_elsewhere || is_cancelled;
+            copies.ended_held &= !(is_end_durable && may_clear);
+            copies.ended_held |= is_cancelled && state.task_present;
         }
+        state.task_present &= !is_cancelled;
         return true;
     }
     let peer_confirms = controller.peer_report.is_some_and(|report| {
@@ -403,6 +427,55 @@
     false
 }
 
+/// The task's first attempt fails.
+fn fail_task(state: &mut State) -> bool {
+    let is_first = state.task_present;
+    if let Some(copies) = state.copies.as_mut().filter(|_| is_first) {
+        (state.task_present, copies.ended_held) = (false, true);
+    }
+    is_first
+}
+
+/// A copy of the start arrives: the worker carries it out if the token and the incarnation match and
+/// it does not hold the attempt.
+fn deliver_start_copy(state: &mut State) -> bool {
+    let (worker_token, task_present) = (state.worker_token, state.task_present);
+    let Some(copies) = state.copies else {
+        return false;
+    };
+    let is_executed = copies.token >= worker_token
+        && !copies.incarnation_over
+        && !copies.ended_held
+        && !task_present;
+    state.task_present |= is_executed;
+    if is_executed && copies.assigned_elsewhere {
+        state.violation = Some("it is on two machines");
+    }
+    is_executed
+}
+
+/// The owner renews the shard's lease under a higher token; what the worker has shown stays proven.
+fn raise_token(state: &mut State, index: usize) -> bool {
+    let is_possible = state.shard_lease.0 < 3;
+    if is_possible {
+        state.shard_lease.0 += 1;
+        let controller = &mut state.controllers[index];
+        (controller.token, controller.shard_lease) = (state.shard_lease.0, state.shard_lease);
+    }
+    is_possible
+}
+
+/// The owner, to whom the worker has shown its token, assigns the failed task to another machine.
+fn assign_elsewhere(state: &mut State, index: usize) -> bool {
+    let is_confirmed = state.controllers[index].token_confirmed;
+    let Some(copies) = &mut state.copies else {
+        return false;
+    };
+    let is_due = is_confirmed && copies.ended_held && !copies.assigned_elsewhere;
+    copies.assigned_elsewhere |= is_due;
+    is_due
+}
+
 /// Returns the states that may follow a state; none once it is a violation.
 fn next_states(state: &State, mutant: Mutant) -> Vec<State> {
     let mut successors = Vec::new();
@@ -418,7 +491,12 @@
     };
     add(&|successor| {
         successor.now += 1;
-        successor.task_present &= successor.now <= successor.worker_lease_end;
+        let is_lease_over = successor.now > successor.worker_lease_end;
+        successor.task_present &= !is_lease_over;
+        if let Some(copies) = &mut successor.copies {
+            copies.incarnation_over |= is_lease_over;
+            copies.ended_held &= !is_lease_over;
+        }
         // Times too old to matter are made equal, to reduce the number of states.
         for controller in &mut successor.controllers {
             controller.peer_report = controller
@@ -448,7 +526,12 @@
             successor.violation = Some("it runs though cancelled");
         }
         // Without the task nothing can be violated any more.
-        successor.now <= LAST_STEP && (successor.task_present || successor.violation.is_some())
+        let may_be_violated = successor.task_present
+            || successor.violation.is_some()
+            || successor
+                .copies
+                .is_some_and(|copies| !copies.incarnation_over);
+        successor.now <= LAST_STEP && may_be_violated
     });
     add(&|successor| {
         // Heartbeats are exchanged twice, so that each controller acknowledges one of the other's.
@@ -558,14 +641,25 @@
             is_fresh && lease_is_over && state.task_present
         });
         add(&|successor| {
-            state.task_present && answer_worker(successor, index, mutant) && *successor != *state
+            let is_up =
+                state.task_present || state.copies.is_some_and(|copies| !copies.incarnation_over);
+            is_up && answer_worker(successor, index, mutant) && *successor != *state
         });
+        if state.copies.is_some() {
+            let is_owner = is_fresh && controller.token == state.shard_lease.0;
+            add(&|successor| is_owner && raise_token(successor, index));
+            add(&|successor| is_owner && assign_elsewhere(successor, index));
+        }
         add(&|successor| {
             (successor.delayed, successor.delay_left) =
                 (Some(send_heartbeat(successor, index)), false);
             state.delay_left
         });
     }
+    if state.copies.is_some() {
+        add(&fail_task);
+        add(&deliver_start_copy);
+    }
     if let Some(heartbeat) = state
         .delayed
         .filter(|heartbeat| !state.controllers[1 - heartbeat.from].suspended)
@@ -612,13 +706,15 @@
 
 /// Returns the number of states explored up to the first violation, and that violation.
 fn explore(faults: Faults, refused: Refused, mutant: Mutant) -> (usize, Option<&'static str>) {
+    explore_from(initial_state_of_run(faults, refused, mutant), mutant)
+}
+
+fn explore_from(initial: State, mutant: Mutant) -> (usize, Option<&'static str>) {
     let mut count = 0;
-    let found = bfs_reach(initial_state_of_run(faults, refused, mutant), |state| {
-        next_states(state, mutant)
-    })
-    .inspect(|_| count += 1)
-    .take(MAX_STATES)
-    .find_map(|state| state.violation);
+    let found = bfs_reach(initial, |state| next_states(state, mutant))
+        .inspect(|_| count += 1)
+        .take(MAX_STATES)
+        .find_map(|state| state.violation);
     (count, found)
 }
 
@@ -756,6 +852,36 @@
     assert_eq!(explore_all(&runs), expected);
 }
 
+/// A copy of an answered start must not run a task again that has failed and was assigned elsewhere,
+/// nor one that was cancelled, while owners renew their lease under higher tokens, end, and lose the
+/// state service.
+#[test]
+fn copies_of_a_start_after_its_clear() {
+    let rules = Mutant::default();
+    let clears_under_same_token = Mutant {
+        clears_under_same_token: true,
+        ..rules
+    };
+    let explore_copies = |faults: Faults, mutant: Mutant| {
+        let mut state = initial_state_of_run(faults, Refused::Nobody, mutant);
+        state.copies = Some(StartCopies {
+            token: 1,
+            incarnation_over: false,
+            ended_held: false,
+            assigned_elsewhere: false,
+        });
+        let (count, violation) = explore_from(state, mutant);
+        println!("copies {faults:?}: {count} states");
+        violation
+    };
+    assert_eq!(explore_copies(((0, 1, 0), false), rules), None);
+    assert_eq!(explore_copies(((1, 0, 0), false), rules), None);
+    assert_eq!(
+        explore_copies(((0, 0, 0), false), clears_under_same_token),
+        Some("it is on two machines")
+    );
+}
+
 /// Explores more faults at once than `leases_in_an_outage`. This test takes some gigabytes of
 /// memory and a minute or two.
 #[test]
--- a/crates/cherryyard-simulation/src/lib.rs
+++ b/crates/cherryyard-simulation/src/lib.rs
@@ -7,10 +7,12 @@
 //! them and check the outcome at the end of a scenario. All random choices are drawn from
 //! seeds, so the same scenario always has the same trace.
 //!
-//! [`http`] and [`process`] run the real program against the stand-in of the state service.
+//! [`http`], [`http_worker`] and [`process`] run the real program against the stand-ins of the state
+//! service and of workers.
 
 pub mod fault;
 pub mod http;
+pub mod http_worker;
 pub mod process;
 pub mod state;
 pub mod users;
--- a/crates/cherryyard-simulation/tests/command_copies.rs
+++ b/crates/cherryyard-simulation/tests/command_copies.rs
@@ -80,6 +80,28 @@
     assert_eq!(world.started_cancelled(), 0);
 }
 
+/// Guards against tasks that run twice after they have been moved from machines of one shard that
+/// make way for a more important job.
+#[test]
+fn copies_of_starts_of_moved_tasks_start_nothing() {
+    let mut world = cluster(2);
+    let mut low = World::spec("j-000001", "service", 6);
+    low.rank = serde_json::from_str("\"best_effort\"").expect("a rank");
+    low.together = true;
+    world.submit(&low);
+    world.run_until(20.0, |world| world.running_task_count() >= 4);
+    let mut high = World::spec("j-000002", "service", 9);
+    high.rank = serde_json::from_str("\"critical\"").expect("a rank");
+    world.submit(&high);
+    world.run_until(60.0, |world| {
+        world
+            .trace
+            .iter()
+            .any(|line| line.contains("stops j-000001/"))
+    });
+    assert_copies_start_nothing(&mut world, "moved");
+}
+
 /// Guards against tasks that run twice or after their cancellation when the owner that started them
 /// ends and is back within a second.
 #[test]
@@ -101,6 +123,27 @@
     }
 }
 
+/// Guards against a preempted task that waits for long although its only machine is free again,
+/// because its ended attempt there cannot be cleared before a higher token.
+#[test]
+fn a_preempted_task_returns_to_its_only_machine() {
+    let mut world = World::new(Setup {
+        machines: vec![("a", 1)],
+        ..Setup::default()
+    });
+    world.run(10.0);
+    world.submit(&World::spec("j-000001", "service", 2));
+    world.run(2.0);
+    let mut whole = World::spec("j-000002", "service", 1);
+    whole.cores = 4.0;
+    whole.rank = serde_json::from_str("\"high\"").expect("a rank");
+    world.submit(&whole);
+    world.run(8.0);
+    world.cancel(0, "j-000002");
+    world.run_until(6.0, |world| world.running_copies("j-000001/1") == 1);
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
+
 /// Runs a random day of two minutes: short jobs, failing machines, cancellations, and controllers
 /// that are back at once, while each answered command reaches its machine once more.
 fn day(seed: u64) {
--- a/crates/cherryyard-simulation/tests/concurrent_fault_scenarios.rs
+++ b/crates/cherryyard-simulation/tests/concurrent_fault_scenarios.rs
@@ -10,10 +10,25 @@
 /// Runs three rounds of faults that overlap in time, while users submit, cancel, repeat and poll
 /// at every controller.
 fn scenario(seed: u64, faults: &[Fault], at_once: usize) {
-    scenario_of(seed, faults, at_once, vec!["a", "b", "c"]);
+    scenario_of(seed, faults, at_once, vec!["a", "b", "c"], None);
 }
 
-fn scenario_of(seed: u64, faults: &[Fault], at_once: usize, zones: Vec<&'static str>) {
+/// Runs such a scenario while each direct command reaches its machine once more after its answer.
+fn scenario_with_command_copies(seed: u64, at_once: usize) {
+    let zones = vec!["a", "b", "c"];
+    let throughout = Some(Fault::DuplicatedCommands);
+    scenario_of(seed, &all_faults(), at_once, zones, throughout);
+}
+
+/// Runs a scenario with one controller for each entry of `zones`, and with a fault that lasts
+/// throughout.
+fn scenario_of(
+    seed: u64,
+    faults: &[Fault],
+    at_once: usize,
+    zones: Vec<&'static str>,
+    throughout: Option<Fault>,
+) {
     let mut draw = seeded_draws(seed);
     let seconds = 4.0 + draw(12) as f64;
     // With the newer faults, half of the users' requests take the steps of the program's HTTP
@@ -27,6 +42,9 @@
     world.cloud.list_interval_ms = newer.then_some(5000.0);
     world.seed_state_link(seed);
     (world.cloud.provisioning_ms, world.cloud.provisioned_run_ms) = (Some(5000.0), 8000.0);
+    if let Some(fault) = throughout {
+        fault.begin(&mut world, &mut draw);
+    }
     let mut users = Users::default();
     let mut job = 100;
     let mut open: Vec<String> = Vec::new();
@@ -128,7 +146,17 @@
 
 #[test]
 fn random_threes_of_six_controllers() {
-    (0..8).for_each(|seed| scenario_of(seed, &all_faults(), 3, SIX_CONTROLLERS.to_vec()));
+    (0..8).for_each(|seed| scenario_of(seed, &all_faults(), 3, SIX_CONTROLLERS.to_vec(), None));
+}
+
+#[test]
+fn random_pairs_with_copies_of_commands() {
+    (0..16).for_each(|seed| scenario_with_command_copies(seed, 2));
+}
+
+#[test]
+fn random_threes_with_copies_of_commands() {
+    (0..8).for_each(|seed| scenario_with_command_copies(seed, 3));
 }
 
 /// Runs on demand; the environment variables `FROM` and `SEEDS` choose the seeds.
@@ -155,6 +183,18 @@
 #[ignore = "minutes"]
 fn random_threes_of_six_by_the_thousand() {
     run_seeds(24, 1000, |seed| {
-        scenario_of(seed, &all_faults(), 3, SIX_CONTROLLERS.to_vec())
+        scenario_of(seed, &all_faults(), 3, SIX_CONTROLLERS.to_vec(), None)
     });
 }
+
+#[test]
+#[ignore = "minutes"]
+fn random_pairs_with_copies_of_commands_by_the_thousand() {
+    run_seeds(16, 1000, |seed| scenario_with_command_copies(seed, 2));
+}
+
+#[test]
+#[ignore = "minutes"]
+fn random_threes_with_copies_of_commands_by_the_thousand() {
+    run_seeds(8, 1000, |seed| scenario_with_command_copies(seed, 3));
+}
--- a/crates/cherryyard/src/app/metrics.rs
+++ b/crates/cherryyard/src/app/metrics.rs
@@ -77,6 +77,7 @@
                 stops = counts.kills - previous.kills,
                 clears = counts.clears - previous.clears,
                 refused = counts.refused - previous.refused,
+                token_raises = counts.token_raises - previous.token_raises,
                 "commands to workers"
             );
         }
