Test that attempts which are not cleared leave heartbeats small

Hundreds of short tasks on one machine in a lease time, with an outage of the state service of ten seconds: heartbeats stay within a quarter of the largest body.

--- a/crates/cherryyard-simulation/src/worker.rs
+++ b/crates/cherryyard-simulation/src/worker.rs
@@ -46,7 +46,7 @@
 }
 
 /// Stand-in of one machine's worker.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct WorkerStandIn {
     /// Name of the machine.
     pub host: String,
--- a/crates/cherryyard-simulation/tests/command_copies.rs
+++ b/crates/cherryyard-simulation/tests/command_copies.rs
@@ -9,6 +9,8 @@
 /// Seconds after the end of a task at which copies of all answered commands arrive.
 const COPY_TIMES_S: [f64; 6] = [0.5, 3.0, 20.0, 40.0, 100.0, 300.0];
 
+/// Largest heartbeat of a machine, a quarter of the largest body that controllers accept.
+const MAX_HEARTBEAT_BYTES: usize = 16 * 1024;
 /// Fewest copies in a random day; with fewer it would show little.
 const MIN_COPIES: usize = 50;
 
@@ -144,6 +146,44 @@
     assert!(world.violations.is_empty(), "{:?}", world.violations);
 }
 
+/// Guards against heartbeats that grow with the attempts that are not cleared yet: hundreds of short
+/// tasks run on a machine in a lease time, and the state service is out for a while.
+#[test]
+fn uncleared_attempts_leave_heartbeats_small() {
+    let mut world = World::new(Setup {
+        machines: vec![("a", 1)],
+        write_rps: 200.0,
+        ..Setup::default()
+    });
+    let host = "host-000000";
+    world.run(6.0);
+    world.workers.get_mut(host).expect("the machine").run_ms = 300.0;
+    for number in 1..=20 {
+        let mut spec = job(number, "sweep", 100);
+        (spec.cores, spec.ram_gb, spec.expected_s) = (0.05, 0.05, 0.3);
+        world.submit(&spec);
+    }
+    let mut largest_heartbeat = 0;
+    for step in 0..1200 {
+        match step {
+            300 => world.state_link.refused.extend([0, 1, 2]),
+            500 => world.state_link.refused.clear(),
+            _ => {}
+        }
+        world.run(0.05);
+        let heartbeat = world.workers[host].clone().next_heartbeat(world.now);
+        let bytes = serde_json::to_vec(&heartbeat).expect("a heartbeat").len();
+        largest_heartbeat = largest_heartbeat.max(bytes);
+    }
+    let completed = world.checker.completed.len();
+    assert!(completed > 1000, "{completed} tasks have completed");
+    assert!(
+        largest_heartbeat <= MAX_HEARTBEAT_BYTES,
+        "{largest_heartbeat} bytes"
+    );
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
+
 /// Runs a random day of two minutes: short jobs, failing machines, cancellations, and controllers
 /// that are back at once, while each answered command reaches its machine once more.
 fn day(seed: u64) {
