Move the state of a placement to a module of its own; one function for the worker's requests

Names, logic and texts are as before; the stand-in of a worker over HTTP sent requests in two places of the same lines.

--- a/crates/cherryyard-core/src/owner/placement.rs
+++ b/crates/cherryyard-core/src/owner/placement.rs
@@ -1,11 +1,13 @@
 //! Placement: the part of a scheduling cycle that assigns waiting tasks to machines, in the order
 //! of service.
 
+mod progress;
+
 use super::cycle::Cycle;
 use super::failure_attribution::JobFailures;
 use super::fit::FitRequest;
 use super::preempt::PreemptionRequest;
-use super::preemptible::{EvictionScope, Preemption};
+use super::preemptible::EvictionScope;
 use super::search::{SearchBudget, UnmetNeeds};
 use super::state::PendingCycle;
 use crate::Millis;
@@ -19,6 +21,7 @@
 use crate::pages::Assignment;
 use cherryyard_wire::RangeSet;
 use cherryyard_wire::job::Shape;
+pub(super) use progress::{Candidate, Placement};
 use std::collections::{BTreeSet, HashMap};
 
 /// Maximum number of tasks that one scheduling cycle places.
@@ -29,88 +32,6 @@
 /// them.
 const MAX_TASKS_TO_PREEMPT_FOR: usize = 4;
 
-/// State of the placement in one scheduling cycle.
-pub(super) struct Placement {
-    pub(super) shard_id: usize,
-    pub(super) now: Millis,
-    /// Remaining free capacity by machine.
-    pub(super) capacities: Vec<(u32, Resources)>,
-    /// Capacity that each team uses in the shard.
-    pub(super) used: Vec<Resources>,
-    pub(super) preemption: Preemption,
-    unmet_needs: UnmetNeeds,
-    /// Services that are held back for another shard.
-    pub(super) handed_over: BTreeSet<u64>,
-    /// Whether a task found no room, but would if an ended attempt of it were cleared.
-    is_held_up_by_clear: bool,
-    /// Number of tasks placed so far.
-    placed: usize,
-    /// Cores that flows may still start ahead of other flows, regardless of rank.
-    ahead_cores: HashMap<Flow, f64>,
-    search_budget: SearchBudget,
-    /// Cores started in this cycle, by flow.
-    started_cores: HashMap<Flow, f64>,
-    /// Jobs for which the remainders of teams' grants in this shard are kept, by team.
-    pub(super) remainder_kept_for: HashMap<usize, u64>,
-    /// Number of the last task tried of each job that was put back into the order of service.
-    last_tried: HashMap<u64, u32>,
-}
-
-impl Placement {
-    /// Returns whether a flow has an allowance to start ahead of others regardless of rank, but too
-    /// little of it is left for a task. The flow then loses the rest of the allowance.
-    fn is_beyond_allowance(&mut self, flow: Flow, needs: &Resources) -> bool {
-        let left = self.ahead_cores.get(&flow);
-        let is_beyond = left.is_some_and(|left| *left < needs.cores);
-        if is_beyond {
-            self.ahead_cores.remove(&flow);
-        }
-        is_beyond
-    }
-
-    /// Takes cores from a flow's allowance to start ahead of others. Returns whether the rest is
-    /// too small for another task of the same size; the flow then loses it.
-    fn use_allowance(&mut self, flow: Flow, cores: f64) -> bool {
-        let Some(left) = self.ahead_cores.get_mut(&flow) else {
-            return false;
-        };
-        *left -= cores;
-        let is_used_up = *left < cores;
-        if is_used_up {
-            self.ahead_cores.remove(&flow);
-        }
-        is_used_up
-    }
-
-    /// Returns whether no machine has enough free capacity, and records that, so that no machine is
-    /// sought for the next task of this size or larger.
-    fn fits_nowhere(&mut self, needs: &Resources) -> bool {
-        let fits_nowhere = !self.capacities.iter().any(|(_, free)| needs.fits(free));
-        if fits_nowhere {
-            self.unmet_needs.add(*needs);
-        }
-        fits_nowhere
-    }
-}
-
-/// A waiting job in a scheduling cycle.
-pub(super) struct Candidate {
-    pub(super) job: u64,
-    pub(super) flow: Flow,
-    pub(super) team: u32,
-    /// Team of the job, if it has a limit.
-    limited_team: Option<u32>,
-    pub(super) needs: Resources,
-    is_service: bool,
-    /// Time since which the job has waited in this shard.
-    pub(super) waiting_since: Option<Millis>,
-    waiting: RangeSet,
-    /// Whether the job is quarantined because it fails wherever it runs.
-    is_quarantined: bool,
-    /// Machines on which the job has failed, unless it is quarantined.
-    failed_on: Option<BTreeSet<u32>>,
-}
-
 /// Next step after a job has been tried.
 enum NextStep {
     /// Continue with the next job.
--- a/crates/cherryyard-simulation/src/http_worker.rs
+++ b/crates/cherryyard-simulation/src/http_worker.rs
@@ -22,6 +22,19 @@
 /// Maximum size of a response, in bytes.
 const MAX_RESPONSE_BYTES: usize = 65_536;
 
+/// Sends a request and returns the status and body of its response, if there is one.
+async fn post(http: &HttpClient, url: &str, body: Vec<u8>) -> Option<(u16, Vec<u8>)> {
+    let response = http.call(
+        Method::POST,
+        url,
+        Some(body),
+        REQUEST_TIMEOUT,
+        MAX_RESPONSE_BYTES,
+    );
+    let (status, body) = response.await.ok()?;
+    Some((status, body.to_vec()))
+}
+
 /// A worker on the loopback interface.
 #[derive(Clone, Debug)]
 pub struct HttpWorker {
@@ -84,16 +97,7 @@
             let Some(body) = self.due_heartbeat(sent_at) else {
                 continue;
             };
-            let response = http
-                .call(
-                    Method::POST,
-                    &url,
-                    Some(body),
-                    REQUEST_TIMEOUT,
-                    MAX_RESPONSE_BYTES,
-                )
-                .await;
-            if let Ok((200, body)) = response {
+            if let Some((200, body)) = post(&http, &url, body).await {
                 let response: HeartbeatResponse =
                     serde_json::from_slice(&body).expect("a controller's answer");
                 let now = self.now_ms();
@@ -156,15 +160,7 @@
         let mut statuses = Vec::new();
         for batch in batches {
             let body = serde_json::to_vec(batch).expect("commands");
-            let response = http
-                .call(
-                    Method::POST,
-                    &url,
-                    Some(body),
-                    REQUEST_TIMEOUT,
-                    MAX_RESPONSE_BYTES,
-                )
-                .await;
+            let response = post(&http, &url, body).await;
             statuses.push(response.map_or(0, |(status, _)| status));
         }
         statuses
