Renew the shard's lease when a worker with direct starts has restarted

Cause: the new process of the worker holds none of the attempts. Ended ones that were not cleared kept copies of their starts void only while the old process remembered them, and nothing raised the token before the next 30 s were over.

Fix: the answer that shows the restart makes the owner renew its lease at once if it has sent that worker direct starts under its present token. Until the worker has its first answer it accepts any token; that moment stays open (docs/design.md).

Also: an outcome of direct commands settles only starts of its own token, and the mark that a task waits for a clear goes when the queue is empty, as it else asked for a renewal every half lease.

--- a/crates/cherryyard-core/src/machine.rs
+++ b/crates/cherryyard-core/src/machine.rs
@@ -225,10 +225,10 @@
             && now - self.last_heard_at < silence_limit_ms;
         // Stale messages are either delayed copies or come from a worker that has restarted; only a
         // direct answer of the worker distinguishes the two.
-        let stale_interval = if self
+        let has_restarted = self
             .restarted_under
-            .is_some_and(|token| self.token <= token)
-        {
+            .is_some_and(|token| self.token <= token);
+        let stale_interval = if has_restarted {
             RESTARTED_QUERY_MS
         } else {
             STALE_QUERY_MS
--- a/crates/cherryyard-core/src/machine/direct_starts.rs
+++ b/crates/cherryyard-core/src/machine/direct_starts.rs
@@ -81,7 +81,7 @@
     /// Removes the starts of a batch that was never sent.
     pub(crate) fn forget_unsent_starts(&mut self, request: &CommandBatch) {
         for (task, attempt) in starts_in(request) {
-            self.take_in_flight(task, attempt);
+            self.take_in_flight(task, attempt, request.fencing_token);
         }
     }
 
@@ -98,7 +98,7 @@
             .filter_map(|report| Some((parse_task_name(&report.task_name)?, report.attempt)))
             .collect();
         for (task, attempt) in starts_in(request) {
-            let Some(start) = self.take_in_flight(task, attempt) else {
+            let Some(start) = self.take_in_flight(task, attempt, request.fencing_token) else {
                 continue;
             };
             let outcome = if held.contains(&(task, attempt)) {
@@ -110,11 +110,12 @@
         }
     }
 
-    /// Returns and removes the start of an attempt that is in flight.
-    fn take_in_flight(&mut self, task: Task, attempt: u64) -> Option<DirectStart> {
+    /// Returns and removes the start of an attempt that is in flight under this token.
+    fn take_in_flight(&mut self, task: Task, attempt: u64, token: u64) -> Option<DirectStart> {
         let i = self.direct_starts.iter().position(|start| {
             start.task == task
                 && start.attempt == attempt
+                && start.token == token
                 && start.outcome == StartOutcome::InFlight
         })?;
         Some(self.direct_starts.remove(i))
--- a/crates/cherryyard-core/src/owner/placement.rs
+++ b/crates/cherryyard-core/src/owner/placement.rs
@@ -56,6 +56,7 @@
         self.drop_old_reservations(shard_id, now);
         let shard = &mut self.shards[shard_id];
         if shard.queues.is_empty() {
+            shard.is_held_up_by_clear = false;
             shard.handover_candidates.clear();
             return;
         }
--- a/crates/cherryyard-core/src/worker_heartbeats/queries.rs
+++ b/crates/cherryyard-core/src/worker_heartbeats/queries.rs
@@ -66,7 +66,14 @@
             return;
         };
         self.capacity_changed |= !machine.reachability.is_reachable();
-        if machine.receive_status(status, own, newest_attempt, now) != Freshness::Stale {
+        let freshness = machine.receive_status(status, own, newest_attempt, now);
+        if machine.restarted_under == Some(own.current)
+            && machine.direct_starts_under(own.current) > 0
+        {
+            // The new process holds none of the attempts, so it would carry out their starts again.
+            self.shards[shard_id].lease.want_new_token();
+        }
+        if freshness != Freshness::Stale {
             self.handle_message_arrival(host, now);
         }
     }
--- a/crates/cherryyard-simulation/tests/command_copies.rs
+++ b/crates/cherryyard-simulation/tests/command_copies.rs
@@ -125,6 +125,27 @@
     }
 }
 
+/// Guards against a task that runs twice: it failed on one machine and runs on another, the first
+/// restarts and holds no attempt any more, and a copy of its start arrives once the restart is known.
+#[test]
+fn copies_of_starts_after_a_machine_restarted_start_nothing() {
+    let mut world = cluster(2);
+    world.submit(&World::spec("j-000001", "service", 1));
+    world.run_until(10.0, |world| world.running_task_count() == 1);
+    let mut workers = world.workers.values_mut();
+    let worker = workers
+        .find(|worker| worker.runs("j-000001/0"))
+        .expect("a machine");
+    (worker.tasks_fail, worker.run_ms) = (true, 0.0);
+    let host = worker.host.clone();
+    world.run_until(10.0, |world| {
+        world.running_task_count() == 1 && !world.workers[&host].runs("j-000001/0")
+    });
+    world.restart_machine(&host);
+    world.run(6.0);
+    assert_copies_start_nothing(&mut world, "restarted");
+}
+
 /// Guards against a preempted task that waits for long although its only machine is free again,
 /// because its ended attempt there cannot be cleared before a higher token.
 #[test]
