Count capacity reports from before a renewal of the shard's lease as current

A renewal under a higher token made the leader drop the shard's last report, and assume its capacity from the cloud's list until the next one, up to a second later, without images and waiting tasks. The mirror keeps the revision with which the holder's process began its row of records, and a report counts if it names that one or a later one.

--- a/crates/cherryyard-core/src/leader/assumed_capacity.rs
+++ b/crates/cherryyard-core/src/leader/assumed_capacity.rs
@@ -4,11 +4,10 @@
 use super::capacity_reports::CapacitySource;
 use crate::Millis;
 use crate::controller::Controller;
-use crate::mirror::{Mirror, OpenJob};
+use crate::mirror::{LeaseHolder, Mirror, OpenJob};
 use crate::needs::Resources;
 use cherryyard_wire::cloud::{Instance, InstanceStatus, MachineType};
 use cherryyard_wire::peer::{CapacityReport, MachineCapacity, MachinePool};
-use cherryyard_wire::record::Key;
 
 /// Time by which an owner's report must be overdue before its shard's capacity is assumed. A new
 /// leader assumes no capacity for the same time.
@@ -25,9 +24,11 @@
             return;
         }
         for shard_id in 0..self.shards.len() {
-            let token = self.mirror.revision(Key::Shard(shard_id));
-            if token != 0
-                && !self.has_valid_capacity(shard_id, token, now)
+            let Some(owner) = &self.mirror.shards[shard_id] else {
+                continue;
+            };
+            let token = owner.revision;
+            if !self.has_valid_capacity(shard_id, owner, now)
                 && self.owned_token(shard_id).is_none()
             {
                 let report = self.assumed_report(shard_id, token);
@@ -37,7 +38,7 @@
     }
 
     /// Returns whether a valid capacity of a shard is stored for its owner's lease.
-    fn has_valid_capacity(&self, shard_id: usize, token: u64, now: Millis) -> bool {
+    fn has_valid_capacity(&self, shard_id: usize, owner: &LeaseHolder, now: Millis) -> bool {
         self.leader
             .capacities
             .last(shard_id)
@@ -48,7 +49,7 @@
                         self.config.tuning.capacity_report_s * 1000.0 + ASSUME_AFTER_MS
                     }
                 };
-                capacity.report.revision == token && now - capacity.at < lifetime_ms
+                owner.has_held(capacity.report.revision) && now - capacity.at < lifetime_ms
             })
     }
 
--- a/crates/cherryyard-core/src/leader/current_capacities.rs
+++ b/crates/cherryyard-core/src/leader/current_capacities.rs
@@ -4,7 +4,6 @@
 use crate::mirror::OpenJob;
 use crate::{Config, Millis, Mirror};
 use cherryyard_wire::job::{Rank, Shape};
-use cherryyard_wire::record::Key;
 
 /// Number of reports that an owner may miss before its last one is outdated.
 const MAX_MISSED_REPORTS: f64 = 2.0;
@@ -46,8 +45,9 @@
         let capacity = self.reports.last(shard_id)?;
         let report_ms = self.config.tuning.capacity_report_s * 1000.0;
         let max_age_ms = report_ms * MAX_MISSED_REPORTS + REPORT_DELAY_MS;
-        let is_current = self.now - capacity.at <= max_age_ms
-            && self.mirror.revision(Key::Shard(shard_id)) == capacity.report.revision;
+        let owner = self.mirror.shards[shard_id].as_ref()?;
+        let is_current =
+            self.now - capacity.at <= max_age_ms && owner.has_held(capacity.report.revision);
         is_current.then_some(capacity)
     }
 
--- a/crates/cherryyard-core/src/mirror/lease_holder.rs
+++ b/crates/cherryyard-core/src/mirror/lease_holder.rs
@@ -9,6 +9,9 @@
     pub label: String,
     /// Revision of the lease's record, which is the holder's fencing token.
     pub revision: u64,
+    /// Revision of the first record of the holder's process in a row; the later ones renewed the
+    /// lease under a higher token.
+    pub first_revision: u64,
     /// Newest format of records that the holder supports.
     pub format: u32,
     /// Number of the process that acquired the lease, if the record contains it.
@@ -21,8 +24,25 @@
         Self {
             label: record.label,
             revision,
+            first_revision: revision,
             format: record.newest_format.unwrap_or(1),
             process: record.process,
         }
     }
+
+    /// Returns the holder that replaces `earlier`, with the first revision of that one if both are
+    /// the same process.
+    pub(super) fn replacing(mut self, earlier: Option<&Self>) -> Self {
+        let is_same =
+            |earlier: &&Self| earlier.process.is_some() && earlier.process == self.process;
+        if let Some(earlier) = earlier.filter(is_same) {
+            self.first_revision = earlier.first_revision;
+        }
+        self
+    }
+
+    /// Returns whether a message that names `token` as the shard's token is of the present holder.
+    pub(crate) fn has_held(&self, token: u64) -> bool {
+        token >= self.first_revision
+    }
 }
--- a/crates/cherryyard-core/src/mirror/mod.rs
+++ b/crates/cherryyard-core/src/mirror/mod.rs
@@ -285,7 +285,8 @@
             Key::Shard(shard_id) => {
                 let holder = LeaseHolder::of(read(value)?, revision);
                 let slot = self.shards.get_mut(shard_id);
-                *slot.ok_or(RecordProblem::UnknownShard)? = Some(holder);
+                let slot = slot.ok_or(RecordProblem::UnknownShard)?;
+                *slot = Some(holder.replacing(slot.as_ref()));
             }
             Key::Images(shard_id) => {
                 let images = StoredImages::of(read(value)?, revision)?;
