Simulation: a hung worker holds its attempts; copies wait for unreachable machines

A worker forgets its tasks and moves on to the next incarnation at once (the protocol's leases), so until then it holds its attempts, ended. Commands without an answer are carried out as before.

Copies on their way to such a machine are now held back, as the protocol says of interrupted networks, and delivered as soon as one controller reaches it.

--- a/crates/cherryyard-simulation/src/worker.rs
+++ b/crates/cherryyard-simulation/src/worker.rs
@@ -149,12 +149,15 @@
         log
     }
 
-    /// Models a hanging machine: once the lease has expired, its tasks are gone, because a
+    /// Models a hanging machine: once the lease has expired, its tasks no longer run, because a
     /// resumed worker checks its lease first. Direct commands that were sent to the machine are
-    /// still executed before that, in the incarnation that has expired.
+    /// still executed before that, in the incarnation that has expired; until then the worker holds
+    /// its attempts.
     pub fn advance_hung(&mut self, now: f64) {
         if now - self.lease_renewed_at > self.lease_ms {
-            self.tasks.clear();
+            for task in self.tasks.values_mut().filter(|task| task.runs()) {
+                task.cause = Some(ExitCause::Halted);
+            }
         }
     }
 
--- a/crates/cherryyard-simulation/src/world/command_copies.rs
+++ b/crates/cherryyard-simulation/src/world/command_copies.rs
@@ -8,6 +8,8 @@
 /// Shortest and longest delay of a copy in a random scenario, in milliseconds.
 const MIN_DELAY_MS: u64 = 1000;
 const MAX_DELAY_MS: u64 = 60_000;
+/// Time after which the delivery to an unreachable machine is tried again.
+const HOLD_BACK_MS: f64 = 100.0;
 
 /// Answered direct commands, and the times at which copies of them are delivered. No copy leaves
 /// [`CommandCopies::answered`]: each may arrive any number of times.
@@ -39,6 +41,11 @@
         }
     }
 
+    /// Has a copy delivered later, as its machine cannot be reached.
+    fn hold_back(&mut self, command: HeldCommand, now: f64) {
+        self.pending.push((now + HOLD_BACK_MS, command));
+    }
+
     fn take_due(&mut self, now: f64) -> Vec<HeldCommand> {
         let due = self.pending.extract_if(.., |(due, _)| *due <= now);
         due.map(|(_, command)| command).collect()
@@ -68,20 +75,24 @@
         }
     }
 
-    /// Delivers the copies that are due.
+    /// Delivers the copies that are due. One to a machine that hangs is carried out when it resumes;
+    /// one to a machine that no controller reaches is held back on its way until one does.
     pub(super) fn deliver_command_copies(&mut self) {
         for command in self.command_copies.take_due(self.now) {
-            self.deliver_command_copy(&command);
+            let mut controllers = 0..self.controllers.len();
+            if self.machines.hung.contains(&command.machine) {
+                self.machines.held_commands.push(command);
+            } else if controllers.any(|i| self.reaches_machine(i, &command.machine)) {
+                self.deliver_command_copy(&command);
+            } else {
+                self.command_copies.hold_back(command, self.now);
+            }
         }
     }
 
     /// Delivers a copy of a command. Nobody waits for the answer.
     fn deliver_command_copy(&mut self, command: &HeldCommand) {
         let now = self.now;
-        if self.machines.hung.contains(&command.machine) {
-            self.machines.held_commands.push(command.clone());
-            return;
-        }
         let Some(worker) = self.workers.get_mut(&command.machine) else {
             return;
         };
