--- a/crates/cherryyard-simulation/tests/command_copies.rs
+++ b/crates/cherryyard-simulation/tests/command_copies.rs
@@ -125,27 +125,43 @@
     }
 }
 
-/// Guards against a task that runs twice: it failed on one machine and runs on another, the first
-/// restarts and holds no attempt any more, and a copy of its start arrives once the restart is known.
-#[test]
-fn copies_of_starts_after_a_machine_restarted_start_nothing() {
+/// Returns a cluster in which a task has failed on one machine and runs on another, and the name of
+/// the first machine, which has just restarted.
+fn cluster_with_restarted_machine() -> (World, String) {
     let mut world = cluster(2);
     world.submit(&World::spec("j-000001", "service", 1));
     world.run_until(10.0, |world| world.running_task_count() == 1);
     let mut workers = world.workers.values_mut();
-    let worker = workers
-        .find(|worker| worker.runs("j-000001/0"))
-        .expect("a machine");
+    let worker = workers.find(|worker| worker.runs("j-000001/0"));
+    let worker = worker.expect("a machine");
     (worker.tasks_fail, worker.run_ms) = (true, 0.0);
     let host = worker.host.clone();
     world.run_until(10.0, |world| {
         world.running_task_count() == 1 && !world.workers[&host].runs("j-000001/0")
     });
     world.restart_machine(&host);
+    (world, host)
+}
+
+/// Guards against a task that runs twice: a machine on which it failed restarts and holds no attempt
+/// any more, and a copy of its start arrives once the restart is known.
+#[test]
+fn copies_of_starts_after_a_machine_restarted_start_nothing() {
+    let (mut world, _) = cluster_with_restarted_machine();
     world.run(6.0);
     assert_copies_start_nothing(&mut world, "restarted");
 }
 
+/// Guards against the same before the restarted worker has its first answer, when it accepts any
+/// token.
+#[test]
+fn copies_of_starts_at_the_moment_of_a_restart_start_nothing() {
+    let (mut world, host) = cluster_with_restarted_machine();
+    assert_eq!(world.workers[&host].fencing_token, 0);
+    world.deliver_recorded_starts();
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
+
 /// Guards against a preempted task that waits for long although its only machine is free again,
 /// because its ended attempt there cannot be cleared before a higher token.
 #[test]
