Commands to workers as values until they are sent; one list of a batch's starts

A due command held its wire form, so logging and offering starts parsed the task's name that had just been formatted, also where nothing was logged, and kill_cancelled built its kills by hand beside reconciliation's. Due commands now keep task, attempt and kind, with one constructor of kills and one conversion when they are sent, and an answer without cancelled tasks looks up nothing. CommandBatch::starts serves the core and both stand-ins; has_uncleared_under answers the question that was asked; one function says whether a message may be from before a worker's restart.

--- a/crates/cherryyard-core/src/command_log.rs
+++ b/crates/cherryyard-core/src/command_log.rs
@@ -7,7 +7,7 @@
 use crate::controller::Controller;
 use crate::machine::Task;
 use crate::owner::reconciliation::CommandChannel;
-use cherryyard_wire::worker::{CommandBatch, WorkerCommand, WorkerHeartbeat, parse_task_name};
+use cherryyard_wire::worker::{CommandBatch, WorkerCommand, WorkerHeartbeat, task_name_of};
 use std::collections::BTreeSet;
 
 /// Logs an event at the level `info` if it is traced, else at the level `debug`.
@@ -90,27 +90,55 @@
     }
 }
 
+/// What a command has a worker do with an attempt.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum CommandKind {
+    /// Starts the attempt.
+    Start,
+    /// Stops the attempt, which gets this many seconds to save its progress.
+    Kill { grace_period_s: f64 },
+    /// Removes the ended attempt from further heartbeats.
+    Clear,
+}
+
 /// A command that is due, with the reason for it.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct DueCommand {
-    pub command: WorkerCommand,
+    pub task: Task,
+    pub attempt: u64,
+    pub kind: CommandKind,
     pub reason: CommandReason,
 }
 
 impl DueCommand {
+    /// Returns the kill of an attempt.
+    pub fn kill(task: Task, attempt: u64, grace_period_s: f64, reason: CommandReason) -> Self {
+        Self {
+            task,
+            attempt,
+            kind: CommandKind::Kill { grace_period_s },
+            reason,
+        }
+    }
+
     /// Returns whether the command is a start.
     pub fn is_start(&self) -> bool {
-        matches!(self.command, WorkerCommand::Start { .. })
+        self.kind == CommandKind::Start
     }
 
-    /// Returns the task and attempt that the command names.
-    pub fn subject(&self) -> Option<(Task, u64)> {
-        let (WorkerCommand::Start { task_name, attempt }
-        | WorkerCommand::Kill {
-            task_name, attempt, ..
+    /// Returns the command as it is sent.
+    pub fn to_command(self) -> WorkerCommand {
+        let task_name = task_name_of(self.task.0, self.task.1);
+        let attempt = self.attempt;
+        match self.kind {
+            CommandKind::Start => WorkerCommand::Start { task_name, attempt },
+            CommandKind::Kill { grace_period_s } => WorkerCommand::Kill {
+                task_name,
+                attempt,
+                grace_period_s,
+            },
+            CommandKind::Clear => WorkerCommand::Clear { task_name, attempt },
         }
-        | WorkerCommand::Clear { task_name, attempt }) = &self.command;
-        Some((parse_task_name(task_name)?, *attempt))
     }
 }
 
@@ -136,10 +164,10 @@
     ) {
         for due in commands {
             let counts = &mut self.command_counts;
-            let (count, event) = match due.command {
-                WorkerCommand::Start { .. } => (&mut counts.starts, "start sent"),
-                WorkerCommand::Kill { .. } => (&mut counts.kills, "stop sent"),
-                WorkerCommand::Clear { .. } => (&mut counts.clears, "clear sent"),
+            let (count, event) = match due.kind {
+                CommandKind::Start => (&mut counts.starts, "start sent"),
+                CommandKind::Kill { .. } => (&mut counts.kills, "stop sent"),
+                CommandKind::Clear => (&mut counts.clears, "clear sent"),
             };
             *count += 1;
             self.log_command(host, token, channel, due, event, now);
@@ -155,11 +183,10 @@
         event: &str,
         now: Millis,
     ) {
-        let (Some(machine), Some(((job, number), attempt))) =
-            (self.machines.get(&host), due.subject())
-        else {
+        let Some(machine) = self.machines.get(&host) else {
             return;
         };
+        let (job, number) = due.task;
         let name = self.mirror.hosts.name(host);
         let is_unexpected = due.reason == CommandReason::NotAssigned;
         log_event!(
@@ -167,7 +194,7 @@
             machine = name,
             job,
             number,
-            attempt,
+            attempt = due.attempt,
             incarnation = machine.newest.0,
             token,
             shown_token = machine.token,
--- a/crates/cherryyard-core/src/machine.rs
+++ b/crates/cherryyard-core/src/machine.rs
@@ -52,7 +52,7 @@
     /// Fencing token in the newest message.
     pub token: u64,
     /// Whether the newest message shows a token of the owner's present holding of the shard's lease.
-    pub is_confirmed: bool,
+    is_confirmed: bool,
     /// First token of the owner's holding of the lease when the newest message arrived; 0 before the
     /// first message and after a change of the owner.
     answered_under: u64,
@@ -225,10 +225,7 @@
             && now - self.last_heard_at < silence_limit_ms;
         // Stale messages are either delayed copies or come from a worker that has restarted; only a
         // direct answer of the worker distinguishes the two.
-        let has_restarted = self
-            .restarted_under
-            .is_some_and(|token| self.token <= token);
-        let stale_interval = if has_restarted {
+        let stale_interval = if self.may_precede_restart(self.token) {
             RESTARTED_QUERY_MS
         } else {
             STALE_QUERY_MS
@@ -243,10 +240,10 @@
             )
     }
 
-    /// Returns whether a heartbeat may be a copy of one from before the worker's restart.
-    pub(crate) fn may_precede_restart(&self, heartbeat: &WorkerHeartbeat) -> bool {
+    /// Returns whether a message that shows `token` may be from before the worker's restart.
+    pub(crate) fn may_precede_restart(&self, token: u64) -> bool {
         self.restarted_under
-            .is_some_and(|token| heartbeat.fencing_token <= token)
+            .is_some_and(|restarted_under| token <= restarted_under)
     }
 
     /// Makes a query to the worker due as soon as the minimum time since the last query has passed.
--- a/crates/cherryyard-core/src/machine/direct_starts.rs
+++ b/crates/cherryyard-core/src/machine/direct_starts.rs
@@ -6,7 +6,7 @@
 //! a higher token or a later incarnation, and until then the attempt is not cleared.
 
 use super::{Machine, Task};
-use cherryyard_wire::worker::{CommandBatch, TaskReport, WorkerCommand, parse_task_name};
+use cherryyard_wire::worker::{CommandBatch, TaskReport, parse_task_name};
 
 /// Largest number of direct starts of a machine that are kept; beyond it starts go out in answers
 /// to heartbeats only, which are never carried out late. With the tasks of at most 100 bytes each
@@ -39,16 +39,6 @@
     pub outcome: StartOutcome,
 }
 
-/// Returns the tasks and attempts of the starts in a batch.
-fn starts_in(request: &CommandBatch) -> impl Iterator<Item = (Task, u64)> {
-    request.commands.iter().filter_map(|command| match command {
-        WorkerCommand::Start { task_name, attempt } => {
-            Some((parse_task_name(task_name)?, *attempt))
-        }
-        WorkerCommand::Kill { .. } | WorkerCommand::Clear { .. } => None,
-    })
-}
-
 impl Machine {
     /// Returns the direct starts of an attempt.
     pub(crate) fn direct_starts_of(
@@ -67,7 +57,7 @@
 
     /// Records the starts of a batch of direct commands as in flight.
     pub(crate) fn note_direct_starts(&mut self, request: &CommandBatch) {
-        for (task, attempt) in starts_in(request) {
+        for (task, attempt) in request.starts() {
             self.direct_starts.push(DirectStart {
                 task,
                 attempt,
@@ -80,7 +70,7 @@
 
     /// Removes the starts of a batch that was never sent.
     pub(crate) fn forget_unsent_starts(&mut self, request: &CommandBatch) {
-        for (task, attempt) in starts_in(request) {
+        for (task, attempt) in request.starts() {
             self.take_in_flight(task, attempt, request.fencing_token);
         }
     }
@@ -97,7 +87,7 @@
             .flatten()
             .filter_map(|report| Some((parse_task_name(&report.task_name)?, report.attempt)))
             .collect();
-        for (task, attempt) in starts_in(request) {
+        for (task, attempt) in request.starts() {
             let Some(start) = self.take_in_flight(task, attempt, request.fencing_token) else {
                 continue;
             };
@@ -154,19 +144,13 @@
         }
     }
 
-    /// Returns how many ended attempts cannot be cleared before the worker has shown a token higher
+    /// Returns whether an ended attempt cannot be cleared before the worker has shown a token higher
     /// than `token`.
-    pub(crate) fn uncleared_under(&self, token: u64) -> usize {
-        let ended = self
-            .reported
-            .iter()
-            .filter(|(_, reported)| reported.ended());
-        let is_kept = |(task, attempt): (Task, u64)| {
-            let mut starts = self.direct_starts_of(task, attempt);
-            starts.any(|start| start.token >= token)
-        };
-        let ended = ended.map(|(task, reported)| (*task, reported.attempt));
-        ended.filter(|subject| is_kept(*subject)).count()
+    pub(crate) fn has_uncleared_under(&self, token: u64) -> bool {
+        self.reported.iter().any(|(&task, reported)| {
+            let mut starts = self.direct_starts_of(task, reported.attempt);
+            reported.ended() && starts.any(|start| start.token >= token)
+        })
     }
 
     /// Returns whether the answer to a direct start is awaited.
--- a/crates/cherryyard-core/src/owner/direct_commands.rs
+++ b/crates/cherryyard-core/src/owner/direct_commands.rs
@@ -38,7 +38,7 @@
         let Some(machine) = self.machines.get_mut(&host) else {
             return;
         };
-        let commands = due.into_iter().map(|due| due.command).collect();
+        let commands = due.into_iter().map(DueCommand::to_command).collect();
         let request = CommandBatch {
             fencing_token: token,
             incarnation: machine.newest.0,
@@ -60,9 +60,12 @@
         let Some(machine) = self.machines.get(&host) else {
             return;
         };
-        let was_sent = |(task, attempt)| machine.direct_starts_of(task, attempt).next().is_some();
+        let was_sent = |due: &&DueCommand| {
+            let mut earlier = machine.direct_starts_of(due.task, due.attempt);
+            earlier.next().is_some()
+        };
         let starts = due.iter().filter(|due| due.is_start());
-        let repeated = starts.filter(|due| due.subject().is_some_and(was_sent));
+        let repeated = starts.filter(was_sent);
         self.command_counts.repeated_starts += repeated.count() as u64;
     }
 
--- a/crates/cherryyard-core/src/owner/reconciliation.rs
+++ b/crates/cherryyard-core/src/owner/reconciliation.rs
@@ -4,12 +4,12 @@
 //! message, so commands can be repeated and a new owner can continue for the previous one.
 
 use crate::Millis;
-use crate::command_log::{CommandReason, DueCommand};
+use crate::command_log::{CommandKind, CommandReason, DueCommand};
 use crate::controller::Controller;
 use crate::machine::{Machine, MachineState, ReportedTask, Task};
 use crate::mirror::OpenJob;
 use cherryyard_wire::record::JobOutcome;
-use cherryyard_wire::worker::{TaskStatus, WorkerCommand, task_name_of};
+use cherryyard_wire::worker::TaskStatus;
 
 /// Maximum number of commands in one message to a worker.
 const MAX_COMMANDS: usize = 300;
@@ -76,11 +76,10 @@
             && !is_assigned
             && !self.machine.start_pending(task, reported.attempt)
             && self.assignments_are_current;
-        should_clear.then(|| DueCommand {
-            command: WorkerCommand::Clear {
-                task_name: task_name_of(task.0, task.1),
-                attempt: reported.attempt,
-            },
+        should_clear.then_some(DueCommand {
+            task,
+            attempt: reported.attempt,
+            kind: CommandKind::Clear,
             reason: CommandReason::EndDurable,
         })
     }
@@ -103,7 +102,12 @@
         } else {
             0.0
         };
-        Some(kill(task, reported, grace_period_s, reason))
+        Some(DueCommand::kill(
+            task,
+            reported.attempt,
+            grace_period_s,
+            reason,
+        ))
     }
 
     /// Returns why a task that should run must stop, if it must.
@@ -158,7 +162,7 @@
             None if self.assignments_are_current => CommandReason::NotAssigned,
             None => return None,
         };
-        Some(kill(task, reported, 0.0, reason))
+        Some(DueCommand::kill(task, reported.attempt, 0.0, reason))
     }
 
     /// Returns the starts of assigned tasks that the machine does not report. Abandoned attempts
@@ -177,31 +181,14 @@
                 && mirror.open.contains_key(&task.0)
         });
         missing.map(|(task, assignment)| DueCommand {
-            command: WorkerCommand::Start {
-                task_name: task_name_of(task.0, task.1),
-                attempt: assignment.attempt,
-            },
+            task,
+            attempt: assignment.attempt,
+            kind: CommandKind::Start,
             reason: CommandReason::Assigned,
         })
     }
 }
 
-fn kill(
-    task: Task,
-    reported: &ReportedTask,
-    grace_period_s: f64,
-    reason: CommandReason,
-) -> DueCommand {
-    DueCommand {
-        command: WorkerCommand::Kill {
-            task_name: task_name_of(task.0, task.1),
-            attempt: reported.attempt,
-            grace_period_s,
-        },
-        reason,
-    }
-}
-
 impl Controller {
     /// Returns the commands that bring a machine in line with its assignments.
     pub(crate) fn reconcile(
--- a/crates/cherryyard-core/src/owner/token_raise.rs
+++ b/crates/cherryyard-core/src/owner/token_raise.rs
@@ -32,7 +32,7 @@
         let mut machines = self.machines.values().filter(|m| m.shard == shard_id);
         let is_due = machines.any(|machine| {
             machine.direct_starts_under(token) >= MANY_DIRECT_STARTS
-                || (is_old && machine.uncleared_under(token) > 0)
+                || (is_old && machine.has_uncleared_under(token))
         });
         if is_due {
             self.shards[shard_id].lease.want_new_token();
--- a/crates/cherryyard-core/src/worker_heartbeats.rs
+++ b/crates/cherryyard-core/src/worker_heartbeats.rs
@@ -73,7 +73,7 @@
         self.log_answer(heartbeat, token, now);
         Reply::Answer(HeartbeatResponse {
             fencing_token: token,
-            commands: commands.into_iter().map(|due| due.command).collect(),
+            commands: commands.into_iter().map(DueCommand::to_command).collect(),
         })
     }
 
@@ -169,7 +169,7 @@
         let Some(machine) = self.machines.get_mut(&host) else {
             return HeartbeatOutcome::Stale;
         };
-        if machine.may_precede_restart(heartbeat) {
+        if machine.may_precede_restart(heartbeat.fencing_token) {
             machine.answered_at = now;
             machine.last_heard_at = now;
             return HeartbeatOutcome::FromRestartedWorker;
@@ -204,7 +204,7 @@
         let commands = self.reconcile(host, now, CommandChannel::HeartbeatResponse);
         if let Some(machine) = self.machines.get_mut(&host) {
             let starts = commands.iter().filter(|due| due.is_start());
-            machine.offered_starts = starts.filter_map(DueCommand::subject).collect();
+            machine.offered_starts = starts.map(|due| (due.task, due.attempt)).collect();
         }
         commands
     }
@@ -239,22 +239,17 @@
     ) {
         let mut kills = Vec::new();
         for reported in &heartbeat.tasks {
-            let is_cancelled = || {
-                parse_task_name(&reported.task_name).is_some_and(|task| self.is_cancelled(task.0))
-            };
-            if reported.status != TaskStatus::Ended
-                && !is_killed(reported, &response.commands)
-                && is_cancelled()
-            {
-                kills.push(DueCommand {
-                    command: WorkerCommand::Kill {
-                        task_name: reported.task_name.clone(),
-                        attempt: reported.attempt,
-                        grace_period_s: 0.0,
-                    },
-                    reason: CommandReason::Cancelled,
-                });
+            if reported.status == TaskStatus::Ended || is_killed(reported, &response.commands) {
+                continue;
             }
+            let task = parse_task_name(&reported.task_name);
+            if let Some(task) = task.filter(|task| self.is_cancelled(task.0)) {
+                let reason = CommandReason::Cancelled;
+                kills.push(DueCommand::kill(task, reported.attempt, 0.0, reason));
+            }
+        }
+        if kills.is_empty() {
+            return;
         }
         if let Some(host) = self.mirror.hosts.get(&heartbeat.host) {
             let token = response.fencing_token;
@@ -263,7 +258,7 @@
         }
         response
             .commands
-            .extend(kills.into_iter().map(|due| due.command));
+            .extend(kills.into_iter().map(DueCommand::to_command));
     }
 
     /// Handles the outcome of a batch of direct commands.
--- a/crates/cherryyard-simulation/src/http_worker.rs
+++ b/crates/cherryyard-simulation/src/http_worker.rs
@@ -3,7 +3,7 @@
 
 use crate::WorkerStandIn;
 use cherryyard_clients::http::HttpClient;
-use cherryyard_wire::worker::{CommandBatch, HeartbeatResponse, WorkerCommand};
+use cherryyard_wire::worker::{CommandBatch, HeartbeatResponse};
 use salvo::http::Method;
 use salvo::prelude::*;
 use std::collections::BTreeSet;
@@ -144,12 +144,12 @@
 
     /// Returns the direct commands with starts that the worker has carried out so far.
     pub fn executed_starts(&self) -> Vec<CommandBatch> {
-        let executed = self.lock().executed.clone();
-        let starts_some = |batch: &CommandBatch| {
-            let mut commands = batch.commands.iter();
-            commands.any(|command| matches!(command, WorkerCommand::Start { .. }))
-        };
-        executed.into_iter().filter(starts_some).collect()
+        let state = self.lock();
+        let executed = state.executed.iter();
+        executed
+            .filter(|batch| batch.starts().next().is_some())
+            .cloned()
+            .collect()
     }
 
     /// Sends copies of direct commands to the worker, over connections of their own. Returns the
--- a/crates/cherryyard-simulation/src/world/command_copies.rs
+++ b/crates/cherryyard-simulation/src/world/command_copies.rs
@@ -3,7 +3,6 @@
 
 use super::{HeldCommand, World};
 use crate::seeded_draws;
-use cherryyard_wire::worker::WorkerCommand;
 
 /// Shortest and longest delay of a copy in a random scenario, in milliseconds.
 const MIN_DELAY_MS: u64 = 1000;
@@ -67,8 +66,7 @@
     /// Delivers a copy of each recorded command that starts a task.
     pub fn deliver_recorded_starts(&mut self) {
         for command in self.command_copies.answered.clone() {
-            let mut commands = command.request.commands.iter();
-            if commands.any(|command| matches!(command, WorkerCommand::Start { .. })) {
+            if command.request.starts().next().is_some() {
                 self.deliver_command_copy(&command);
                 self.check_rules();
             }
--- a/crates/cherryyard-wire/src/worker.rs
+++ b/crates/cherryyard-wire/src/worker.rs
@@ -164,6 +164,18 @@
     pub commands: Vec<WorkerCommand>,
 }
 
+impl CommandBatch {
+    /// Returns the task and attempt of each start among the commands.
+    pub fn starts(&self) -> impl Iterator<Item = ((u64, u32), u64)> {
+        self.commands.iter().filter_map(|command| match command {
+            WorkerCommand::Start { task_name, attempt } => {
+                Some((parse_task_name(task_name)?, *attempt))
+            }
+            WorkerCommand::Kill { .. } | WorkerCommand::Clear { .. } => None,
+        })
+    }
+}
+
 /// Parses a task name such as `j-000412/3` into the numbers of the job and the task.
 pub fn parse_task_name(task_name: &str) -> Option<(u64, u32)> {
     let (job, number) = task_name.split_once('/')?;
