Simulation: intervals of workers and the bound of a cancellation are settings

A new owner requests the release of a machine that has not reached it after 1.25 report intervals and 8 s. With the simulation's fixed 2 s and 10 s that is after the machine's lease, which it never is in the larger deployments (5 s and 26.5 s). The interval of heartbeats, the lease and the bound of a cancellation are fields of Setup now, with the same values as before as defaults; the constants of the checker, of the pipelines' checks and of the workers go.

--- a/crates/cherryyard-simulation/src/world/checker.rs
+++ b/crates/cherryyard-simulation/src/world/checker.rs
@@ -8,9 +8,6 @@
 use cherryyard_wire::worker::ExitCause;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Time in milliseconds after the confirmation of a cancellation, within which the job's tasks
-/// must have stopped.
-const MAX_CANCEL_MS: f64 = 40_000.0;
 /// Cores counted for a task whose job was not submitted through the simulation.
 const UNKNOWN_CORES: f64 = 2.0;
 
@@ -132,6 +129,7 @@
 
     fn observe(&self) -> Observation {
         let mut observed = Observation::default();
+        let max_cancel_ms = self.setup.cancel_ms();
         for worker in self.workers.values() {
             for (name, task) in &worker.tasks {
                 if task.cause == Some(ExitCause::Done) && !self.checker.completed.contains(name) {
@@ -146,7 +144,7 @@
                         .push(format!("{name} is on two machines"));
                 }
                 let cancelled_at = self.submissions.cancelled_at.get(job_id_of(name));
-                if cancelled_at.is_some_and(|at| self.now - at > MAX_CANCEL_MS) {
+                if cancelled_at.is_some_and(|at| self.now - at > max_cancel_ms) {
                     let text = format!("{name} runs though cancelled");
                     observed.overdue.push(text);
                 }
--- a/crates/cherryyard-simulation/src/world/cloud.rs
+++ b/crates/cherryyard-simulation/src/world/cloud.rs
@@ -1,7 +1,6 @@
 //! Stand-in of the cloud: provisioning requests, starting machines and the list of machines.
 
 use super::World;
-use super::setup::WORKER_LEASE_MS;
 use crate::WorkerStandIn;
 use cherryyard_core::account::CoreSeconds;
 use cherryyard_core::leader::ProvisionError;
@@ -171,7 +170,8 @@
         let now = self.now;
         let up = self.cloud.booting.extract_if(.., |_, b| b.up_at <= now);
         for (name, booting) in up.collect::<Vec<_>>() {
-            let mut worker = WorkerStandIn::new(&name, &booting.zone, 0, WORKER_LEASE_MS, now);
+            let lease_ms = self.setup.lease_ms();
+            let mut worker = WorkerStandIn::new(&name, &booting.zone, 0, lease_ms, now);
             worker.run_ms = self.cloud.provisioned_run_ms;
             self.workers.insert(name, worker);
         }
--- a/crates/cherryyard-simulation/src/world/machines.rs
+++ b/crates/cherryyard-simulation/src/world/machines.rs
@@ -7,8 +7,6 @@
 
 /// Timeout of a worker for the response to a heartbeat.
 const RESPONSE_TIMEOUT_MS: f64 = 4000.0;
-/// Interval at which a worker sends heartbeats.
-const HEARTBEAT_INTERVAL_MS: f64 = 2000.0;
 /// Delay until a worker's heartbeat to the controller that it was redirected to.
 const REDIRECT_DELAY_MS: f64 = 100.0;
 /// Delay until a worker's heartbeat to the next controller, after a timeout or a reply that
@@ -82,11 +80,11 @@
 
     /// Sends a worker's heartbeat, which may be lost, or queued at a controller that lags.
     fn send_heartbeat(&mut self, name: &str) {
-        let now = self.now;
+        let (now, report_ms) = (self.now, self.setup.report_ms());
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
-        worker.next_heartbeat_at = now + HEARTBEAT_INTERVAL_MS;
+        worker.next_heartbeat_at = now + report_ms;
         let (controller, zone) = (worker.controller, worker.zone.clone());
         let heartbeat = worker.next_heartbeat(now);
         self.duplicates
--- a/crates/cherryyard-simulation/src/world/pipelines.rs
+++ b/crates/cherryyard-simulation/src/world/pipelines.rs
@@ -4,10 +4,6 @@
 use cherryyard_wire::job::{JobSpec, JobStatus};
 use std::collections::BTreeSet;
 
-/// Time in milliseconds after the confirmed cancellation of a job, within which the jobs that
-/// depend on it must be reported as cancelled.
-const MAX_CANCEL_MS: f64 = 40_000.0;
-
 impl World {
     /// Returns all jobs that a job depends on, directly or through others, as they were
     /// submitted.
@@ -60,7 +56,7 @@
         }
         let cancelled_too_long_ago = |dependency: &String| {
             let at = self.submissions.cancelled_at.get(dependency);
-            at.is_some_and(|at| sent_at - at > MAX_CANCEL_MS)
+            at.is_some_and(|at| sent_at - at > self.setup.cancel_ms())
         };
         self.ancestors(id).iter().any(cancelled_too_long_ago)
     }
--- a/crates/cherryyard-simulation/src/world/setup.rs
+++ b/crates/cherryyard-simulation/src/world/setup.rs
@@ -13,9 +13,6 @@
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Duration for which an answered heartbeat keeps a worker's tasks running.
-pub(super) const WORKER_LEASE_MS: f64 = 10_000.0;
-
 /// Initial state and settings of a simulation.
 #[derive(Clone, Debug)]
 pub struct Setup {
@@ -44,6 +41,13 @@
     /// Puts and deletes per second that the state service allows, as configured in the
     /// controllers.
     pub write_rps: f64,
+    /// Interval in seconds at which a worker sends heartbeats.
+    pub report_s: f64,
+    /// Duration in seconds for which an answered heartbeat keeps a worker's tasks running.
+    pub lease_s: f64,
+    /// Time in seconds after the confirmation of a cancellation, within which the job's tasks must
+    /// have stopped, and the jobs that depend on it must be reported as cancelled.
+    pub cancel_s: f64,
     /// Number of ended jobs that are moved to the history in one batch; none disables the
     /// history.
     pub history: Option<usize>,
@@ -82,6 +86,9 @@
             announced_limits: None,
             rps: 80.0,
             write_rps: 20.0,
+            report_s: 2.0,
+            lease_s: 10.0,
+            cancel_s: 40.0,
             history: None,
             earlier_builds: BTreeSet::new(),
         }
@@ -110,7 +117,8 @@
             "cluster": {
                 "zones": zones,
                 "teams": self.team_settings(),
-                "workers": { "report_s": 2.0, "lease_s": 10.0, "cancel_s": 40.0 },
+                "workers": { "report_s": self.report_s, "lease_s": self.lease_s,
+                             "cancel_s": self.cancel_s },
                 "state": { "rps": self.rps, "write_rps": self.write_rps,
                            "value_kb": self.value_kb, "txn_ops": self.txn_ops,
                            "next": announced },
@@ -128,6 +136,22 @@
         teams
     }
 
+    /// Returns the interval in milliseconds at which a worker sends heartbeats.
+    pub(super) fn report_ms(&self) -> f64 {
+        self.report_s * 1000.0
+    }
+
+    /// Returns the duration in milliseconds for which an answered heartbeat keeps a worker's tasks
+    /// running.
+    pub(super) fn lease_ms(&self) -> f64 {
+        self.lease_s * 1000.0
+    }
+
+    /// Returns the time in milliseconds within which a confirmed cancellation must take effect.
+    pub(super) fn cancel_ms(&self) -> f64 {
+        self.cancel_s * 1000.0
+    }
+
     /// Returns the machine types that the cloud offers.
     fn machine_types(&self) -> Vec<MachineType> {
         let zones_of = |machines: &[(&str, usize)]| -> Vec<String> {
@@ -157,7 +181,7 @@
         for (number, (machine_type, zone)) in machines.into_iter().enumerate() {
             let name = format!("host-{number:06}");
             let controller = number % self.zones.len();
-            let mut worker = WorkerStandIn::new(&name, zone, controller, WORKER_LEASE_MS, 0.0);
+            let mut worker = WorkerStandIn::new(&name, zone, controller, self.lease_ms(), 0.0);
             worker.machine_type = String::from(machine_type);
             workers.insert(name, worker);
         }
