A machine whose pool is unknown counts in every zone and takes no task

Cause: when a new owner requests the release of a machine that it has not heard of, it registered the machine with a made-up list entry: type and zone empty, not a spot machine. The caps by zone count a task on a machine that is not registered in every zone; from then on they counted it in the zone "", so in no real one, while nothing was proven.

Change: type, zone and spot are one value, Machine::pool, which may be absent. Messages of the machine and the cloud's list fill it; a machine that is registered for its release takes it from the list or has none. Counts by zone (owner/zone_caps.rs, taken out of fit.rs) keep tasks of an unknown zone apart and add them to each zone. A machine without a pool is allowed for no job, has no capacity and is not reported. Both ways of registering a machine for its release are one function now, and the preference of a machine is worked out once instead of in each comparison.

Why this works: the only way to a zone is through the Option, so a reader has to say what it does without one. The counts stay as careful as before the registration until a message, the list, or the answer to the release says more.

--- a/crates/cherryyard-core/src/leader/assumed_capacity.rs
+++ b/crates/cherryyard-core/src/leader/assumed_capacity.rs
@@ -121,11 +121,7 @@
 
 /// Returns the index of a machine's pool in a report, to which the pool is added if it is new.
 fn pool_index(pools: &mut Vec<MachinePool>, instance: &Instance) -> u16 {
-    let pool = MachinePool {
-        machine_type: instance.machine_type.clone(),
-        zone: instance.zone.clone(),
-        spot: instance.spot,
-    };
+    let pool = instance.pool();
     let known = pools.iter().position(|known| *known == pool);
     let index = known.unwrap_or_else(|| {
         pools.push(pool);
--- a/crates/cherryyard-core/src/leader/capacity_reports.rs
+++ b/crates/cherryyard-core/src/leader/capacity_reports.rs
@@ -137,7 +137,7 @@
     ) -> impl Iterator<Item = &MachineCapacity> + use<'_> {
         let pools = self.report.pools.iter();
         let is_allowed: Vec<bool> = pools
-            .map(|pool| open.allows(&pool.machine_type, &pool.zone, pool.spot))
+            .map(|pool| open.allows_pool(pool))
             .map(|tier| tier.is_some_and(|tier| tier <= max_tier))
             .collect();
         let machines = self.report.machines.iter();
--- a/crates/cherryyard-core/src/machine.rs
+++ b/crates/cherryyard-core/src/machine.rs
@@ -10,6 +10,7 @@
 use crate::Millis;
 use crate::reachability::{Reachability, ReachabilityEvent};
 use cherryyard_wire::cloud::{Instance, MachineType};
+use cherryyard_wire::peer::MachinePool;
 use cherryyard_wire::worker::WorkerHeartbeat;
 pub use direct_starts::{DirectStart, MAX_DIRECT_STARTS, StartOutcome};
 pub use images::{Image, ImageState};
@@ -37,12 +38,9 @@
     pub host: u32,
     /// Address at which the worker accepts direct commands and status queries.
     pub addr: String,
-    /// SKU of the machine type.
-    pub machine_type: String,
-    /// Zone in which the machine runs.
-    pub zone: String,
-    /// Whether this is a spot machine, which the cloud may reclaim.
-    pub spot: bool,
+    /// Type and zone of the machine, and whether it is a spot machine; `None` as long as neither a
+    /// message of the machine nor the cloud's list has told them.
+    pub pool: Option<MachinePool>,
     /// Index of the shard that the machine belongs to.
     pub shard: usize,
     /// Lifecycle state under the current owner.
@@ -119,11 +117,27 @@
     /// Creates a machine with the identity that `heartbeat` gives and no other known state.
     pub fn new(host: u32, shard: usize, heartbeat: &WorkerHeartbeat, now: Millis) -> Self {
         Self {
-            host,
             addr: heartbeat.addr.clone(),
-            machine_type: heartbeat.machine_type.clone(),
-            zone: heartbeat.zone.clone(),
-            spot: heartbeat.spot,
+            pool: Some(heartbeat.pool()),
+            ..Self::of_unknown_pool(host, shard, now)
+        }
+    }
+
+    /// Creates a machine that has not reported, from its entry in the cloud's list.
+    pub fn from_listing(host: u32, shard: usize, entry: &Instance, now: Millis) -> Self {
+        Self {
+            addr: entry.addr.clone(),
+            pool: Some(entry.pool()),
+            ..Self::of_unknown_pool(host, shard, now)
+        }
+    }
+
+    /// Creates a machine of which only the name and the shard are known.
+    pub fn of_unknown_pool(host: u32, shard: usize, now: Millis) -> Self {
+        Self {
+            host,
+            addr: String::new(),
+            pool: None,
             shard,
             state: MachineState::Unconfirmed,
             newest: (0, 0),
@@ -158,26 +172,15 @@
         }
     }
 
-    /// Creates a machine that has not reported, from its entry in the cloud's list.
-    pub fn from_listing(host: u32, shard: usize, entry: &Instance, now: Millis) -> Self {
-        let heartbeat = WorkerHeartbeat {
-            host: entry.id.clone(),
-            addr: entry.addr.clone(),
-            machine_type: entry.machine_type.clone(),
-            zone: entry.zone.clone(),
-            spot: entry.spot,
-            incarnation: 0,
-            sequence: 0,
-            fencing_token: 0,
-            reclaim_in_s: None,
-            tasks: Vec::new(),
-        };
-        Self::new(host, shard, &heartbeat, now)
+    /// Returns the machine's type among `machine_types`, if it is known and listed there.
+    pub(crate) fn type_in<'a>(&self, machine_types: &'a [MachineType]) -> Option<&'a MachineType> {
+        let pool = self.pool.as_ref()?;
+        machine_types.iter().find(|t| t.sku == pool.machine_type)
     }
 
-    /// Returns the machine's type among `machine_types`, if it is listed there.
-    pub(crate) fn type_in<'a>(&self, machine_types: &'a [MachineType]) -> Option<&'a MachineType> {
-        machine_types.iter().find(|t| t.sku == self.machine_type)
+    /// Returns the zone of the machine, if it is known.
+    pub(crate) fn zone(&self) -> Option<&str> {
+        self.pool.as_ref().map(|pool| pool.zone.as_str())
     }
 
     /// Applies an event to the machine's state. No other function changes the state.
--- a/crates/cherryyard-core/src/machine/messages.rs
+++ b/crates/cherryyard-core/src/machine/messages.rs
@@ -139,6 +139,7 @@
         self.answered_under = own.first;
         self.last_heard_at = now;
         self.addr.clone_from(&message.addr);
+        self.pool.get_or_insert_with(|| message.pool());
         // An announced reclaim time only moves closer as long as messages announce one. A pending
         // transaction may withdraw an assignment because of the reclaim, and that task must not be
         // started again in the meantime.
--- a/crates/cherryyard-core/src/mirror/open_job.rs
+++ b/crates/cherryyard-core/src/mirror/open_job.rs
@@ -8,6 +8,7 @@
 use cherryyard_wire::RangeSet;
 use cherryyard_wire::dependencies::Dependencies;
 use cherryyard_wire::job::{JobSpec, Rank, Shape};
+use cherryyard_wire::peer::MachinePool;
 use cherryyard_wire::record::{JobOutcome, JobRecord, TaskUsage};
 use cherryyard_wire::rules::Rules;
 use std::hash::{Hash, Hasher};
@@ -62,6 +63,11 @@
             .flatten()
     }
 
+    /// Returns the preference tier of a pool's machines for the job, or none if the job excludes them.
+    pub fn allows_pool(&self, pool: &MachinePool) -> Option<u16> {
+        self.allows(&pool.machine_type, &pool.zone, pool.spot)
+    }
+
     /// Returns the preference tier of a pool by the job's rules alone, 0 being preferred most; none
     /// if the rules exclude the pool.
     pub fn tier(&self, machine_type: &str, zone: &str, spot: bool) -> Option<u16> {
--- a/crates/cherryyard-core/src/owner/aging.rs
+++ b/crates/cherryyard-core/src/owner/aging.rs
@@ -8,13 +8,13 @@
 //! one owner keeps a machine for it.
 
 use super::state::KeptMachine;
+use super::zone_caps::ZoneCounts;
 use crate::Millis;
 use crate::admission::flows::Flow;
 use crate::controller::Controller;
 use crate::machine::{Machine, Task};
 use crate::mirror::OpenJob;
 use cherryyard_wire::job::Shape;
-use std::collections::HashMap;
 
 /// Number of a shard's machines for each one that may be kept; at least one machine may be kept in
 /// any shard.
@@ -83,7 +83,7 @@
         shard_id: usize,
         flow: Flow,
         task: Task,
-        zones: &HashMap<String, u32>,
+        zones: &ZoneCounts,
         now: Millis,
     ) {
         let kept_machines = &self.shards[shard_id].kept_machines;
@@ -123,14 +123,13 @@
         shard_id: usize,
         machine: &Machine,
         open: &OpenJob,
-        zones: &HashMap<String, u32>,
+        zones: &ZoneCounts,
     ) -> bool {
         let shard = &self.shards[shard_id];
         let mut kept_machines = shard.kept_machines.values();
-        self.allowed(open, machine)
+        self.may_take_one_more(shard_id, open, machine, zones)
             && !shard.reserved.contains_key(&machine.host)
             && kept_machines.all(|kept| kept.host != machine.host)
-            && self.is_within_zone_cap(shard_id, open, &machine.zone, zones)
     }
 
     /// Returns the cores that are free on a machine now, or `None` if the machine would be too
--- a/crates/cherryyard-core/src/owner/capacity.rs
+++ b/crates/cherryyard-core/src/owner/capacity.rs
@@ -162,7 +162,7 @@
         images: &mut Names,
     ) -> Option<MachineCapacity> {
         let free = self.free_on(machine, None)?;
-        let pool = index_of_pool(machine, pools);
+        let pool = index_of_pool(machine.pool.as_ref()?, pools);
         let held = machine.images.iter().filter(|image| image.is_complete);
         Some(MachineCapacity {
             pool: pool.try_into().ok()?,
@@ -175,19 +175,11 @@
     }
 }
 
-/// Returns the index of a machine's pool, which is added to `pools` if it is missing.
-fn index_of_pool(machine: &Machine, pools: &mut Vec<MachinePool>) -> usize {
-    let known = pools.iter().position(|pool| {
-        pool.machine_type == machine.machine_type
-            && pool.zone == machine.zone
-            && pool.spot == machine.spot
-    });
+/// Returns the index of a pool, which is added to `pools` if it is missing.
+fn index_of_pool(pool: &MachinePool, pools: &mut Vec<MachinePool>) -> usize {
+    let known = pools.iter().position(|known| known == pool);
     known.unwrap_or_else(|| {
-        pools.push(MachinePool {
-            machine_type: machine.machine_type.clone(),
-            zone: machine.zone.clone(),
-            spot: machine.spot,
-        });
+        pools.push(pool.clone());
         pools.len() - 1
     })
 }
--- a/crates/cherryyard-core/src/owner/eviction.rs
+++ b/crates/cherryyard-core/src/owner/eviction.rs
@@ -3,6 +3,7 @@
 
 use super::cycle::Cycle;
 use super::preemptible::{CORES_ROUNDING, EvictionScope, Preemption};
+use super::zone_caps::ZoneCounts;
 use crate::Millis;
 use crate::admission::flows::Flow;
 use crate::controller::Controller;
@@ -11,7 +12,6 @@
 use crate::needs::Resources;
 use cherryyard_wire::job::Rank;
 use std::cmp::Reverse;
-use std::collections::HashMap;
 
 /// Cost of stopping a task, from which its attempt number is subtracted, because a task that
 /// started later has lost less work.
@@ -45,7 +45,7 @@
     pub(super) needs: Resources,
     pub(super) scope: EvictionScope,
     /// Number of the job's tasks by zone.
-    pub(super) zones: HashMap<String, u32>,
+    pub(super) zones: ZoneCounts,
     pub(super) cycle: &'a Cycle,
     pub(super) now: Millis,
 }
@@ -82,15 +82,13 @@
     /// Returns whether the waiting task may run on a machine.
     fn is_eligible(&self, machine: &Machine, number: u32) -> bool {
         let holds_image = || machine.image(&self.open.spec.image) == ImageState::Held;
-        self.controller.allowed(self.open, machine)
-            && (self.scope == EvictionScope::AnyMachine || holds_image())
+        let may_take_one_more = || {
+            let (controller, zones) = (self.controller, &self.zones);
+            controller.may_take_one_more(self.shard_id, self.open, machine, zones)
+        };
+        (self.scope == EvictionScope::AnyMachine || holds_image())
             && !machine.reported.contains_key(&(self.job, number))
-            && self.controller.is_within_zone_cap(
-                self.shard_id,
-                self.open,
-                &machine.zone,
-                &self.zones,
-            )
+            && may_take_one_more()
     }
 
     /// Returns whether a machine is reserved or kept for others, or a task is already being
--- a/crates/cherryyard-core/src/owner/fit.rs
+++ b/crates/cherryyard-core/src/owner/fit.rs
@@ -1,14 +1,15 @@
 //! Rules for the machines on which a task may run, and the choice of the best one with enough free
 //! capacity.
 
-use super::cycle::Cycle;
+use super::zone_caps::ZoneCounts;
 use crate::controller::Controller;
 use crate::machine::{ImageState, Machine, Task};
 use crate::mirror::OpenJob;
 use crate::needs::Resources;
 use cherryyard_wire::job::Shape;
+use cherryyard_wire::peer::MachinePool;
 use std::cmp::Reverse;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::BTreeSet;
 
 /// A task for which a machine is sought.
 pub(super) struct FitRequest<'a> {
@@ -21,7 +22,7 @@
     /// Machine that is reserved for the task. If there is one, no other is considered.
     pub(super) reserved_host: Option<u32>,
     /// Number of the job's tasks by zone.
-    pub(super) zones: &'a HashMap<String, u32>,
+    pub(super) zones: &'a ZoneCounts,
 }
 
 /// Ranking of a machine for a task. Fields are compared in order, and the first difference decides.
@@ -39,24 +40,21 @@
 }
 
 impl FitRequest<'_> {
-    fn preference(&self, machine: &Machine) -> Preference {
+    fn preference(&self, machine: &Machine, pool: &MachinePool) -> Preference {
         let image = &self.open.spec.image;
         let has_failed = self
             .failed_on
             .is_some_and(|hosts| hosts.contains(&machine.host));
         Preference {
             has_not_failed: !has_failed,
-            tier: Reverse(
-                self.open
-                    .tier(&machine.machine_type, &machine.zone, machine.spot),
-            ),
+            tier: Reverse(self.open.tier(&pool.machine_type, &pool.zone, pool.spot)),
             image: match self.open.spec.shape {
                 Shape::Service => machine.image(image),
                 // For arrays an image that is being fetched is as good as one that is on the
                 // machine.
                 Shape::Array => machine.image(image).min(ImageState::Fetching),
             },
-            is_on_demand: !machine.spot,
+            is_on_demand: !pool.spot,
         }
     }
 }
@@ -69,19 +67,25 @@
         request: &FitRequest,
         capacities: &[(u32, Resources)],
     ) -> Option<usize> {
-        let possible = capacities.iter().enumerate().filter(|(_, (host, free))| {
-            request.needs.fits(free) && self.is_possible(request, &self.machines[host])
-        });
-        let best = possible.max_by(|(_, (host_a, free_a)), (_, (host_b, free_b))| {
-            let preference_a = request.preference(&self.machines[host_a]);
-            let preference_b = request.preference(&self.machines[host_b]);
+        let possible = capacities
+            .iter()
+            .enumerate()
+            .filter_map(|(capacity, (host, free))| {
+                let machine = &self.machines[host];
+                let pool = machine.pool.as_ref()?;
+                let is_possible = request.needs.fits(free) && self.is_possible(request, machine);
+                is_possible.then(|| (request.preference(machine, pool), free, *host, capacity))
+            });
+        let best = possible.max_by(|a, b| {
+            let (preference_a, free_a, host_a, _) = a;
+            let (preference_b, free_b, host_b, _) = b;
             preference_a
-                .cmp(&preference_b)
+                .cmp(preference_b)
                 .then(free_a.cores.total_cmp(&free_b.cores))
                 .then(free_a.ram_gb.total_cmp(&free_b.ram_gb))
                 .then(host_b.cmp(host_a))
         });
-        best.map(|(capacity, _)| capacity)
+        best.map(|(_, _, _, capacity)| capacity)
     }
 
     /// Returns whether a task could start on a machine if an ended attempt of it there were cleared.
@@ -110,79 +114,27 @@
         let (shard_id, open, host) = (request.shard_id, request.open, machine.host);
         let reserved = self.shards[shard_id].reserved.get(&host);
         request.reserved_host.is_none_or(|kept| kept == host)
-            && self.allowed(open, machine)
             && reserved.is_none_or(|reservation| reservation.for_task == request.task)
             && !self.is_kept_for_other(shard_id, host, open)
-            && self.is_within_zone_cap(shard_id, open, &machine.zone, request.zones)
+            && self.may_take_one_more(shard_id, open, machine, request.zones)
     }
 
-    /// Returns whether the job's rules allow a machine.
+    /// Returns whether the job's rules allow a machine. A machine of an unknown pool is not allowed.
     pub(crate) fn allowed(&self, open: &OpenJob, machine: &Machine) -> bool {
+        let pool = machine.pool.as_ref();
         (!open.spec.together || open.zone.is_some())
-            && open
-                .allows(&machine.machine_type, &machine.zone, machine.spot)
-                .is_some()
-    }
-
-    /// Returns the number of a job's tasks in each zone after the cycle. The tasks are counted only
-    /// for jobs with caps by zone.
-    pub(super) fn zone_counts(
-        &self,
-        shard_id: usize,
-        job: u64,
-        cycle: &Cycle,
-    ) -> HashMap<String, u32> {
-        let mut counts = HashMap::new();
-        let open = self.mirror.open.get(&job);
-        if open.is_none_or(|open| open.zone_caps.is_empty()) {
-            return counts;
-        }
-        if let Some(job_tasks) = self.mirror.tasks.assignments.get(&(shard_id, job)) {
-            for (&number, (assignment, _)) in &job_tasks.assignments {
-                if !cycle.withdrawn.contains(&(job, number)) {
-                    self.count_zone(assignment.host, &mut counts);
-                }
-            }
-        }
-        for (&host, tasks) in &cycle.assigned {
-            for _ in tasks.iter().filter(|task| task.0 == job) {
-                self.count_zone(host, &mut counts);
-            }
-        }
-        counts
-    }
-
-    /// Counts a task in its machine's zone. An unknown machine may be in any zone and is counted in
-    /// all of them.
-    fn count_zone(&self, host: u32, counts: &mut HashMap<String, u32>) {
-        match self.machines.get(&host) {
-            Some(machine) => *counts.entry(machine.zone.clone()).or_default() += 1,
-            None => {
-                for zone in 0..self.config.zones.len() as u32 {
-                    let name = self.config.zones.name(zone);
-                    *counts.entry(name.into()).or_default() += 1;
-                }
-            }
-        }
+            && pool.is_some_and(|pool| open.allows_pool(pool).is_some())
     }
 
-    /// Returns whether the shard may start one more task of a job in a zone.
-    pub(super) fn is_within_zone_cap(
+    /// Returns whether the job's rules and its caps by zone allow one more task on a machine.
+    pub(super) fn may_take_one_more(
         &self,
         shard_id: usize,
         open: &OpenJob,
-        zone: &str,
-        counts: &HashMap<String, u32>,
+        machine: &Machine,
+        counts: &ZoneCounts,
     ) -> bool {
-        if !open.spec.apart || open.spec.task_count == 1 {
-            return true;
-        }
-        let Some(zone_index) = self.config.zones.get(zone) else {
-            return false;
-        };
-        let caps = open.zone_caps.get(shard_id);
-        let cap = caps.and_then(|caps| caps.get(zone_index as usize));
-        counts.get(zone).copied().unwrap_or(0) < cap.copied().unwrap_or(0)
+        self.allowed(open, machine) && self.is_within_zone_cap(shard_id, open, machine, counts)
     }
 
     /// Returns the seconds that a machine needs to fetch the job's image; 0 if the image is there
--- a/crates/cherryyard-core/src/owner/mod.rs
+++ b/crates/cherryyard-core/src/owner/mod.rs
@@ -6,8 +6,8 @@
 //! Commands are then the difference between assignments and messages.
 //!
 //! Suggested reading order: [`planning`] (when an owner acts), [`collection`] and [`job_ends`]
-//! (proven ends of tasks and jobs), [`placement`] with [`fit`], [`preempt`] and [`team_limits`]
-//! (assignments), [`cycle`] (the transaction), [`reconciliation`] and [`direct_commands`]
+//! (proven ends of tasks and jobs), [`placement`] with [`fit`], [`zone_caps`], [`preempt`] and
+//! [`team_limits`] (assignments), [`cycle`] (the transaction), [`reconciliation`] and [`direct_commands`]
 //! (commands), [`scale_in`], [`unresponsive`] and [`spot_reclaim`] (releases of machines).
 
 mod aging;
@@ -38,6 +38,7 @@
 mod team_limits;
 mod token_raise;
 mod unresponsive;
+mod zone_caps;
 
 /// Maximum total size of a transaction's values, in bytes.
 const TXN_BYTES: usize = 48 * 1024;
--- a/crates/cherryyard-core/src/owner/placement.rs
+++ b/crates/cherryyard-core/src/owner/placement.rs
@@ -10,6 +10,7 @@
 use super::preemptible::EvictionScope;
 use super::search::{SearchBudget, UnmetNeeds};
 use super::state::PendingCycle;
+use super::zone_caps::ZoneCounts;
 use crate::Millis;
 use crate::admission::flows::Flow;
 use crate::admission::queue::Queues;
@@ -280,9 +281,8 @@
             {
                 continue;
             }
-            self.log_zone_cap(candidate, number, host, &zones, cycle);
-            let zone = self.machines[&host].zone.clone();
-            *zones.entry(zone).or_default() += 1;
+            self.log_zone_cap((job, number), host, &zones, cycle);
+            zones.add(self.machines[&host].zone());
             if !self.assign(placement, candidate, number, capacity, cycle, pending) {
                 return NextStep::Stop;
             }
@@ -313,7 +313,7 @@
         candidate: &'a Candidate,
         number: u32,
         reserved_host: Option<u32>,
-        zones: &'a HashMap<String, u32>,
+        zones: &'a ZoneCounts,
     ) -> FitRequest<'a> {
         FitRequest {
             shard_id: placement.shard_id,
@@ -368,37 +368,6 @@
         true
     }
 
-    /// Logs what a task of a job with caps by zone is placed by: the cap, and the zones in which the
-    /// job's other tasks in the shard are counted.
-    fn log_zone_cap(
-        &self,
-        candidate: &Candidate,
-        number: u32,
-        host: u32,
-        counts: &HashMap<String, u32>,
-        cycle: &Cycle,
-    ) {
-        let job = candidate.job;
-        let caps = &self.mirror.open[&job].zone_caps;
-        if caps.is_empty() {
-            return;
-        }
-        let machine = &self.machines[&host];
-        let cap = self.config.zones.get(&machine.zone);
-        let cap = cap.and_then(|zone| caps.get(machine.shard)?.get(zone as usize));
-        tracing::debug!(
-            shard = machine.shard,
-            job,
-            number,
-            machine = self.mirror.hosts.name(host),
-            zone = %machine.zone,
-            ?cap,
-            ?counts,
-            withdrawn = cycle.withdrawn_of(job),
-            "task placed under a cap by zone"
-        );
-    }
-
     fn log_service_placed(&self, candidate: &Candidate, host: u32, now: Millis) {
         let job = candidate.job;
         let open = &self.mirror.open[&job];
@@ -416,7 +385,7 @@
         candidate: &Candidate,
         unplaced: &[u32],
         queues: &Queues,
-        zones: &HashMap<String, u32>,
+        zones: &ZoneCounts,
         cycle: &Cycle,
     ) {
         let (shard_id, job, now) = (placement.shard_id, candidate.job, placement.now);
--- a/crates/cherryyard-core/src/owner/release.rs
+++ b/crates/cherryyard-core/src/owner/release.rs
@@ -4,7 +4,6 @@
 use crate::controller::Controller;
 use crate::effects::Effect;
 use crate::machine::{Machine, MachineEvent};
-use cherryyard_wire::cloud::{Instance, InstanceStatus};
 
 /// Maximum number of machines in one release request.
 pub(super) const MAX_RELEASED: usize = 90;
@@ -91,8 +90,8 @@
         }
     }
 
-    /// Records that the release of a machine is requested, registers the machine if it is unknown,
-    /// and returns its name.
+    /// Records that the release of a machine is requested, registers the machine if it has never
+    /// reported, and returns its name.
     pub(super) fn note_release_request(
         &mut self,
         host: u32,
@@ -102,23 +101,23 @@
     ) -> String {
         let name = self.mirror.hosts.name(host).to_string();
         tracing::info!(machine = %name, shard = shard_id, reason = reason.text(), "instance release requested");
-        let machine = self.machines.entry(host).or_insert_with(|| {
-            Machine::from_listing(host, shard_id, &unlisted_instance(&name), now)
-        });
+        let machine = self.machine_to_release(host, shard_id, now);
         machine.request_release(now + RELEASE_RETRY_MS);
         name
     }
-}
 
-/// Returns a list entry for a machine of which only the name is known.
-fn unlisted_instance(name: &str) -> Instance {
-    Instance {
-        id: name.to_string(),
-        addr: String::new(),
-        machine_type: String::new(),
-        zone: String::new(),
-        spot: false,
-        status: InstanceStatus::Other,
-        held_s: 0.0,
+    /// Returns a machine whose release is requested. A machine that has never reported is registered,
+    /// so that the answer to the request can resolve its assignments.
+    pub(super) fn machine_to_release(
+        &mut self,
+        host: u32,
+        shard_id: usize,
+        now: Millis,
+    ) -> &mut Machine {
+        let entry = self.cloud_machines.get(self.mirror.hosts.name(host));
+        self.machines.entry(host).or_insert_with(|| match entry {
+            Some(entry) => Machine::from_listing(host, shard_id, entry, now),
+            None => Machine::of_unknown_pool(host, shard_id, now),
+        })
     }
 }
--- a/crates/cherryyard-core/src/owner/scale_in.rs
+++ b/crates/cherryyard-core/src/owner/scale_in.rs
@@ -192,16 +192,12 @@
             && self.mirror.assignments_on(machine.host).next().is_none()
     }
 
-    /// Records that the release of a listed machine is requested. A machine that has never reported
-    /// is registered, so that the answer to the request can resolve its assignments.
+    /// Records that the release of a listed machine is requested.
     fn note_listed_release(&mut self, name: &str, now: Millis) {
         let entry = &self.cloud_machines[name];
         let shard_id = self.config.shard_map.shard(&entry.zone, name);
         let host = self.mirror.hosts.intern(name);
-        let machine = self
-            .machines
-            .entry(host)
-            .or_insert_with(|| Machine::from_listing(host, shard_id, entry, now));
+        let machine = self.machine_to_release(host, shard_id, now);
         machine.request_release(now + RELEASE_RETRY_MS);
     }
 
--- a/crates/cherryyard-simulation/tests/placement.rs
+++ b/crates/cherryyard-simulation/tests/placement.rs
@@ -119,3 +119,81 @@
     assert_ne!(zone(&other), zone(&first), "{}", world.trace.join("\n"));
     insta::assert_snapshot!(world.trace.join("\n"));
 }
+
+/// Returns a cluster in which one task of a service that must be apart runs in zone a and the other
+/// waits, because the only machine of zone d is full; one shard has the machines of both zones. The
+/// machine of the running task is then cut off as its owner ends and is back, while the cloud
+/// releases no machine. Returns the cluster at that moment.
+fn cluster_with_a_machine_cut_off_from_its_new_owner() -> World {
+    let mut world = settled(Setup {
+        machines: vec![("a", 6), ("d", 1)],
+        report_s: 5.0,
+        lease_s: 26.5,
+        cancel_s: 56.5,
+        ..Setup::default()
+    });
+    let mut filler = World::spec("j-000001", "service", 1);
+    (filler.cores, filler.zone) = (4.0, Some("d".into()));
+    world.submit(&filler);
+    let mut others = World::spec("j-000002", "service", 6);
+    (others.cores, others.zone) = (1.0, Some("a".into()));
+    world.submit(&others);
+    world.run_until(20.0, |world| world.running_task_count() == 7);
+    let mut spread = World::spec("j-000003", "service", 2);
+    (spread.cores, spread.apart) = (1.0, true);
+    world.submit(&spread);
+    world.run_until(20.0, |world| world.running_task_count() == 8);
+    world.run(8.0);
+    let mut workers = world.workers.values();
+    let machine = workers.find(|worker| worker.runs("j-000003/0") || worker.runs("j-000003/1"));
+    let machine = machine.expect("a machine").host.clone();
+    world.cloud.down = true;
+    world.trace_line(format!("{machine} is cut off"));
+    world.network.unreachable.insert(machine);
+    world.kill(0);
+    world.run(0.3);
+    world.start(0);
+    world
+}
+
+/// Returns the zones of the running tasks of j-000003.
+fn zones_of_spread_tasks(world: &World) -> Vec<&str> {
+    let workers = world.workers.values();
+    let zones = workers.flat_map(|worker| {
+        let tasks = worker.running_tasks();
+        let tasks = tasks.filter(|name| name.starts_with("j-000003/"));
+        tasks.map(|_| worker.zone.as_str())
+    });
+    zones.collect()
+}
+
+/// Guards against both tasks of a spread service in one zone: a new owner requests the release of a
+/// machine that it has not heard of, whose tasks then counted in no zone.
+#[test]
+fn a_machine_released_unheard_still_counts_in_its_zone() {
+    let mut world = cluster_with_a_machine_cut_off_from_its_new_owner();
+    world.run(60.0);
+    let trace = world.trace.join("\n");
+    assert!(world.cloud.releases_failed > 0, "{trace}");
+    assert!(
+        world.violations.is_empty(),
+        "{:?}\n{trace}",
+        world.violations
+    );
+    world.cloud.down = false;
+    world.cancel(1, "j-000001");
+    world.run_until(60.0, |world| zones_of_spread_tasks(world).len() == 2);
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
+
+/// Guards against a spread service that waits for a machine although the cloud's list tells its
+/// zone: the other task starts in another zone at once.
+#[test]
+fn a_listed_machine_counts_only_in_its_zone() {
+    let mut world = cluster_with_a_machine_cut_off_from_its_new_owner();
+    world.run(18.0);
+    world.list_machines();
+    world.cancel(1, "j-000001");
+    world.run_until(5.0, |world| zones_of_spread_tasks(world) == ["a", "d"]);
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
--- a/crates/cherryyard-wire/src/cloud.rs
+++ b/crates/cherryyard-wire/src/cloud.rs
@@ -1,6 +1,7 @@
 //! Messages of the cloud's interface, through which machines are provisioned, listed and
 //! released.
 
+use crate::peer::MachinePool;
 use serde::{Deserialize, Serialize};
 
 /// Machine type that the cloud offers.
@@ -90,6 +91,17 @@
     pub held_s: f64,
 }
 
+impl Instance {
+    /// Returns the pool that the machine belongs to.
+    pub fn pool(&self) -> MachinePool {
+        MachinePool {
+            machine_type: self.machine_type.clone(),
+            zone: self.zone.clone(),
+            spot: self.spot,
+        }
+    }
+}
+
 /// State of a machine in the cloud's list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/cherryyard-wire/src/worker.rs
+++ b/crates/cherryyard-wire/src/worker.rs
@@ -1,5 +1,6 @@
 //! Messages between workers and controllers.
 
+use crate::peer::MachinePool;
 use serde::{Deserialize, Serialize};
 
 /// Heartbeat of a worker: its machine, and the status of all tasks on the machine.
@@ -39,6 +40,17 @@
     pub tasks: Vec<TaskReport>,
 }
 
+impl WorkerHeartbeat {
+    /// Returns the pool that the machine belongs to.
+    pub fn pool(&self) -> MachinePool {
+        MachinePool {
+            machine_type: self.machine_type.clone(),
+            zone: self.zone.clone(),
+            spot: self.spot,
+        }
+    }
+}
+
 /// Report on a task on a machine.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct TaskReport {
