One way to request a release, one index of pools in reports; simpler checks by zone

The leader's assumed reports and the owners' reports each had a search for a pool's index and a conversion of amounts: both use the owners'. The check of caps by zone and the one that combines it with the job's rules stand together in zone_caps.rs, the latter is called without a closure, and the cap in the debug line is looked up only if it is logged. Tests: the zones of a job's tasks come from the checker's zones_of, and machines to cut off are partitioned in one expression; draws and assertions are the same.

--- a/crates/cherryyard-core/src/leader/assumed_capacity.rs
+++ b/crates/cherryyard-core/src/leader/assumed_capacity.rs
@@ -6,8 +6,9 @@
 use crate::controller::Controller;
 use crate::mirror::{LeaseHolder, Mirror, OpenJob};
 use crate::needs::Resources;
-use cherryyard_wire::cloud::{Instance, InstanceStatus, MachineType};
-use cherryyard_wire::peer::{CapacityReport, MachineCapacity, MachinePool};
+use crate::owner::capacity::{as_reported, index_of_pool};
+use cherryyard_wire::cloud::{InstanceStatus, MachineType};
+use cherryyard_wire::peer::{CapacityReport, MachineCapacity};
 
 /// Time by which an owner's report must be overdue before its shard's capacity is assumed. A new
 /// leader assumes no capacity for the same time.
@@ -78,7 +79,9 @@
             let (free, free_if_preempted) = free_capacity(&self.mirror, name, machine_type);
             let images = stored.held.get(name);
             let images = images.map(|images| images.iter().map(|&i| i as u16).collect());
-            let pool = pool_index(&mut report.pools, instance);
+            let Some(pool) = index_of_pool(&instance.pool(), &mut report.pools) else {
+                continue;
+            };
             report.machines.push(MachineCapacity {
                 pool,
                 free: as_reported(&free),
@@ -118,22 +121,3 @@
     }
     (free, free_if_preempted)
 }
-
-/// Returns the index of a machine's pool in a report, to which the pool is added if it is new.
-fn pool_index(pools: &mut Vec<MachinePool>, instance: &Instance) -> u16 {
-    let pool = instance.pool();
-    let known = pools.iter().position(|known| *known == pool);
-    let index = known.unwrap_or_else(|| {
-        pools.push(pool);
-        pools.len() - 1
-    });
-    index as u16
-}
-
-fn as_reported(needs: &Resources) -> (f32, f32, f32) {
-    (
-        needs.cores as f32,
-        needs.accelerators as f32,
-        needs.ram_gb as f32,
-    )
-}
--- a/crates/cherryyard-core/src/owner/capacity.rs
+++ b/crates/cherryyard-core/src/owner/capacity.rs
@@ -162,10 +162,10 @@
         images: &mut Names,
     ) -> Option<MachineCapacity> {
         let free = self.free_on(machine, None)?;
-        let pool = index_of_pool(machine.pool.as_ref()?, pools);
+        let pool = index_of_pool(machine.pool.as_ref()?, pools)?;
         let held = machine.images.iter().filter(|image| image.is_complete);
         Some(MachineCapacity {
-            pool: pool.try_into().ok()?,
+            pool,
             free: as_reported(&free),
             free_if_preempted: self.free_if_preempted(machine, free),
             images: held
@@ -175,17 +175,19 @@
     }
 }
 
-/// Returns the index of a pool, which is added to `pools` if it is missing.
-fn index_of_pool(pool: &MachinePool, pools: &mut Vec<MachinePool>) -> usize {
+/// Returns the index of a pool in a report, to whose pools it is added if it is missing; `None` if
+/// the report cannot number any more pools.
+pub(crate) fn index_of_pool(pool: &MachinePool, pools: &mut Vec<MachinePool>) -> Option<u16> {
     let known = pools.iter().position(|known| known == pool);
-    known.unwrap_or_else(|| {
+    let index = known.unwrap_or_else(|| {
         pools.push(pool.clone());
         pools.len() - 1
-    })
+    });
+    index.try_into().ok()
 }
 
 /// Converts an amount to the report's cores, accelerators and RAM.
-fn as_reported(needs: &Resources) -> (f32, f32, f32) {
+pub(crate) fn as_reported(needs: &Resources) -> (f32, f32, f32) {
     (
         needs.cores as f32,
         needs.accelerators as f32,
--- a/crates/cherryyard-core/src/owner/eviction.rs
+++ b/crates/cherryyard-core/src/owner/eviction.rs
@@ -82,13 +82,11 @@
     /// Returns whether the waiting task may run on a machine.
     fn is_eligible(&self, machine: &Machine, number: u32) -> bool {
         let holds_image = || machine.image(&self.open.spec.image) == ImageState::Held;
-        let may_take_one_more = || {
-            let (controller, zones) = (self.controller, &self.zones);
-            controller.may_take_one_more(self.shard_id, self.open, machine, zones)
-        };
         (self.scope == EvictionScope::AnyMachine || holds_image())
             && !machine.reported.contains_key(&(self.job, number))
-            && may_take_one_more()
+            && self
+                .controller
+                .may_take_one_more(self.shard_id, self.open, machine, &self.zones)
     }
 
     /// Returns whether a machine is reserved or kept for others, or a task is already being
--- a/crates/cherryyard-core/src/owner/fit.rs
+++ b/crates/cherryyard-core/src/owner/fit.rs
@@ -126,17 +126,6 @@
             && pool.is_some_and(|pool| open.allows_pool(pool).is_some())
     }
 
-    /// Returns whether the job's rules and its caps by zone allow one more task on a machine.
-    pub(super) fn may_take_one_more(
-        &self,
-        shard_id: usize,
-        open: &OpenJob,
-        machine: &Machine,
-        counts: &ZoneCounts,
-    ) -> bool {
-        self.allowed(open, machine) && self.is_within_zone_cap(shard_id, open, machine, counts)
-    }
-
     /// Returns the seconds that a machine needs to fetch the job's image; 0 if the image is there
     /// or the rate is unknown.
     pub(super) fn fetch_s(&self, open: &OpenJob, host: u32) -> f64 {
--- a/crates/cherryyard-core/src/owner/mod.rs
+++ b/crates/cherryyard-core/src/owner/mod.rs
@@ -11,7 +11,7 @@
 //! (commands), [`scale_in`], [`unresponsive`] and [`spot_reclaim`] (releases of machines).
 
 mod aging;
-mod capacity;
+pub(crate) mod capacity;
 mod collection;
 mod cycle;
 mod direct_commands;
--- a/crates/cherryyard-core/src/owner/release.rs
+++ b/crates/cherryyard-core/src/owner/release.rs
@@ -90,8 +90,8 @@
         }
     }
 
-    /// Records that the release of a machine is requested, registers the machine if it has never
-    /// reported, and returns its name.
+    /// Records that the release of a machine is requested, and returns its name. A machine that has
+    /// never reported is registered, so that the answer to the request can resolve its assignments.
     pub(super) fn note_release_request(
         &mut self,
         host: u32,
@@ -101,23 +101,12 @@
     ) -> String {
         let name = self.mirror.hosts.name(host).to_string();
         tracing::info!(machine = %name, shard = shard_id, reason = reason.text(), "instance release requested");
-        let machine = self.machine_to_release(host, shard_id, now);
-        machine.request_release(now + RELEASE_RETRY_MS);
-        name
-    }
-
-    /// Returns a machine whose release is requested. A machine that has never reported is registered,
-    /// so that the answer to the request can resolve its assignments.
-    pub(super) fn machine_to_release(
-        &mut self,
-        host: u32,
-        shard_id: usize,
-        now: Millis,
-    ) -> &mut Machine {
-        let entry = self.cloud_machines.get(self.mirror.hosts.name(host));
-        self.machines.entry(host).or_insert_with(|| match entry {
+        let entry = self.cloud_machines.get(&name);
+        let machine = self.machines.entry(host).or_insert_with(|| match entry {
             Some(entry) => Machine::from_listing(host, shard_id, entry, now),
             None => Machine::of_unknown_pool(host, shard_id, now),
-        })
+        });
+        machine.request_release(now + RELEASE_RETRY_MS);
+        name
     }
 }
--- a/crates/cherryyard-core/src/owner/scale_in.rs
+++ b/crates/cherryyard-core/src/owner/scale_in.rs
@@ -2,7 +2,7 @@
 //! fail their tasks, or are idle.
 
 use super::failure_attribution::FAULTY_MACHINE_FAILURES;
-use super::release::{MAX_RELEASED, RELEASE_RETRY_MS, ReleaseReason};
+use super::release::{MAX_RELEASED, ReleaseReason};
 use crate::Millis;
 use crate::controller::Controller;
 use crate::leader::provisioning_times::ProvisioningProgress;
@@ -37,6 +37,13 @@
     }
 }
 
+/// A listed machine that is to be released.
+struct ListedRelease {
+    name: String,
+    shard_id: usize,
+    reason: ReleaseReason,
+}
+
 impl Controller {
     /// Releases listed machines that are dead, never came up, are silent, are unreachable, fail
     /// their tasks, or are idle, and machines with assignments that are not listed.
@@ -46,16 +53,22 @@
         if !self.caught_up() {
             return;
         }
-        let released = self.choose_releases(now);
-        for name in &released {
-            self.note_listed_release(name, now);
+        let mut released = Vec::new();
+        for ListedRelease {
+            name,
+            shard_id,
+            reason,
+        } in self.choose_releases(now)
+        {
+            let host = self.mirror.hosts.intern(&name);
+            released.push(self.note_release_request(host, shard_id, reason, now));
         }
         self.send_release(released);
         self.release_unlisted(now);
     }
 
-    /// Returns the names of the listed machines to release.
-    fn choose_releases(&self, now: Millis) -> Vec<String> {
+    /// Returns the listed machines to release.
+    fn choose_releases(&self, now: Millis) -> Vec<ListedRelease> {
         let mut usage = self.shard_usage(now);
         let mut names: Vec<&String> = self.cloud_machines.keys().collect();
         names.sort();
@@ -70,8 +83,12 @@
                 continue;
             }
             if let Some(reason) = self.release_reason(name, entry, &mut usage[shard_id], now) {
-                tracing::info!(machine = %name, shard = shard_id, reason = reason.text(), "instance release requested");
-                released.push(name.clone());
+                let name = name.clone();
+                released.push(ListedRelease {
+                    name,
+                    shard_id,
+                    reason,
+                });
             }
         }
         released
@@ -192,15 +209,6 @@
             && self.mirror.assignments_on(machine.host).next().is_none()
     }
 
-    /// Records that the release of a listed machine is requested.
-    fn note_listed_release(&mut self, name: &str, now: Millis) {
-        let entry = &self.cloud_machines[name];
-        let shard_id = self.config.shard_map.shard(&entry.zone, name);
-        let host = self.mirror.hosts.intern(name);
-        let machine = self.machine_to_release(host, shard_id, now);
-        machine.request_release(now + RELEASE_RETRY_MS);
-    }
-
     /// Releases machines that have assignments but neither report nor are listed, because they were
     /// reclaimed, or died and were dropped from the list. Only a release proves that none of their
     /// tasks remain.
--- a/crates/cherryyard-core/src/owner/zone_caps.rs
+++ b/crates/cherryyard-core/src/owner/zone_caps.rs
@@ -64,8 +64,19 @@
         })
     }
 
+    /// Returns whether the job's rules and its caps by zone allow one more task on a machine.
+    pub(super) fn may_take_one_more(
+        &self,
+        shard_id: usize,
+        open: &OpenJob,
+        machine: &Machine,
+        counts: &ZoneCounts,
+    ) -> bool {
+        self.allowed(open, machine) && self.is_within_zone_cap(shard_id, open, machine, counts)
+    }
+
     /// Returns whether the shard may start one more task of a job in a machine's zone.
-    pub(super) fn is_within_zone_cap(
+    fn is_within_zone_cap(
         &self,
         shard_id: usize,
         open: &OpenJob,
@@ -104,16 +115,14 @@
             return;
         }
         let machine = &self.machines[&host];
-        let cap = machine
-            .zone()
-            .and_then(|zone| self.zone_cap(machine.shard, open, zone));
+        let cap_in = |zone| self.zone_cap(machine.shard, open, zone);
         tracing::debug!(
             shard = machine.shard,
             job,
             number,
             machine = self.mirror.hosts.name(host),
             zone = machine.zone(),
-            cap,
+            cap = machine.zone().and_then(cap_in),
             ?counts,
             withdrawn = cycle.withdrawn_of(job),
             "task placed under a cap by zone"
--- a/crates/cherryyard-simulation/src/world/checker.rs
+++ b/crates/cherryyard-simulation/src/world/checker.rs
@@ -204,7 +204,7 @@
     }
 
     /// Returns the zone of each running task of a job.
-    fn zones_of(&self, id: &str) -> Vec<&str> {
+    pub fn zones_of(&self, id: &str) -> Vec<&str> {
         let zones = self.workers.values().flat_map(|worker| {
             let tasks = worker.running_tasks().filter(|name| job_id_of(name) == id);
             tasks.map(|_| worker.zone.as_str())
--- a/crates/cherryyard-simulation/tests/placement.rs
+++ b/crates/cherryyard-simulation/tests/placement.rs
@@ -156,17 +156,6 @@
     world
 }
 
-/// Returns the zones of the running tasks of j-000003.
-fn zones_of_spread_tasks(world: &World) -> Vec<&str> {
-    let workers = world.workers.values();
-    let zones = workers.flat_map(|worker| {
-        let tasks = worker.running_tasks();
-        let tasks = tasks.filter(|name| name.starts_with("j-000003/"));
-        tasks.map(|_| worker.zone.as_str())
-    });
-    zones.collect()
-}
-
 /// Guards against both tasks of a spread service in one zone: a new owner requests the release of a
 /// machine that it has not heard of, whose tasks then counted in no zone.
 #[test]
@@ -182,7 +171,7 @@
     );
     world.cloud.down = false;
     world.cancel(1, "j-000001");
-    world.run_until(60.0, |world| zones_of_spread_tasks(world).len() == 2);
+    world.run_until(60.0, |world| world.zones_of("j-000003").len() == 2);
     assert!(world.violations.is_empty(), "{:?}", world.violations);
 }
 
@@ -194,6 +183,6 @@
     world.run(18.0);
     world.list_machines();
     world.cancel(1, "j-000001");
-    world.run_until(5.0, |world| zones_of_spread_tasks(world) == ["a", "d"]);
+    world.run_until(5.0, |world| world.zones_of("j-000003") == ["a", "d"]);
     assert!(world.violations.is_empty(), "{:?}", world.violations);
 }
--- a/crates/cherryyard-simulation/tests/placement_scenarios.rs
+++ b/crates/cherryyard-simulation/tests/placement_scenarios.rs
@@ -96,15 +96,11 @@
 fn cut_off_some(world: &mut World, draw: &mut dyn FnMut(u64) -> u64) {
     let busy = world.workers.values();
     let busy = busy.filter(|worker| worker.running_tasks().next().is_some());
-    let (mut partly_placed, mut other) = (Vec::new(), Vec::new());
-    for worker in busy {
-        let mut tasks = worker.running_tasks();
-        let machines = match tasks.any(|name| is_partly_placed(world, job_id_of(name))) {
-            true => &mut partly_placed,
-            false => &mut other,
-        };
-        machines.push(worker.host.clone());
-    }
+    let (mut partly_placed, mut other): (Vec<String>, Vec<String>) =
+        busy.map(|worker| worker.host.clone()).partition(|host| {
+            let mut tasks = world.workers[host].running_tasks();
+            tasks.any(|name| is_partly_placed(world, job_id_of(name)))
+        });
     for _ in 0..1 + draw(2) {
         let machines = match partly_placed.is_empty() {
             true => &mut other,
