--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -2,7 +2,7 @@
 
 use crate::cluster::{Cluster, Setup};
 use crate::json::Json;
-use crate::yard::{Log, Trouble};
+use crate::yard::Log;
 use std::io;
 use std::thread;
 use std::time::Duration;
@@ -12,10 +12,9 @@
 
 pub fn run(number: &str, has_trouble: bool, log: &Log) -> io::Result<Broken> {
     match number {
-        "4" => equal_ranks(has_trouble, log),
-        "5" => higher_rank(has_trouble, log),
-        "6" => spread(has_trouble, log),
-        "7" => one_zone(has_trouble, log),
+        "4" => copied_start(has_trouble, log),
+        "5" => equal_ranks(has_trouble, log),
+        "6" => higher_rank(has_trouble, log),
         _ => Err(io::Error::other("no such case")),
     }
 }
@@ -83,7 +82,67 @@
     cluster.log.line(format!("completed: {text}"));
 }
 
-/// Case 4: two teams run arrays of equal priority, and those of one come four times as often for a
+/// Case 4: the first attempt of a service's replica fails on a machine, and the replica runs on
+/// another. The first machine begins anew at once, and a copy of the command that started the first
+/// attempt arrives there. The replica must not start on it.
+fn copied_start(has_trouble: bool, log: &Log) -> io::Result<Broken> {
+    /// Time from the machine's beginning to the arrival of the copy.
+    const COPY_AFTER: Duration = Duration::from_millis(500);
+    let mut setup = Setup::batch_desk();
+    let zones = setup.zones.clone();
+    setup.machines = (0..12).map(|i| (zones[i % 4], 0, false)).collect();
+    let cluster = Cluster::start(&setup, log)?;
+    wait_until(log, 5.0);
+    let mut replicas = Vec::new();
+    for id in 1..=3 {
+        let job = portal(id);
+        let piece = format!("j-{id:06}/0");
+        cluster
+            .yard
+            .lock()
+            .first_fails_after_s
+            .insert(piece.clone(), 1.0);
+        cluster.submit(id as usize % 3, &job, None);
+        replicas.push(piece);
+    }
+    wait_until(log, 20.0);
+    let mut copies = Vec::new();
+    for piece in &replicas {
+        let job = piece.split('/').next().unwrap_or_default();
+        let on = cluster.yard.on_machines(job);
+        let inner = cluster.yard.lock();
+        let start = format!("\"piece\":\"{piece}\"");
+        let is_start = |body: &str| body.contains(&start) && body.contains("\"start\"");
+        let first = inner
+            .direct_commands
+            .iter()
+            .find(|command| is_start(&command.1));
+        if let Some((host, body)) = first
+            && on.iter().all(|(_, now_on, _)| now_on != host)
+            && !on.is_empty()
+        {
+            copies.push((host.clone(), body.clone()));
+        }
+    }
+    if copies.is_empty() {
+        return Err(io::Error::other("no replica has moved to another machine"));
+    }
+    if has_trouble {
+        for (host, body) in &copies {
+            cluster.yard.restart_machine(host);
+            thread::sleep(COPY_AFTER);
+            cluster.yard.deliver_again(host, body);
+            thread::sleep(Duration::from_secs(5));
+        }
+    }
+    wait_until(log, 45.0);
+    for id in 1..=3 {
+        cluster.poll(id % 3, &format!("j-{id:06}"));
+    }
+    Ok(cluster.yard.broken())
+}
+
+/// Case 5: two teams run arrays of equal priority, and those of one come four times as often for a
 /// minute. Work within its team's guarantee must not be stopped.
 fn equal_ranks(has_trouble: bool, log: &Log) -> io::Result<Broken> {
     const RUN_S: f64 = 30.0;
@@ -120,7 +179,7 @@
     Ok(broken)
 }
 
-/// Case 5: a team's only job, an array, fits into its guarantee, and services of another team come
+/// Case 6: a team's only job, an array, fits into its guarantee, and services of another team come
 /// three times as often for a minute, which takes that team beyond its own guarantee. The array must
 /// not wait for them.
 fn higher_rank(has_trouble: bool, log: &Log) -> io::Result<Broken> {
@@ -162,140 +221,3 @@
     }
     Ok(broken)
 }
-
-/// Returns the names of the machines in a zone.
-fn machines_in(cluster: &Cluster, zone: &str) -> Vec<String> {
-    let inner = cluster.yard.lock();
-    let in_zone = inner
-        .machines
-        .values()
-        .filter(|machine| machine.zone == zone);
-    in_zone.map(|machine| machine.name.clone()).collect()
-}
-
-/// Looks once a second, until the time `to`, whether fewer than all pieces of a service are on
-/// machines while a machine of the given zone has room for one more. Returns for how many seconds
-/// without interruption this has been so in the end.
-fn left_waiting(
-    cluster: &Cluster,
-    id: &str,
-    pieces: usize,
-    cores: f64,
-    zone: &str,
-    to: f64,
-) -> f64 {
-    let mut since = cluster.log.seconds();
-    let mut looks = 0;
-    while cluster.log.seconds() < to {
-        let on = cluster.yard.on_machines(id);
-        let room = cluster
-            .yard
-            .free_cores()
-            .into_iter()
-            .find(|free| free.1 == zone && free.2 >= cores);
-        if on.len() >= pieces || room.is_none() {
-            since = cluster.log.seconds();
-        }
-        if looks % 10 == 0 {
-            cluster
-                .log
-                .line(format!("{id} is on {on:?}; room: {room:?}"));
-            cluster.poll(looks / 10 % 3, id);
-        }
-        looks += 1;
-        thread::sleep(Duration::from_secs(1));
-    }
-    cluster.log.seconds() - since
-}
-
-/// Time for which a job may wait while a machine that fits has room, in seconds.
-const MAX_WAIT_S: f64 = 90.0;
-
-/// Case 6: a service of two replicas that must be apart is submitted while one of two zones is cut
-/// off. Once the zone is back, the second replica must start there.
-fn spread(has_trouble: bool, log: &Log) -> io::Result<Broken> {
-    let mut setup = Setup::batch_desk();
-    let zones = ["lahore-east", "islamabad-dr"];
-    setup.controllers = vec!["lahore-east"; 3];
-    setup.zones = zones.to_vec();
-    setup.kinds[0].zones = zones.iter().map(|zone| zone.to_string()).collect();
-    setup.machines = (0..12).map(|i| (zones[i % 2], 0, false)).collect();
-    let cluster = Cluster::start(&setup, log)?;
-    let cut_off = machines_in(&cluster, "islamabad-dr");
-    let set_cut = |is_cut: bool| {
-        let trouble = Trouble {
-            is_cut,
-            is_hung: false,
-        };
-        cut_off
-            .iter()
-            .for_each(|name| cluster.yard.set_trouble(name, trouble));
-    };
-    wait_until(log, 5.0);
-    if has_trouble {
-        set_cut(true);
-    }
-    wait_until(log, 14.0);
-    let mut job = portal(1);
-    job.set("pieces", Json::number(2));
-    job.set("apart", Json::Bool(true));
-    cluster.submit(0, &job, None);
-    wait_until(log, 18.0);
-    if has_trouble {
-        set_cut(false);
-    }
-    wait_until(log, 20.0);
-    let seconds = left_waiting(&cluster, "j-000001", 2, 4.0, "islamabad-dr", 114.0);
-    let mut broken = cluster.yard.broken();
-    if seconds > MAX_WAIT_S {
-        broken.push(format!(
-            "left waiting: a replica of j-000001 for {seconds:.0} s, with room in islamabad-dr"
-        ));
-    }
-    Ok(broken)
-}
-
-/// Case 7: the only machine with room for a service whose replicas must be in one zone is in
-/// `islamabad-dr`; later there is room in `lahore-east`, and that machine stops. The service must go
-/// on in `lahore-east`.
-fn one_zone(has_trouble: bool, log: &Log) -> io::Result<Broken> {
-    let mut setup = Setup::batch_desk();
-    let zones = ["lahore-east", "islamabad-dr"];
-    setup.controllers = vec!["lahore-east"; 3];
-    setup.zones = zones.to_vec();
-    setup.kinds[0].zones = zones.iter().map(|zone| zone.to_string()).collect();
-    setup.machines = (0..12)
-        .map(|i| (zones[usize::from(i == 11)], 0, false))
-        .collect();
-    let cluster = Cluster::start(&setup, log)?;
-    wait_until(log, 2.0);
-    let mut others = portal(101);
-    others.set("pieces", Json::number(11));
-    others.set("yard", Json::text("lahore-east"));
-    cluster.submit(0, &others, None);
-    wait_until(log, 8.0);
-    let mut job = portal(1);
-    job.set("pieces", Json::number(2));
-    job.set("cores", Json::number(2.0));
-    job.set("ram_gb", Json::number(5.5));
-    job.set("together", Json::Bool(true));
-    cluster.submit(0, &job, None);
-    wait_until(log, 10.5);
-    cluster.cancel(0, "j-000101");
-    wait_until(log, 12.0);
-    if has_trouble {
-        let machines = machines_in(&cluster, "islamabad-dr");
-        machines
-            .iter()
-            .for_each(|name| cluster.yard.end_machine(name));
-    }
-    wait_until(log, 22.5);
-    let seconds = left_waiting(&cluster, "j-000001", 2, 4.0, "lahore-east", 115.0);
-    let mut broken = cluster.yard.broken();
-    if seconds > MAX_WAIT_S {
-        broken.push(format!(
-            "left waiting: j-000001 for {seconds:.0} s, with room in lahore-east"
-        ));
-    }
-    Ok(broken)
-}
--- a/review/stand-ins-2/yard.rs
+++ b/review/stand-ins-2/yard.rs
@@ -86,6 +86,8 @@
     left_s: f64,
     /// Time at which the task completed.
     completed: Option<Instant>,
+    /// Whether the task fails when its time is over.
+    fails: bool,
 }
 
 impl Task {
@@ -134,6 +136,8 @@
     up: Option<Instant>,
     gone: Option<Instant>,
     trouble: Trouble,
+    /// Number of times that the worker has begun anew.
+    boots: u64,
     tenure: u64,
     tick: u64,
     baton: u64,
@@ -203,6 +207,10 @@
     hired: BTreeMap<String, Vec<String>>,
     next_machine: u64,
     broken: Vec<String>,
+    /// Time after which a piece's first attempt fails.
+    pub first_fails_after_s: BTreeMap<String, f64>,
+    /// The bodies of direct commands, with the machine that carried them out.
+    pub direct_commands: Vec<(String, String)>,
     /// Number of times that each piece was stopped by command while it was on a machine.
     pub stops: BTreeMap<String, u32>,
     /// Stops of work that is within its team's guarantee, for work of equal or lower priority.
@@ -258,6 +266,8 @@
                 hired: BTreeMap::new(),
                 next_machine: 1,
                 broken: Vec::new(),
+                first_fails_after_s: BTreeMap::new(),
+                direct_commands: Vec::new(),
                 stops: BTreeMap::new(),
                 unjust_stops: Vec::new(),
                 cancelled_reported: HashSet::new(),
@@ -315,6 +325,7 @@
             up: None,
             gone: None,
             trouble: Trouble::default(),
+            boots: 0,
             tenure: 1,
             tick: 0,
             baton: 0,
@@ -340,6 +351,32 @@
         }
     }
 
+    /// Lets a machine begin anew, at once: its tasks end, its images stay, and its worker knows of no
+    /// token and is in its first session.
+    pub fn restart_machine(&self, name: &str) {
+        let mut inner = self.lock();
+        if let Some(machine) = inner.machines.get_mut(name) {
+            machine.boots += 1;
+            (machine.tenure, machine.tick, machine.baton) = (1, 0, 0);
+            machine.tasks.clear();
+            machine.renewed = Instant::now();
+            machine.is_changed = true;
+            self.log.line(format!("{name} begins anew"));
+        }
+    }
+
+    /// Delivers once more a direct command that a machine has carried out and answered. Returns its
+    /// status.
+    pub fn deliver_again(&self, name: &str, body: &str) -> u16 {
+        let addr = self.lock().machines[name].addr;
+        let answer = http::call(addr, "POST", "/do", body, REPORT_TIMEOUT);
+        let status = answer.map_or(0, |answer| answer.status);
+        self.log.line(format!(
+            "{name} gets once more, and answers {status}: {body}"
+        ));
+        status
+    }
+
     /// Stops a machine with all that is on it.
     pub fn end_machine(&self, name: &str) {
         let mut inner = self.lock();
@@ -402,7 +439,7 @@
         let mut interval = Duration::ZERO;
         loop {
             thread::sleep(STEP);
-            let (report, tenure, sent) = {
+            let (report, life, sent) = {
                 let mut inner = self.lock();
                 let Some(machine) = inner.machines.get_mut(name) else {
                     return;
@@ -418,7 +455,8 @@
                 }
                 machine.is_changed = false;
                 let sent = Instant::now();
-                (machine.report(&self.kinds), machine.tenure, sent)
+                let life = (machine.boots, machine.tenure);
+                (machine.report(&self.kinds), life, sent)
             };
             last_sent = sent;
             random = random
@@ -447,7 +485,7 @@
                     Json::parse(&answer.body).unwrap_or(Json::Null),
                 )
             }) {
-                Some((200, body)) => self.handle_answer(name, tenure, sent, &body),
+                Some((200, body)) => self.handle_answer(name, life, sent, &body),
                 Some((421, body)) => {
                     let foreman = body.get("foreman").as_str();
                     let named = self.nodes.iter().position(|known| known.0 == foreman);
@@ -479,7 +517,7 @@
         }
     }
 
-    fn handle_answer(&self, name: &str, tenure: u64, sent: Instant, body: &Json) {
+    fn handle_answer(&self, name: &str, life: (u64, u64), sent: Instant, body: &Json) {
         let mut inner = self.lock();
         self.expire_lease(&mut inner, name);
         let Some(machine) = inner.machines.get_mut(name) else {
@@ -487,7 +525,7 @@
         };
         let baton = body.get("baton");
         if !machine.is_alive()
-            || machine.tenure != tenure
+            || (machine.boots, machine.tenure) != life
             || *baton == Json::Null
             || baton.as_u64() < machine.baton
         {
@@ -541,6 +579,9 @@
             for order in body.get("orders").items() {
                 self.execute(&mut inner, name, order);
             }
+            inner
+                .direct_commands
+                .push((name.into(), request.body.clone()));
         }
         match inner.machines.get_mut(name) {
             Some(machine) => Reply::Answer(200, machine.report(&self.kinds)),
@@ -673,6 +714,7 @@
             kept: false,
             left_s: 0.0,
             completed: None,
+            fails: false,
         };
         if !refusal.is_empty() {
             task.status = Status::Ended;
@@ -744,11 +786,18 @@
                     let run_s = job.and_then(|job| job.run_s).unwrap_or(f64::INFINITY);
                     task.status = Status::Running;
                     task.left_s = if is_known { 0.0 } else { run_s };
+                    if let Some(fails_after_s) = inner.first_fails_after_s.remove(&task.piece) {
+                        (task.fails, task.left_s) = (true, fails_after_s);
+                    }
                     machine
                         .images
                         .extend(job.map(|job| job.spec.get("bundle").as_str().to_string()));
                     started.push(task.piece.clone());
                 }
+                Status::Running if task.fails => {
+                    (task.status, task.cause) = (Status::Ended, "error");
+                    self.log.line(format!("{name}: {} fails", task.piece));
+                }
                 Status::Running => {
                     (task.status, task.cause) = (Status::Ended, "done");
                     task.completed = Some(Instant::now());
