--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -301,11 +301,11 @@
     setup.kinds.push(small);
     let zones = ["lahore-east", "lahore-west", "karachi-dc"];
     let small_machines = (0..6).map(|_| (zones[0], 1, false));
-    let machines = (0..4).map(|i| (zones[1 + i % 2], 0, false));
+    let machines = (0..3).map(|i| (zones[1 + i % 2], 0, false));
     setup.machines = small_machines.chain(machines).collect();
     let cluster = Cluster::start(&setup, log)?;
     wait_until(log, 3.0);
-    let count = if has_trouble { 4 } else { 1 };
+    let count = if has_trouble { 3 } else { 1 };
     for i in 0..count {
         let mut job = portal(101 + i);
         job.set("yard", Json::text(zones[1 + i as usize % 2]));
