Log each step of a page's division with its outcome, task completions, growth by merging

Cause: the records of the incident hold one line 'oversized page copied', without the page, its size, the limit, or whether the transaction was applied, and nothing that names which completions a job's end was counted from. Change: 'oversized page copied' is at info with page, bytes and limit; 'page division step answered' has the outcome; 'merged page exceeds the page limit' tells when compaction made a page too large; at debug, 'task completed' with page and attempt, and 'last tasks completed' with the stored and the added number. No behaviour changes.

--- a/crates/cherryyard-core/src/owner/collection.rs
+++ b/crates/cherryyard-core/src/owner/collection.rs
@@ -128,6 +128,15 @@
                 let machine = self.machines.get(&host);
                 let run_ms = machine.and_then(|m| m.ran_ms(task, assignment.attempt, now));
                 collection.runs.extend(run_ms.map(|ms| (job, ms)));
+                tracing::debug!(
+                    shard = shard_id,
+                    page,
+                    job,
+                    number,
+                    machine = self.mirror.hosts.name(host),
+                    attempt = assignment.attempt,
+                    "task completed"
+                );
                 collection.pending.done.push((job, host));
             }
             ProvenEnd::Failed => {
--- a/crates/cherryyard-core/src/owner/cycle/compaction.rs
+++ b/crates/cherryyard-core/src/owner/cycle/compaction.rs
@@ -55,6 +55,27 @@
             job_tasks.done = job_tasks.done.union(&moved.done);
         }
         into.bytes += bytes;
+        self.log_growth(mirror, number, last);
         true
     }
+
+    /// Logs that the merged page is larger than a page may be: its longer lists of machines and
+    /// attempts make the indices in its entries longer.
+    fn log_growth(&self, mirror: &Mirror, moved: u32, last: u32) {
+        let Some(merged) = self.edits.get(&last) else {
+            return;
+        };
+        let bytes = merged.page.bytes(&mirror.hosts, self.format);
+        if bytes > self.page_bytes {
+            tracing::info!(
+                shard = self.shard,
+                page = last,
+                moved,
+                estimated = merged.bytes,
+                bytes,
+                limit = self.page_bytes,
+                "merged page exceeds the page limit"
+            );
+        }
+    }
 }
--- a/crates/cherryyard-core/src/owner/job_ends.rs
+++ b/crates/cherryyard-core/src/owner/job_ends.rs
@@ -19,6 +19,14 @@
                 && open.spec.shape == Shape::Array
                 && done >= open.spec.task_count
             {
+                let stored = self.mirror.done(job);
+                tracing::debug!(
+                    shard = shard_id,
+                    job,
+                    stored,
+                    completed,
+                    "last tasks completed"
+                );
                 cycle.end(job);
             }
         }
--- a/crates/cherryyard-core/src/owner/oversize.rs
+++ b/crates/cherryyard-core/src/owner/oversize.rs
@@ -17,10 +17,21 @@
 use cherryyard_wire::record::{self, Key};
 use cherryyard_wire::state::{Change, Commit};
 
+/// One step of the division of a page.
+pub(super) struct DivisionStep {
+    /// Number of the page that is divided.
+    pub(super) page: u32,
+    pub(super) commit: Commit,
+}
+
 impl Controller {
-    /// Returns the transaction for the next step of dividing a shard's first oversized page, or
-    /// `None` if no page is oversized.
-    pub(super) fn divide_oversized_page(&self, shard_id: usize, token: u64) -> Option<Commit> {
+    /// Returns the next step of dividing a shard's first oversized page, or `None` if no page is
+    /// oversized.
+    pub(super) fn divide_oversized_page(
+        &self,
+        shard_id: usize,
+        token: u64,
+    ) -> Option<DivisionStep> {
         let (number, page) = self.oversized_page(shard_id)?;
         let mut commit = Commit::default();
         commit.require(record::shard_key(shard_id), token);
@@ -29,12 +40,23 @@
             page: number,
         };
         self.mirror.require(&mut commit, source);
-        let copies = self.copies(shard_id, &self.without_copies(shard_id, number, page));
+        let copies = self.copies(&self.without_copies(shard_id, number, page));
         if copies.is_empty() {
             commit.changes.push(delete_page(shard_id, number));
             tracing::info!(shard = shard_id, page = number, "oversized page divided");
-            return Some(commit);
+            return Some(DivisionStep {
+                page: number,
+                commit,
+            });
         }
+        tracing::info!(
+            shard = shard_id,
+            page = number,
+            bytes = self.stored_page_bytes(shard_id, number),
+            limit = self.config.page_bytes,
+            copies = copies.len(),
+            "oversized page copied"
+        );
         let format = self.mirror.page_format();
         let first = self.mirror.last_page(shard_id).map_or(0, |last| last + 1);
         for (copy, number) in copies.iter().zip(first..) {
@@ -47,7 +69,16 @@
             let key = record::assignments_key(shard_id, number);
             commit.changes.push(Change::set(key, &stored));
         }
-        Some(commit)
+        Some(DivisionStep {
+            page: number,
+            commit,
+        })
+    }
+
+    /// Returns the size of a page as it is stored, in bytes.
+    fn stored_page_bytes(&self, shard_id: usize, number: u32) -> usize {
+        let page = self.mirror.tasks.pages[shard_id].get(&number);
+        page.map_or(0, |page| page.max_stored_bytes)
     }
 
     /// Returns the shard's first page that is too large to be rewritten, without the ended jobs
@@ -94,7 +125,7 @@
     }
 
     /// Returns new pages with as many of a page's entries as one transaction can write.
-    fn copies(&self, shard_id: usize, page: &Page) -> Vec<Page> {
+    fn copies(&self, page: &Page) -> Vec<Page> {
         let max_pages = self.config.txn_ops.min(TXN_BYTES / self.config.page_bytes);
         let mut plan = PagePlan {
             hosts: &self.mirror.hosts,
@@ -116,11 +147,6 @@
                 }
             }
         }
-        tracing::debug!(
-            shard = shard_id,
-            copies = plan.pages.len(),
-            "oversized page copied"
-        );
         plan.pages
     }
 }
--- a/crates/cherryyard-core/src/owner/planning.rs
+++ b/crates/cherryyard-core/src/owner/planning.rs
@@ -49,8 +49,12 @@
         if !self.state_fresh(now) {
             return;
         }
-        if let Some(commit) = self.divide_oversized_page(shard_id, token) {
-            self.send_cycle(shard_id, commit, PendingCycle::default());
+        if let Some(step) = self.divide_oversized_page(shard_id, token) {
+            let pending = PendingCycle {
+                divided_page: Some(step.page),
+                ..PendingCycle::default()
+            };
+            self.send_cycle(shard_id, step.commit, pending);
             return;
         }
         let (cycle, pending) = self.plan_cycle(shard_id, now);
@@ -216,6 +220,14 @@
         if !matches!(outcome, Outcome::Applied(_)) {
             shard.machines_to_inspect.extend(&pending.hosts);
         }
+        if let Some(page) = pending.divided_page {
+            tracing::info!(
+                shard = shard_id,
+                page,
+                ?outcome,
+                "page division step answered"
+            );
+        }
         match outcome {
             Outcome::Applied(_) => self.cycle_applied(shard_id, pending, now),
             Outcome::Conflict(store_revision) => {
--- a/crates/cherryyard-core/src/owner/state.rs
+++ b/crates/cherryyard-core/src/owner/state.rs
@@ -44,6 +44,8 @@
     pub(crate) failed: Vec<(u64, u32)>,
     /// Job and machine of each completed task.
     pub(crate) done: Vec<(u64, u32)>,
+    /// Page of which the transaction is a step of the division.
+    pub(crate) divided_page: Option<u32>,
 }
 
 /// State of one shard in this controller.
