Simulation: check stored ends of jobs, and that no task has two entries outside a division

Cause: the checker asked whether a job's tasks had ended only when a user's request was answered, and never looked at the pages of assignments, so a task in two pages went unseen. Change: after each transaction, a job stored as done must have no unfinished task; the entries of a task in a shard's pages must be equal, never both assigned and completed; and while a task stands in two pages nothing of the shard is assigned or withdrawn. Each check is broken on purpose in checker.rs and must report it.

--- a/crates/cherryyard-simulation/src/state.rs
+++ b/crates/cherryyard-simulation/src/state.rs
@@ -180,6 +180,11 @@
         }
     }
 
+    /// Returns all changes but the first `count`.
+    pub fn changes_after(&self, count: usize) -> &[WatchEvent] {
+        &self.changes[count..]
+    }
+
     /// Returns the size of the largest value that any key with this prefix has ever had, in
     /// bytes.
     pub fn largest(&self, prefix: &str) -> usize {
--- a/crates/cherryyard-simulation/src/world.rs
+++ b/crates/cherryyard-simulation/src/world.rs
@@ -21,6 +21,7 @@
 pub mod requests;
 mod setup;
 mod state_link;
+mod stored_tasks;
 mod submissions;
 
 pub use checker::Checker;
@@ -34,6 +35,7 @@
 pub use requests::{Question, Response};
 pub use setup::{Setup, small_machine_type};
 pub use state_link::{CrashPoint, StateLink};
+use stored_tasks::StoredTasks;
 pub use submissions::Submissions;
 
 /// Length of a step of the clock, in milliseconds.
@@ -76,6 +78,8 @@
     pub violations: Vec<String>,
     /// Observations that the rules are checked against.
     pub checker: Checker,
+    /// Stored entries of tasks, as of the last check.
+    stored_tasks: StoredTasks,
     setup: Setup,
 }
 
@@ -141,6 +145,7 @@
         self.send_odd_requests();
         self.serve_requests();
         self.check_rules();
+        self.check_stored_tasks();
         self.cancel_some_ended_jobs();
     }
 }
--- a/crates/cherryyard-simulation/src/world/setup.rs
+++ b/crates/cherryyard-simulation/src/world/setup.rs
@@ -2,7 +2,7 @@
 
 use super::{
     Checker, Cloud, CommandCopies, HeartbeatDuplicates, Machines, Network, Processes, Requests,
-    StateLink, Submissions, World,
+    StateLink, StoredTasks, Submissions, World,
 };
 use crate::state::ServiceLimits;
 use crate::{StateStandIn, WorkerStandIn};
@@ -209,6 +209,7 @@
             trace: Vec::new(),
             violations: Vec::new(),
             checker: Checker::default(),
+            stored_tasks: StoredTasks::default(),
             setup,
         };
         for i in 0..world.setup.zones.len() {
--- a/crates/cherryyard-simulation/tests/checker.rs
+++ b/crates/cherryyard-simulation/tests/checker.rs
@@ -2,6 +2,9 @@
 
 use cherryyard_simulation::{Question, Setup, Users, World};
 use cherryyard_wire::job::JobSpec;
+use cherryyard_wire::page::{self, StoredPage};
+use cherryyard_wire::record::{PageRecord, assignments_key};
+use cherryyard_wire::state::{Change, Commit};
 use cherryyard_wire::worker::{CommandBatch, WorkerCommand};
 
 fn cluster(limit: f64) -> World {
@@ -186,6 +189,7 @@
     world.request_once(0, "j-000002", Question::Poll);
     world.run(2.0);
     assert_detects(&world, "j-000001: it is called done before it is");
+    assert_detects(&world, "j-000001 is stored as done before it is");
     assert_detects(
         &world,
         "j-000002: it is called cancelled, and nobody asked for that",
@@ -279,3 +283,56 @@
         "j-000002: it is called cancelled, and nobody asked for that",
     );
 }
+
+/// Stores the record of a shard's first page, changed by `edit`, as that of another page.
+fn copy_first_page(world: &mut World, page: u32, edit: impl Fn(&mut PageRecord)) {
+    let (value, _) = world.state.get(&assignments_key(0, 0)).expect("a page");
+    let stored: StoredPage = value.read().expect("a page");
+    let mut record = stored.read().expect("a valid page");
+    edit(&mut record);
+    let base64 = page::pack(&record).expect("a valid page");
+    let key = assignments_key(0, page);
+    let mut commit = Commit::default();
+    commit
+        .changes
+        .push(Change::set(key, &StoredPage::Packed { base64 }));
+    world.state.commit(&commit);
+    world.run(0.05);
+}
+
+/// Returns a cluster with tasks on shard 0, whose owner writes nothing more.
+fn cluster_with_a_page() -> World {
+    let mut world = cluster(0.0);
+    world.submit(&World::spec("j-000001", "sweep", 12));
+    world.run(5.0);
+    world.processes.frozen.extend([0, 1, 2]);
+    world
+}
+
+/// The checker must report a task that is stored as assigned and as completed.
+#[test]
+fn detects_a_task_stored_as_assigned_and_completed() {
+    let mut world = cluster_with_a_page();
+    copy_first_page(&mut world, 1, |_| ());
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+    copy_first_page(&mut world, 0, |page| {
+        let number = page.jobs[0].1[0][3];
+        page.jobs[0].2.insert(number as u32);
+    });
+    assert_detects(&world, "is stored as {Assigned");
+}
+
+/// The checker must report an assignment that goes while its page is divided.
+#[test]
+fn detects_a_change_during_a_division() {
+    let mut world = cluster_with_a_page();
+    copy_first_page(&mut world, 1, |page| {
+        page.jobs[0].1[0].truncate(4);
+    });
+    assert!(world.is_in_division(0));
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+    copy_first_page(&mut world, 0, |page| {
+        page.jobs[0].1[0].truncate(4);
+    });
+    assert_detects(&world, "shard 0 changes while a page is divided");
+}
