A job is done when the union of completed numbers covers it, not by a count of completions

Cause: the owner added the number of completions that it collected to the number of completed tasks in its mirror, and the mirror added up the shards' numbers. A completion that is collected twice, or stored in two shards, counted twice, in the place of a task that still ran. Evidence: 417213 was ended with 13 of 14 tasks completed, 433435 with 30 of 31, each after the end of a task of shard 4, whose pages were in division. Change: completions are sets of task numbers throughout; a job ends when the union of the stored and the newly proven numbers covers it. A number that is proven completed again is a line at warn, and a counter each minute. Why it works: a union holds a number once, wherever and however often it was proven.

--- a/crates/cherryyard-core/src/controller.rs
+++ b/crates/cherryyard-core/src/controller.rs
@@ -122,6 +122,8 @@
     pub inspected_machines: u64,
     /// Total number of waiting jobs that scheduling cycles have inspected.
     pub inspected_jobs: u64,
+    /// Total number of tasks that were proven completed although they were stored as completed.
+    pub repeated_completions: u64,
     /// Whether the controller keeps accounts of core-seconds.
     pub accounting: bool,
     /// Time of day minus the steady clock, in milliseconds.
@@ -163,6 +165,7 @@
             user_write_budget: TokenBucket::new(config.user_writes_per_s / shard_count as f64, now),
             lag: EventLoopLag::new(now),
             inspected_machines: 0,
+            repeated_completions: 0,
             inspected_jobs: 0,
             accounting: config.tuning.account || tracing::enabled!(tracing::Level::DEBUG),
             wall_offset: 0.0,
--- a/crates/cherryyard-core/src/mirror/assignments.rs
+++ b/crates/cherryyard-core/src/mirror/assignments.rs
@@ -26,8 +26,8 @@
     /// Assignments by machine index, then job and task number. Kept as an index, since each
     /// cycle and each heartbeat look up many machines.
     by_machine: Vec<BTreeMap<(u64, u32), Assignment>>,
-    /// Number of completed tasks by job; zeros are left out.
-    done_counts: HashMap<u64, u32>,
+    /// Numbers of the tasks that are completed in any shard, by job; empty sets are left out.
+    completed: HashMap<u64, RangeSet>,
 }
 
 impl TaskTable {
@@ -39,7 +39,7 @@
             waiting: vec![BTreeMap::new(); shards],
             waiting_changes: Vec::new(),
             by_machine: Vec::new(),
-            done_counts: HashMap::new(),
+            completed: HashMap::new(),
         }
     }
 
@@ -78,18 +78,28 @@
         let new = self.sum_pages(shard, job);
         let old = self.assignments.remove(&(shard, job)).unwrap_or_default();
         self.index_by_machine(job, &old, &new);
-        if new.done.len() != old.done.len() {
+        let is_completion_changed = new.done != old.done;
+        if !new.assignments.is_empty() || !new.done.is_empty() {
+            self.assignments.insert((shard, job), new);
+        }
+        if is_completion_changed {
+            self.refresh_completed(job);
             // The position of a job among the waiting jobs of every shard depends on how much work
             // it has left.
             self.note_waiting_change(job);
         }
-        let total = self.done_counts.entry(job).or_default();
-        *total = (*total + new.done.len()).saturating_sub(old.done.len());
-        if *total == 0 {
-            self.done_counts.remove(&job);
-        }
-        if !new.assignments.is_empty() || !new.done.is_empty() {
-            self.assignments.insert((shard, job), new);
+    }
+
+    /// Recomputes which of a job's tasks are completed. A task counts once, however many shards
+    /// name it.
+    fn refresh_completed(&mut self, job: u64) {
+        let completed = (0..self.shard_count())
+            .filter_map(|shard| self.assignments.get(&(shard, job)))
+            .fold(RangeSet::new(), |all, in_shard| all.union(&in_shard.done));
+        if completed.is_empty() {
+            self.completed.remove(&job);
+        } else {
+            self.completed.insert(job, completed);
         }
     }
 
@@ -263,7 +273,12 @@
 
     /// Returns the number of a job's completed tasks.
     pub fn done(&self, job: u64) -> u32 {
-        self.tasks.done_counts.get(&job).copied().unwrap_or(0)
+        self.completed(job).map_or(0, RangeSet::len)
+    }
+
+    /// Returns the numbers of a job's completed tasks, if there are any.
+    pub fn completed(&self, job: u64) -> Option<&RangeSet> {
+        self.tasks.completed.get(&job)
     }
 
     /// Returns the number of a job's assigned tasks in all shards.
--- a/crates/cherryyard-core/src/mirror/jobs.rs
+++ b/crates/cherryyard-core/src/mirror/jobs.rs
@@ -248,11 +248,11 @@
     /// Recomputes whether a job is complete, after a change of its record or of the number of its
     /// completed tasks.
     pub(super) fn refresh_complete(&mut self, job: u64) {
-        let done = self.done(job);
-        let complete = self
-            .open
-            .get(&job)
-            .is_some_and(|open| open.spec.shape == Shape::Array && done >= open.spec.task_count);
+        let complete = self.open.get(&job).is_some_and(|open| {
+            let completed = self.completed(job);
+            open.spec.shape == Shape::Array
+                && completed.is_some_and(|numbers| numbers.covers_first(open.spec.task_count))
+        });
         if complete {
             self.complete.insert(job);
         } else {
--- a/crates/cherryyard-core/src/owner/cycle.rs
+++ b/crates/cherryyard-core/src/owner/cycle.rs
@@ -12,6 +12,7 @@
 use crate::machine::Task;
 use crate::pages::{Assignment, Page, PageFormat};
 use crate::{Config, Mirror};
+use cherryyard_wire::RangeSet;
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 
 /// Number of conditions in every cycle's transaction: the shard's lease, and the history record for
@@ -42,8 +43,8 @@
     has_rules: bool,
     /// Jobs that the cycle ends.
     ends: BTreeSet<u64>,
-    /// Number of tasks that the cycle proves completed, by job.
-    completed: BTreeMap<u64, u32>,
+    /// Numbers of the tasks that the cycle proves completed, by job.
+    completed: BTreeMap<u64, RangeSet>,
     /// Tasks whose assignments the cycle withdraws.
     pub(crate) withdrawn: HashSet<Task>,
     /// Tasks that the cycle assigns, by machine.
@@ -133,7 +134,7 @@
         }
         self.withdrawn.insert(task);
         if is_done && !is_over {
-            *self.completed.entry(job).or_default() += 1;
+            self.completed.entry(job).or_default().insert(number);
         }
         true
     }
@@ -203,8 +204,8 @@
         self.withdrawn.iter().filter(|task| task.0 == job).count()
     }
 
-    /// Returns the number of tasks proven completed, by job, and clears it.
-    pub(super) fn take_completed(&mut self) -> BTreeMap<u64, u32> {
+    /// Returns the numbers of the tasks proven completed, by job, and clears them.
+    pub(super) fn take_completed(&mut self) -> BTreeMap<u64, RangeSet> {
         std::mem::take(&mut self.completed)
     }
 
--- a/crates/cherryyard-core/src/owner/job_ends.rs
+++ b/crates/cherryyard-core/src/owner/job_ends.rs
@@ -3,6 +3,7 @@
 use super::cycle::Cycle;
 use crate::Millis;
 use crate::controller::Controller;
+use cherryyard_wire::RangeSet;
 use cherryyard_wire::job::Shape;
 
 impl Controller {
@@ -10,23 +11,19 @@
     /// all completed but which are still open: two shards that wrote their last completed numbers
     /// at the same time did not see each other's. Such a job is ended by the lowest-numbered shard
     /// that has an owner and holds assignments or completed numbers of the job.
-    pub(super) fn end_jobs(&self, shard_id: usize, cycle: &mut Cycle) {
+    pub(super) fn end_jobs(&mut self, shard_id: usize, cycle: &mut Cycle) {
         for (job, completed) in cycle.take_completed() {
             // The completed numbers of each shard only grow while the job is open, so an outdated
-            // view of other shards cannot end a job too early.
-            let done = self.mirror.done(job) + completed;
+            // view of other shards cannot end a job too early. A number that is proven completed
+            // again does not count again.
+            let stored = self.mirror.completed(job).cloned().unwrap_or_default();
+            self.note_repeated_completions(shard_id, job, &stored, &completed);
             if let Some(open) = self.mirror.open.get(&job)
                 && open.spec.shape == Shape::Array
-                && done >= open.spec.task_count
+                && stored.union(&completed).covers_first(open.spec.task_count)
             {
-                let stored = self.mirror.done(job);
-                tracing::debug!(
-                    shard = shard_id,
-                    job,
-                    stored,
-                    completed,
-                    "last tasks completed"
-                );
+                let (stored, added) = (stored.len(), completed.len());
+                tracing::debug!(shard = shard_id, job, stored, added, "last tasks completed");
                 cycle.end(job);
             }
         }
@@ -41,6 +38,22 @@
         }
     }
 
+    /// Counts and logs the tasks that are proven completed although they are stored as completed.
+    fn note_repeated_completions(
+        &mut self,
+        shard_id: usize,
+        job: u64,
+        stored: &RangeSet,
+        completed: &RangeSet,
+    ) {
+        let new = completed.difference(stored);
+        let repeated = completed.difference(&new);
+        if !repeated.is_empty() {
+            self.repeated_completions += u64::from(repeated.len());
+            tracing::warn!(shard = shard_id, job, numbers = ?repeated.ranges(), "tasks completed again");
+        }
+    }
+
     /// Logs the age and lateness of the jobs that a scheduling cycle ends.
     pub(super) fn log_ends(&self, cycle: &Cycle, now: Millis) {
         let wall = now + self.wall_offset;
--- a/crates/cherryyard-wire/src/ranges.rs
+++ b/crates/cherryyard-wire/src/ranges.rs
@@ -53,6 +53,11 @@
         self.0.get(i).is_some_and(|r| r.0 <= n)
     }
 
+    /// Returns whether all numbers below `n` are in the set.
+    pub fn covers_first(&self, n: u32) -> bool {
+        n == 0 || matches!(self.0.first(), Some(&(0, last)) if last >= n - 1)
+    }
+
     /// Returns all numbers, in ascending order.
     pub fn iter(&self) -> impl Iterator<Item = u32> + '_ {
         self.0.iter().flat_map(|r| r.0..=r.1)
--- a/crates/cherryyard-wire/src/ranges/tests.rs
+++ b/crates/cherryyard-wire/src/ranges/tests.rs
@@ -35,6 +35,8 @@
         }
         assert!(left.is_canonical() && right.is_canonical());
         assert!(left.iter().eq(expected_left.iter().copied()));
+        let covers = (0..n).all(|number| expected_left.contains(&number));
+        assert_eq!(left.covers_first(n), covers);
         assert!(
             left.difference(&right)
                 .iter()
--- a/crates/cherryyard/src/app/metrics.rs
+++ b/crates/cherryyard/src/app/metrics.rs
@@ -84,17 +84,31 @@
         counts
     }
 
+    /// Logs the tasks that completed again since `previous`, if there were any. Returns their
+    /// number since the start of the process.
+    fn log_repeated_completions(self: &Arc<Self>, previous: u64) -> u64 {
+        let repeated = self.with(|controller, _| controller.repeated_completions);
+        if repeated != previous {
+            let tasks = repeated - previous;
+            tracing::info!(tasks, "tasks completed again");
+        }
+        repeated
+    }
+
     /// Logs every minute the latencies of users' requests, the outcomes of look-ups and
-    /// submissions, the work for dependencies of jobs, and the commands to workers.
+    /// submissions, the work for dependencies of jobs, the commands to workers, and tasks that
+    /// completed again.
     pub(crate) async fn log_latency(self: Arc<Self>) {
         let mut dependency_steps = DependencySteps::default();
         let mut command_counts = CommandCounts::default();
+        let mut repeated_completions = 0;
         loop {
             tokio::time::sleep(LATENCY_INTERVAL).await;
             self.log_lookups();
             self.log_submissions();
             dependency_steps = self.log_dependencies(dependency_steps);
             command_counts = self.log_command_counts(command_counts);
+            repeated_completions = self.log_repeated_completions(repeated_completions);
             let mut latency = self.latency.lock().unwrap_or_else(PoisonError::into_inner);
             if !latency.is_empty() {
                 tracing::info!(
