A page is in division as long as a later page holds one of its tasks, not by its size

Cause: the division of a page takes several transactions, and whether one was begun was guessed anew each time from the page's size without its ended jobs. A page a few bytes too large stopped being oversized as soon as one of its jobs ended, between the copies and the deletion; cycles then went on with each task in two pages, withdrew a completed task from the copy, and found it again in the page. The class: a step of several transactions whose state is not stored. Change: a page is in division if it holds a task that a later page holds too, which the pages themselves store, so it holds for the next owner and whatever the limit is; the division is finished before anything else of the shard is written. Where earlier builds have let the two entries differ, a completion counts before an assignment and a newer attempt before an older one, in the mirror at once and in the pages when the division ends. Why it works: only the owner's steps end the condition, and they end it by deleting the page.

--- a/crates/cherryyard-core/src/mirror/assignments.rs
+++ b/crates/cherryyard-core/src/mirror/assignments.rs
@@ -3,7 +3,7 @@
 
 use super::Mirror;
 use crate::needs::Resources;
-use crate::pages::{Assignment, JobAssignments, Page, PageFormat};
+use crate::pages::{Assignment, JobAssignments, Page, PageFormat, PageJob};
 use cherryyard_wire::RangeSet;
 use cherryyard_wire::record::Key;
 use cherryyard_wire::state::Commit;
@@ -26,10 +26,53 @@
     /// Assignments by machine index, then job and task number. Kept as an index, since each
     /// cycle and each heartbeat look up many machines.
     by_machine: Vec<BTreeMap<(u64, u32), Assignment>>,
+    /// First page of each job that holds a task which a later page of the shard holds too. There
+    /// is one only while a page is being divided.
+    first_shared_pages: BTreeMap<(usize, u64), u32>,
     /// Numbers of the tasks that are completed in any shard, by job; empty sets are left out.
     completed: HashMap<u64, RangeSet>,
 }
 
+/// Returns the first page that holds a task which a later page holds too.
+fn first_shared_page(pages: &[(u32, &PageJob)]) -> Option<u32> {
+    if pages.len() < 2 {
+        return None;
+    }
+    let mut first = None;
+    let mut later = RangeSet::new();
+    for (page, entries) in pages.iter().rev() {
+        let numbers = entries.numbers();
+        if numbers.difference(&later).len() < numbers.len() {
+            first = Some(*page);
+        }
+        later = later.union(&numbers);
+    }
+    first
+}
+
+/// Merges a job's entries in all pages of a shard. If pages differ on a task, its completion
+/// counts before an assignment, and a newer attempt before an older one: an attempt is only
+/// assigned once the ones before it are proven to be gone.
+fn merge_pages(pages: &[(u32, &PageJob)]) -> JobAssignments {
+    let mut merged = JobAssignments::default();
+    for (page, entries) in pages {
+        for (&number, &assignment) in &entries.assignments {
+            let known = merged.assignments.get(&number);
+            if known.is_none_or(|(known, _)| known.attempt <= assignment.attempt) {
+                merged.assignments.insert(number, (assignment, *page));
+            }
+        }
+        merged.done = merged.done.union(&entries.done);
+    }
+    if pages.len() > 1 {
+        let done = &merged.done;
+        merged
+            .assignments
+            .retain(|&number, _| !done.contains(number));
+    }
+    merged
+}
+
 impl TaskTable {
     /// Returns an empty table for the given number of shards.
     pub(super) fn new(shards: usize) -> Self {
@@ -39,6 +82,7 @@
             waiting: vec![BTreeMap::new(); shards],
             waiting_changes: Vec::new(),
             by_machine: Vec::new(),
+            first_shared_pages: BTreeMap::new(),
             completed: HashMap::new(),
         }
     }
@@ -75,7 +119,8 @@
 
     /// Recomputes a job's assignments and completed tasks from all pages of a shard.
     fn refresh_assignments(&mut self, shard: usize, job: u64) {
-        let new = self.sum_pages(shard, job);
+        let new = merge_pages(&self.job_pages(shard, job));
+        self.refresh_shared_page(shard, job);
         let old = self.assignments.remove(&(shard, job)).unwrap_or_default();
         self.index_by_machine(job, &old, &new);
         let is_completion_changed = new.done != old.done;
@@ -103,18 +148,26 @@
         }
     }
 
-    fn sum_pages(&self, shard: usize, job: u64) -> JobAssignments {
-        let mut sum = JobAssignments::default();
-        for (&page, record) in &self.pages[shard] {
-            if let Some(page_job) = record.jobs.get(&job) {
-                let assignments = page_job.assignments.iter();
-                let with_page =
-                    assignments.map(|(&number, &assignment)| (number, (assignment, page)));
-                sum.assignments.extend(with_page);
-                sum.done = sum.done.union(&page_job.done);
-            }
-        }
-        sum
+    /// Returns a job's entries in the pages of a shard, in the order of the pages.
+    fn job_pages(&self, shard: usize, job: u64) -> Vec<(u32, &PageJob)> {
+        let pages = self.pages[shard].iter();
+        let with_job = pages.filter_map(|(&page, record)| Some((page, record.jobs.get(&job)?)));
+        with_job.collect()
+    }
+
+    /// Updates which page of a job is the first that holds a task which a later page holds too.
+    fn refresh_shared_page(&mut self, shard: usize, job: u64) {
+        match first_shared_page(&self.job_pages(shard, job)) {
+            Some(page) => self.first_shared_pages.insert((shard, job), page),
+            None => self.first_shared_pages.remove(&(shard, job)),
+        };
+    }
+
+    /// Returns the first page of a shard that holds a task which a later page holds too.
+    fn first_shared_page(&self, shard: usize) -> Option<u32> {
+        let in_shard = (shard, 0)..=(shard, u64::MAX);
+        let pages = self.first_shared_pages.range(in_shard);
+        pages.map(|(_, &page)| page).min()
     }
 
     /// Updates the index by machine with the difference between a job's old and new assignments.
@@ -210,6 +263,12 @@
         }
     }
 
+    /// Returns the shard's page that is being divided: it holds tasks of which a later page holds
+    /// copies.
+    pub fn page_in_division(&self, shard: usize) -> Option<u32> {
+        self.tasks.first_shared_page(shard)
+    }
+
     /// Returns the number of the shard's last page. New assignments are written only to this page
     /// or to the one after it.
     pub fn last_page(&self, shard: usize) -> Option<u32> {
@@ -313,3 +372,6 @@
         used
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/cherryyard-core/src/owner/oversize.rs
+++ b/crates/cherryyard-core/src/owner/oversize.rs
@@ -5,14 +5,20 @@
 //! entries are copied into new pages, as many at a time as a transaction can write, and once every
 //! entry has a copy the page is deleted.
 //!
-//! While the page exists, nothing of the shard is assigned or withdrawn, so the copies stay equal
-//! to the originals whichever controller owns the shard next. Every step depends on the page's
-//! revision, so no delayed step can be applied after the page is deleted.
+//! A page is in division as long as it holds a task that a later page holds too. That is stored,
+//! so it does not depend on the page's size, on the limit, or on which controller owns the shard.
+//! While a page is in division, nothing of the shard is assigned or withdrawn, so the copies stay
+//! equal to the originals. Every step depends on the page's revision, so no delayed step can be
+//! applied after the page is deleted.
+//!
+//! Earlier builds asked for the page's size in each step, and went on assigning and withdrawing
+//! tasks once a page in division was small enough. Where the two entries of a task differ
+//! therefore, the one that supersedes the other is kept.
 
 use super::TXN_BYTES;
 use crate::controller::Controller;
 use crate::names::Names;
-use crate::pages::{Assignment, Page, PageFormat};
+use crate::pages::{Assignment, Page, PageFormat, PageJob};
 use cherryyard_wire::RangeSet;
 use cherryyard_wire::record::{self, Key};
 use cherryyard_wire::state::{Change, Commit};
@@ -25,14 +31,13 @@
 }
 
 impl Controller {
-    /// Returns the next step of dividing a shard's first oversized page, or `None` if no page is
-    /// oversized.
-    pub(super) fn divide_oversized_page(
-        &self,
-        shard_id: usize,
-        token: u64,
-    ) -> Option<DivisionStep> {
-        let (number, page) = self.oversized_page(shard_id)?;
+    /// Returns the next step of dividing the shard's page that is in division, or else its first
+    /// oversized page; `None` if there is neither.
+    pub(super) fn next_division_step(&self, shard_id: usize, token: u64) -> Option<DivisionStep> {
+        let (number, page) = match self.mirror.page_in_division(shard_id) {
+            Some(number) => (number, self.needed_entries(shard_id, number)),
+            None => self.oversized_page(shard_id)?,
+        };
         let mut commit = Commit::default();
         commit.require(record::shard_key(shard_id), token);
         let source = Key::Assignment {
@@ -52,6 +57,7 @@
         tracing::info!(
             shard = shard_id,
             page = number,
+            is_first_step = self.mirror.page_in_division(shard_id).is_none(),
             bytes = self.stored_page_bytes(shard_id, number),
             limit = self.config.page_bytes,
             copies = copies.len(),
@@ -96,15 +102,22 @@
                 {
                     return None;
                 }
-                let mut page = page.clone();
-                page.jobs.retain(|&job, job_tasks| {
-                    self.mirror.end(job).is_none() || !job_tasks.assignments.is_empty()
-                });
+                let page = self.needed_entries(shard_id, number);
                 (page.bytes(&self.mirror.hosts, format) > max_bytes).then_some((number, page))
             })
     }
 
-    /// Returns the entries of a page that none of the shard's other pages holds.
+    /// Returns a page without the ended jobs that have no assignments in it.
+    fn needed_entries(&self, shard_id: usize, number: u32) -> Page {
+        let stored = self.mirror.tasks.pages[shard_id].get(&number);
+        let mut page = stored.cloned().unwrap_or_default();
+        page.jobs.retain(|&job, job_tasks| {
+            self.mirror.end(job).is_none() || !job_tasks.assignments.is_empty()
+        });
+        page
+    }
+
+    /// Returns the entries of a page that none of the shard's other pages holds or supersedes.
     fn without_copies(&self, shard_id: usize, number: u32, mut page: Page) -> Page {
         let others = || {
             let all = self.mirror.tasks.pages[shard_id].iter();
@@ -112,9 +125,10 @@
         };
         for (job, job_tasks) in &mut page.jobs {
             for copy in others().filter_map(|other| other.jobs.get(job)) {
+                log_superseded(shard_id, number, *job, job_tasks, copy);
                 job_tasks
                     .assignments
-                    .retain(|number, assignment| copy.assignments.get(number) != Some(assignment));
+                    .retain(|&number, assignment| !copy.supersedes(number, assignment));
                 job_tasks.done = job_tasks.done.difference(&copy.done);
             }
         }
@@ -151,6 +165,24 @@
     }
 }
 
+/// Logs the tasks of a page in division of which another page does not hold an equal entry, but
+/// one that supersedes it.
+fn log_superseded(shard: usize, page: u32, job: u64, entries: &PageJob, copy: &PageJob) {
+    let differing = entries.assignments.iter().filter(|(number, assignment)| {
+        copy.supersedes(**number, assignment) && copy.assignments.get(number) != Some(assignment)
+    });
+    let numbers: Vec<u32> = differing.map(|(&number, _)| number).collect();
+    if !numbers.is_empty() {
+        tracing::warn!(
+            shard,
+            page,
+            job,
+            ?numbers,
+            "superseded assignments in a divided page"
+        );
+    }
+}
+
 /// Returns the change that deletes a page; the first page is replaced by an empty one.
 fn delete_page(shard_id: usize, number: u32) -> Change {
     let key = record::assignments_key(shard_id, number);
--- a/crates/cherryyard-core/src/owner/planning.rs
+++ b/crates/cherryyard-core/src/owner/planning.rs
@@ -49,7 +49,7 @@
         if !self.state_fresh(now) {
             return;
         }
-        if let Some(step) = self.divide_oversized_page(shard_id, token) {
+        if let Some(step) = self.next_division_step(shard_id, token) {
             let pending = PendingCycle {
                 divided_page: Some(step.page),
                 ..PendingCycle::default()
--- a/crates/cherryyard-core/src/pages.rs
+++ b/crates/cherryyard-core/src/pages.rs
@@ -69,6 +69,20 @@
 const NAME_FRAME_BYTES: usize = 3;
 
 impl PageJob {
+    /// Returns the numbers of all tasks with an entry.
+    pub fn numbers(&self) -> RangeSet {
+        let assigned: RangeSet = self.assignments.keys().copied().collect();
+        self.done.union(&assigned)
+    }
+
+    /// Returns whether the entry of a task is as good as this assignment or replaces it: the task
+    /// is completed, or this attempt or a newer one is assigned.
+    pub fn supersedes(&self, number: u32, assignment: &Assignment) -> bool {
+        let assigned = self.assignments.get(&number);
+        self.done.contains(number)
+            || assigned.is_some_and(|assigned| assigned.attempt >= assignment.attempt)
+    }
+
     /// Returns the assignments grouped by attempt and incarnation, as a record holds them.
     /// `machine_index` returns a machine's index among the names in the record.
     fn groups(&self, mut machine_index: impl FnMut(u32) -> u64) -> Vec<AssignmentGroup> {
@@ -243,7 +257,12 @@
             if !done.is_canonical() {
                 return None;
             }
-            let page_job = PageJob::from_groups(groups, done, &hosts)?;
+            let mut page_job = PageJob::from_groups(groups, done, &hosts)?;
+            // Earlier builds may have merged two entries of a task. Its completion is final.
+            let done = &page_job.done;
+            page_job
+                .assignments
+                .retain(|&number, _| !done.contains(number));
             page.jobs.insert(job, page_job);
         }
         Some(page)
--- a/crates/cherryyard-simulation/tests/page_division.rs
+++ b/crates/cherryyard-simulation/tests/page_division.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use cherryyard_core::Outcome;
-use cherryyard_simulation::{Question, Setup, World};
+use cherryyard_simulation::{Question, Setup, World, run_seeds, seeded_draws};
 use cherryyard_wire::job::{JobSpec, JobStatus};
 use cherryyard_wire::page::{self, StoredPage};
 use cherryyard_wire::record::{PageRecord, assignments_key};
@@ -17,6 +17,8 @@
 const ENDING_JOB: &str = "j-000002";
 /// Number of tasks of each array.
 const TASKS: u32 = 900;
+/// Smallest limit on values that the settings allow, in bytes.
+const MIN_VALUE_BYTES: usize = 1024;
 /// Bytes of the largest value that a controller leaves free in a page.
 const PAGE_MARGIN_BYTES: usize = 64;
 
@@ -147,6 +149,126 @@
     world
 }
 
+/// Turns the assignments of a page into completions.
+fn complete_all(page: &mut PageRecord) {
+    for (_, groups, done) in &mut page.jobs {
+        for group in std::mem::take(groups) {
+            let numbers = group[2..].chunks_exact(2).map(|pair| pair[1] as u32);
+            numbers.for_each(|number| done.insert(number));
+        }
+    }
+}
+
+/// Guards against tasks that run again, and jobs that never end, where an earlier build went on
+/// with a page in division: it withdrew completed tasks from the copy and not from the page.
+#[test]
+fn a_division_that_an_earlier_build_went_on_without_is_ended() {
+    let mut world = cluster_with_a_division_begun();
+    world.cancel(1, ENDING_JOB);
+    finish_in_zone(&mut world, LONG_JOB, "b");
+    world.run(3.0);
+    world.kill(0);
+    finish_in_zone(&mut world, LONG_JOB, "a");
+    for (copy, ..) in pages(&world, 0).into_iter().skip(1) {
+        rewrite_page(&mut world, 0, copy, complete_all);
+    }
+    world.start(0);
+    world.run_until(30.0, |world| !world.is_in_division(0));
+    world.run(6.0);
+    let view = world.view(1, LONG_JOB).expect("the job");
+    assert_eq!(view.status, JobStatus::Running);
+    finish_in_zone(&mut world, LONG_JOB, "c");
+    world.run(6.0);
+    let view = world.view(2, LONG_JOB).expect("the job");
+    assert_eq!((view.status, view.done), (JobStatus::Done, TASKS));
+    for number in 0..TASKS {
+        let task = format!("{LONG_JOB}/{number}");
+        assert_eq!(starts(&world, &task).len(), 1, "{task}");
+    }
+    // The checker reports the records that this test has written.
+    let written = |text: &&String| text.contains(" is stored as ") || text.contains("is divided");
+    let found = world.violations.iter().filter(|text| !written(text));
+    assert_eq!(found.collect::<Vec<_>>(), Vec::<&String>::new());
+}
+
+/// Restarts a controller with a limit that makes its shard's largest page 1 to 3 bytes too large.
+fn restart_with_a_lower_limit(world: &mut World, controller: usize, excess: usize) {
+    let largest = pages(world, controller).iter().map(|page| page.2).max();
+    let value_bytes = largest.unwrap_or(0) + PAGE_MARGIN_BYTES - excess;
+    if value_bytes > MIN_VALUE_BYTES {
+        world.announce_limits((value_bytes as f64 + 0.5) / 1024.0, 8);
+        world.kill(controller);
+        world.start(controller);
+    }
+}
+
+/// Plays a day with a slow state service, many short arrays, cancellations, and pages that become
+/// a few bytes too large; panics if a rule is broken, a job does not end, or a page stays divided.
+fn play_divisions(seed: u64) {
+    let mut draw = seeded_draws(seed);
+    let mut world = settled(Setup {
+        machines: vec![("a", 40), ("b", 40), ("c", 40)],
+        write_rps: 60.0,
+        ..Setup::default()
+    });
+    world.state_link.seed(seed);
+    world.state_link.latency_ms = 150.0;
+    for worker in world.workers.values_mut() {
+        worker.run_ms = 4000.0 + draw(20_000) as f64;
+    }
+    let mut jobs: Vec<String> = Vec::new();
+    for second in 0..90 {
+        if draw(2) == 0 {
+            let id = format!("j-{:06}", jobs.len() + 1);
+            let mut spec = World::spec(&id, "sweep", 20 + draw(200) as u32);
+            (spec.cores, spec.ram_gb) = (0.25, 0.1);
+            world.submit(&spec);
+            jobs.push(id);
+        }
+        let open = |world: &mut World, id: &str| {
+            let view = world.view(0, id);
+            view.is_some_and(|view| matches!(view.status, JobStatus::Queued | JobStatus::Running))
+        };
+        let drawn = jobs.get(draw(jobs.len().max(1) as u64) as usize).cloned();
+        if draw(3) == 0
+            && let Some(id) = drawn.filter(|id| open(&mut world, id))
+        {
+            world.cancel(draw(3) as usize, &id);
+        }
+        if second % 6 == 5 {
+            let excess = 1 + draw(3) as usize;
+            restart_with_a_lower_limit(&mut world, draw(3) as usize, excess);
+        }
+        world.run(1.0);
+    }
+    world.run(90.0);
+    let case = format!("seed {seed}");
+    assert!(
+        world.violations.is_empty(),
+        "{case}: {:?}",
+        world.violations
+    );
+    for id in &jobs {
+        let view = world.view(0, id).expect("the job");
+        let is_ended = matches!(view.status, JobStatus::Done | JobStatus::Cancelled);
+        assert!(is_ended, "{case}: {id} is {:?}", view.status);
+    }
+    assert!((0..3).all(|shard| !world.is_in_division(shard)), "{case}");
+}
+
+/// Guards against tasks in two pages, ends that count twice and jobs that never end, when jobs end
+/// between the steps of a division.
+#[test]
+fn random_divisions_beside_ends_of_jobs() {
+    (0..6).for_each(play_divisions);
+}
+
+#[test]
+#[ignore = "started by hand, with FROM and SEEDS"]
+fn random_divisions_by_the_hundred() {
+    run_seeds(100, 100, play_divisions);
+}
+
 /// Guards against an array that is called done while its last task runs.
 #[test]
 fn a_job_that_ends_during_a_division_makes_no_other_job_done_too_early() {
