--- a/crates/cherryyard-core/src/mirror/assignments/tests.rs
+++ b/crates/cherryyard-core/src/mirror/assignments/tests.rs
@@ -25,8 +25,7 @@
     page
 }
 
-/// Guards against a completed task that is assigned again, and an old attempt that replaces a
-/// newer one, when two pages differ on a task, in either order of the pages.
+/// Guards against an entry that replaces a completion or a newer attempt, in either order of pages.
 #[test]
 fn pages_that_differ_on_a_task_are_merged_by_proof() {
     let old = page(
@@ -57,8 +56,7 @@
     }
 }
 
-/// Guards against a division that is given up or never ends: a page is in division as long as it
-/// shares a task with a later page.
+/// Guards against a division that is given up before its page is deleted.
 #[test]
 fn a_page_is_in_division_while_a_later_page_shares_a_task() {
     let mut table = TaskTable::new(1);
--- a/crates/cherryyard-simulation/tests/page_division.rs
+++ b/crates/cherryyard-simulation/tests/page_division.rs
@@ -124,6 +124,16 @@
     assert_eq!((view.status, view.done), (JobStatus::Done, 3));
 }
 
+/// Asserts that the long job is done and that each of its tasks has started once.
+fn assert_each_task_ran_once(world: &mut World) {
+    let view = world.view(2, LONG_JOB).expect("the job");
+    assert_eq!((view.status, view.done), (JobStatus::Done, TASKS));
+    for number in 0..TASKS {
+        let task = format!("{LONG_JOB}/{number}");
+        assert_eq!(starts(world, &task).len(), 1, "{task}");
+    }
+}
+
 /// Returns a cluster in which the owner of shard 0 has copied a page that is one byte too large,
 /// and has not deleted it.
 fn cluster_with_a_division_begun() -> World {
@@ -159,8 +169,7 @@
     }
 }
 
-/// Guards against tasks that run again, and jobs that never end, where an earlier build went on
-/// with a page in division: it withdrew completed tasks from the copy and not from the page.
+/// Guards against tasks that count twice where a build completed them in the copies of a page only.
 #[test]
 fn a_division_that_an_earlier_build_went_on_without_is_ended() {
     let mut world = cluster_with_a_division_begun();
@@ -179,12 +188,7 @@
     assert_eq!(view.status, JobStatus::Running);
     finish_in_zone(&mut world, LONG_JOB, "c");
     world.run(6.0);
-    let view = world.view(2, LONG_JOB).expect("the job");
-    assert_eq!((view.status, view.done), (JobStatus::Done, TASKS));
-    for number in 0..TASKS {
-        let task = format!("{LONG_JOB}/{number}");
-        assert_eq!(starts(&world, &task).len(), 1, "{task}");
-    }
+    assert_each_task_ran_once(&mut world);
     // The checker reports the records that this test has written.
     let written = |text: &&String| text.contains(" is stored as ") || text.contains("is divided");
     let found = world.violations.iter().filter(|text| !written(text));
@@ -256,8 +260,7 @@
     assert!((0..3).all(|shard| !world.is_in_division(shard)), "{case}");
 }
 
-/// Guards against tasks in two pages, ends that count twice and jobs that never end, when jobs end
-/// between the steps of a division.
+/// Guards against tasks that stay in two pages when jobs end between the steps of a division.
 #[test]
 fn random_divisions_beside_ends_of_jobs() {
     (0..6).for_each(play_divisions);
@@ -289,10 +292,5 @@
     );
     finish_in_zone(&mut world, LONG_JOB, "c");
     world.run(6.0);
-    let view = world.view(2, LONG_JOB).expect("the job");
-    assert_eq!((view.status, view.done), (JobStatus::Done, TASKS));
-    for number in 0..TASKS {
-        let task = format!("{LONG_JOB}/{number}");
-        assert_eq!(starts(&world, &task).len(), 1, "{task}");
-    }
+    assert_each_task_ran_once(&mut world);
 }
