--- a/crates/cherryyard-core/src/pages.rs
+++ b/crates/cherryyard-core/src/pages.rs
@@ -277,3 +277,6 @@
     /// Numbers of the completed tasks.
     pub done: RangeSet,
 }
+
+#[cfg(test)]
+mod tests;
