Log when a worker's token falls, count restarts and kills of unassigned attempts

The logs could not tell a copy of an old start apart from a start that the owner sent again: nothing named the moment at which a worker began anew, only the later kill of an attempt that is not assigned.

Change: the first of a row of heartbeats that are numbered below the newest message and show a lower token is logged with both tokens; the line of a restart names the tokens and for how long the machine was silent; 'commands to workers' counts kills of unassigned attempts and restarts within a lease.

--- a/crates/cherryyard-core/src/command_log.rs
+++ b/crates/cherryyard-core/src/command_log.rs
@@ -51,6 +51,10 @@
     pub refused: u64,
     /// Renewals of a held shard lease under a higher token.
     pub token_raises: u64,
+    /// Kills of attempts that no assignment accounts for.
+    pub unassigned_kills: u64,
+    /// Workers found to have restarted within their lease.
+    pub worker_restarts: u64,
 }
 
 /// Reason for a command to a worker.
@@ -170,6 +174,7 @@
                 CommandKind::Clear => (&mut counts.clears, "clear sent"),
             };
             *count += 1;
+            counts.unassigned_kills += u64::from(due.reason == CommandReason::NotAssigned);
             self.log_command(host, token, channel, due, event, now);
         }
     }
@@ -222,6 +227,28 @@
         }
     }
 
+    /// Logs the first of a row of heartbeats that are numbered below the machine's newest message
+    /// and show a lower token: the worker has restarted, or the heartbeat is a late copy. Until the
+    /// worker shows the present token again, it carries out what was sent under any lower one.
+    pub(crate) fn log_token_fallen(&self, host: u32, heartbeat: &WorkerHeartbeat, token: u64) {
+        let Some(machine) = self.machines.get(&host) else {
+            return;
+        };
+        if machine.consecutive_stale != 1 || heartbeat.fencing_token >= machine.token {
+            return;
+        }
+        tracing::info!(
+            machine = %heartbeat.host,
+            incarnation = heartbeat.incarnation,
+            sequence = heartbeat.sequence,
+            newest = ?machine.newest,
+            shown_token = heartbeat.fencing_token,
+            shown_before = machine.token,
+            token,
+            "older heartbeat shows a lower token"
+        );
+    }
+
     /// Counts and logs a batch of direct commands that the worker refused, as its answer shows: the
     /// worker has seen a higher token, or is in another incarnation.
     pub(crate) fn note_refused_commands(
--- a/crates/cherryyard-core/src/machine/messages.rs
+++ b/crates/cherryyard-core/src/machine/messages.rs
@@ -92,13 +92,19 @@
         self.note_reachability(event, now);
     }
 
-    /// Applies the answer to a query.
+    /// Returns whether the answer to a query shows that the worker has restarted.
     ///
     /// The answer is never a delayed copy, because its connection was made for this query. A worker
     /// numbers the answer after everything that it sent before, so an answer numbered below the
-    /// newest message known at the time of the query shows that the worker has restarted:
-    /// everything started before, up to attempt `newest_attempt`, ended with the old process. Only
-    /// direct starts may still arrive, if they name the new incarnation or a later one.
+    /// newest message known at the time of the query is that of a new process.
+    pub(crate) fn shows_restart(&self, status: &WorkerHeartbeat) -> bool {
+        let (_, newest_when_queried) = self.last_query;
+        (status.incarnation, status.sequence) < newest_when_queried
+    }
+
+    /// Applies the answer to a query. If it shows that the worker has restarted, everything started
+    /// before, up to attempt `newest_attempt`, ended with the old process. Only direct starts may
+    /// still arrive, if they name the new incarnation or a later one.
     pub(crate) fn receive_status(
         &mut self,
         status: &WorkerHeartbeat,
@@ -107,15 +113,17 @@
         now: Millis,
     ) -> Freshness {
         self.note_reachability(ReachabilityEvent::Reflected, now);
-        let order = (status.incarnation, status.sequence);
-        let (_, newest_when_queried) = self.last_query;
-        if order >= newest_when_queried {
+        if !self.shows_restart(status) {
             return self.receive(status, own, now);
         }
         tracing::info!(
             machine = %self.addr,
             incarnation = status.incarnation,
             before = self.newest.0,
+            shown_token = status.fencing_token,
+            shown_before = self.token,
+            token = own.current,
+            silent_ms = now - self.last_heard_at,
             "worker restarted within its lease"
         );
         self.forget_held_attempts(status.incarnation);
@@ -124,7 +132,7 @@
         self.images.clear();
         self.last_attempt_before_restart = newest_attempt;
         self.answered_at = now;
-        self.newest = order;
+        self.newest = (status.incarnation, status.sequence);
         self.consecutive_stale = 0;
         self.change(MachineEvent::TokenChanged);
         self.restarted_under = Some(own.current);
--- a/crates/cherryyard-core/src/worker_heartbeats.rs
+++ b/crates/cherryyard-core/src/worker_heartbeats.rs
@@ -60,7 +60,10 @@
         };
         let commands = match self.apply_heartbeat(host, heartbeat, own, now) {
             HeartbeatOutcome::Current => self.commands_in_answer(host, now),
-            HeartbeatOutcome::Stale => Vec::new(),
+            HeartbeatOutcome::Stale => {
+                self.log_token_fallen(host, heartbeat, token);
+                Vec::new()
+            }
             HeartbeatOutcome::FromRestartedWorker => self.commands_for_restarted_worker(host, now),
         };
         self.log_commands(
--- a/crates/cherryyard-core/src/worker_heartbeats/queries.rs
+++ b/crates/cherryyard-core/src/worker_heartbeats/queries.rs
@@ -66,6 +66,7 @@
             return;
         };
         self.capacity_changed |= !machine.reachability.is_reachable();
+        self.command_counts.worker_restarts += u64::from(machine.shows_restart(status));
         let freshness = machine.receive_status(status, own, newest_attempt, now);
         if machine.restarted_under == Some(own.current)
             && machine.direct_starts_under(own.current) > 0
--- a/crates/cherryyard/src/app/metrics.rs
+++ b/crates/cherryyard/src/app/metrics.rs
@@ -78,6 +78,8 @@
                 clears = counts.clears - previous.clears,
                 refused = counts.refused - previous.refused,
                 token_raises = counts.token_raises - previous.token_raises,
+                unassigned_stops = counts.unassigned_kills - previous.unassigned_kills,
+                worker_restarts = counts.worker_restarts - previous.worker_restarts,
                 "commands to workers"
             );
         }
