Starts travel in answers to heartbeats alone; direct commands request a heartbeat

Cause: a worker carries out a direct command if its token and incarnation match. One that begins anew has seen no token, is in its first incarnation and holds nothing, so no rule of the owner can void a direct start in time: not a higher token, not the attempt that is kept, not asking the machine. A body that starts a task on the worker that it was meant for starts it on the same machine begun anew as well.

Change: direct commands are kills and requests for a heartbeat. A request is the start of a task that no job can have (tasks are numbered from 0 to 99,999): the worker refuses it, holds the refused attempt, and reports this change at once; the answer carries the starts and clears the request. Workers drop late answers. So nothing is kept of direct starts, ended attempts are cleared with the next answer, and the lease is renewed under a higher token only after a worker has restarted; its starts wait for a heartbeat that shows it. A machine whose heartbeats do not arrive gets no task, and what it has not been offered starts elsewhere before its lease is over.

--- a/crates/cherryyard-core/src/command_log.rs
+++ b/crates/cherryyard-core/src/command_log.rs
@@ -7,6 +7,7 @@
 use crate::controller::Controller;
 use crate::machine::Task;
 use crate::owner::reconciliation::CommandChannel;
+use crate::worker_heartbeats::is_executed;
 use cherryyard_wire::worker::{CommandBatch, WorkerCommand, WorkerHeartbeat, task_name_of};
 use std::collections::BTreeSet;
 
@@ -41,8 +42,11 @@
 pub struct CommandCounts {
     /// Starts.
     pub starts: u64,
-    /// Direct starts of an attempt whose earlier direct start got no answer.
+    /// Starts in an answer after which the worker did not report the attempt, so that they are sent
+    /// again.
     pub repeated_starts: u64,
+    /// Direct commands that request a heartbeat.
+    pub heartbeat_requests: u64,
     /// Kills.
     pub kills: u64,
     /// Clears.
@@ -64,6 +68,8 @@
     Assigned,
     /// The attempt has ended, and its end is durable.
     EndDurable,
+    /// The heartbeat that the attempt stands for as a request has arrived.
+    HeartbeatArrived,
     /// The job is cancelled.
     Cancelled,
     /// The job is over.
@@ -84,6 +90,7 @@
         match self {
             Self::Assigned => "assigned",
             Self::EndDurable => "end durable",
+            Self::HeartbeatArrived => "heartbeat arrived",
             Self::Cancelled => "cancelled",
             Self::JobOver => "job over",
             Self::NotAssigned => "not assigned",
@@ -256,9 +263,7 @@
         request: &CommandBatch,
         status: &WorkerHeartbeat,
     ) {
-        let is_refused = status.fencing_token > request.fencing_token
-            || status.incarnation != request.incarnation;
-        if is_refused {
+        if !is_executed(request, status) {
             self.command_counts.refused += 1;
             tracing::info!(
                 machine = %status.host,
--- a/crates/cherryyard-core/src/machine.rs
+++ b/crates/cherryyard-core/src/machine.rs
@@ -1,6 +1,5 @@
 //! State of one machine as its shard's owner sees it.
 
-mod direct_starts;
 mod images;
 mod messages;
 mod proofs;
@@ -12,7 +11,6 @@
 use cherryyard_wire::cloud::{Instance, MachineType};
 use cherryyard_wire::peer::MachinePool;
 use cherryyard_wire::worker::WorkerHeartbeat;
-pub use direct_starts::{DirectStart, MAX_DIRECT_STARTS, StartOutcome};
 pub use images::{Image, ImageState};
 pub use messages::Freshness;
 pub use state::{MachineEvent, MachineState, OwnTokens};
@@ -66,6 +64,12 @@
     pub reclaim_at: Option<Millis>,
     /// Time at which the newest message arrived, or the last heartbeat if the worker has restarted.
     pub last_heard_at: Millis,
+    /// Time at which the newest heartbeat arrived. Direct answers do not count: only the answer to a
+    /// heartbeat can carry a start.
+    pub heartbeat_at: Millis,
+    /// Time until which the next heartbeat is expected without a request for it, because the worker
+    /// has yet to report a change.
+    pub(crate) heartbeat_awaited_until: Millis,
     /// Time from which the machine's lease is counted: that of the last answer to one of its
     /// heartbeats, or of the first message from a newer incarnation or a restarted worker.
     pub answered_at: Millis,
@@ -87,9 +91,6 @@
     /// messages from before the restart may still arrive and would look newer than the worker's new
     /// messages, so heartbeats that do not show a higher token are not evaluated; direct answers are.
     pub(crate) restarted_under: Option<u64>,
-    /// Direct starts that the worker would still carry out if they, or copies of them, arrived while
-    /// it does not hold the attempt.
-    pub direct_starts: Vec<DirectStart>,
     /// Task and attempt of the starts in the answer to the newest heartbeat.
     pub offered_starts: Vec<(Task, u64)>,
     /// Whether a direct command is in flight.
@@ -150,6 +151,8 @@
             lease_over: false,
             reclaim_at: None,
             last_heard_at: now,
+            heartbeat_at: now,
+            heartbeat_awaited_until: now,
             answered_at: now,
             reachability: Reachability::Reachable(0),
             abandoned_up_to: (0, 0),
@@ -158,7 +161,6 @@
             consecutive_stale: 0,
             last_attempt_before_restart: 0,
             restarted_under: None,
-            direct_starts: Vec::new(),
             offered_starts: Vec::new(),
             pushing: false,
             push_after: now,
@@ -268,12 +270,17 @@
             && now - self.last_heard_at > silence_ms
     }
 
+    /// Returns whether a message and a heartbeat of the machine have arrived within `silence_ms`.
+    fn is_heard(&self, now: Millis, silence_ms: f64) -> bool {
+        now - self.last_heard_at <= silence_ms && now - self.heartbeat_at <= silence_ms
+    }
+
     /// Returns whether new tasks may be placed on the machine.
     pub fn is_usable(&self, now: Millis, silence_ms: f64) -> bool {
         self.state == MachineState::Ready
             && self.reachability.is_reachable()
             && self.reclaim_at.is_none()
-            && now - self.last_heard_at <= silence_ms
+            && self.is_heard(now, silence_ms)
             && now >= self.avoid_until
     }
 }
--- a/crates/cherryyard-core/src/machine/messages.rs
+++ b/crates/cherryyard-core/src/machine/messages.rs
@@ -36,7 +36,6 @@
             self.note_busy(now);
             return Freshness::Unchanged;
         }
-        self.drop_outdated_starts(message);
         self.update_reachability(message, own, now);
         if message.incarnation > self.newest.0 {
             // A new incarnation has a whole lease, counted from its start, which was at the latest
@@ -50,16 +49,6 @@
         Freshness::Changed
     }
 
-    /// Removes direct starts to an older incarnation, or under a lower token than the worker has
-    /// seen, because they can no longer take effect. (The token of a worker that has restarted
-    /// rises from 0 to the token under which the starts were sent, so those starts are kept.)
-    fn drop_outdated_starts(&mut self, message: &WorkerHeartbeat) {
-        let (incarnation, token) = (message.incarnation, message.fencing_token);
-        if incarnation > self.newest.0 || token > self.token {
-            self.drop_void_starts(incarnation, token);
-        }
-    }
-
     /// Updates reachability from what a newer message shows of earlier answers.
     fn update_reachability(&mut self, message: &WorkerHeartbeat, own: OwnTokens, now: Millis) {
         if message.fencing_token >= own.first && self.token < own.first {
@@ -74,22 +63,24 @@
     }
 
     /// Updates reachability from whether the newest message reports the starts that were offered in
-    /// the last answer.
-    pub(crate) fn check_offered_starts(&mut self, now: Millis) {
+    /// the last answer. Returns how many it does not report.
+    pub(crate) fn check_offered_starts(&mut self, now: Millis) -> usize {
         let offered = std::mem::take(&mut self.offered_starts);
         if offered.is_empty() {
-            return;
+            return 0;
         }
         let is_reported = |(task, attempt): &(Task, u64)| {
             let reported = self.reported.get(task);
             reported.is_some_and(|reported| reported.attempt == *attempt)
         };
-        let event = if offered.iter().all(is_reported) {
+        let unreported = offered.len() - offered.iter().filter(|start| is_reported(start)).count();
+        let event = if unreported == 0 {
             ReachabilityEvent::Reflected
         } else {
             ReachabilityEvent::NotReflected
         };
         self.note_reachability(event, now);
+        unreported
     }
 
     /// Returns whether the answer to a query shows that the worker has restarted.
@@ -103,8 +94,8 @@
     }
 
     /// Applies the answer to a query. If it shows that the worker has restarted, everything started
-    /// before, up to attempt `newest_attempt`, ended with the old process. Only direct starts may
-    /// still arrive, if they name the new incarnation or a later one.
+    /// before, up to attempt `newest_attempt`, ended with the old process, and the answers that were
+    /// on their way to it are lost.
     pub(crate) fn receive_status(
         &mut self,
         status: &WorkerHeartbeat,
@@ -126,7 +117,6 @@
             silent_ms = now - self.last_heard_at,
             "worker restarted within its lease"
         );
-        self.forget_held_attempts(status.incarnation);
         self.offered_starts.clear();
         self.runs.clear();
         self.images.clear();
@@ -214,8 +204,8 @@
     }
 
     /// Returns whether a message repeats the last one in everything that affects decisions. While
-    /// starts are in flight every message counts as a change, because it shows whether they have
-    /// arrived.
+    /// offered starts are in flight every message counts as a change, because it shows whether they
+    /// have arrived.
     fn reports_no_change(&self, message: &WorkerHeartbeat, own: OwnTokens) -> bool {
         self.state == MachineState::Ready
             && !self.lease_over
@@ -225,7 +215,6 @@
             && own.first == self.answered_under
             && message.reclaim_in_s.is_none()
             && self.reclaim_at.is_none()
-            && !self.has_starts_in_flight()
             && self.offered_starts.is_empty()
             && message.addr == self.addr
             && self.lists_same_tasks(message)
--- a/crates/cherryyard-core/src/owner/collection.rs
+++ b/crates/cherryyard-core/src/owner/collection.rs
@@ -31,9 +31,6 @@
 struct Collection<'a> {
     cycle: &'a mut Cycle,
     pending: &'a mut PendingCycle,
-    /// Whether a start that should not take effect may still be in flight, so that only a higher
-    /// token can invalidate it.
-    needs_new_token: bool,
     /// Machines with ended assignments that do not fit into this cycle's transaction.
     deferred: BTreeSet<u32>,
     /// Run times of completed tasks, with their jobs.
@@ -54,7 +51,6 @@
         let mut collection = Collection {
             cycle,
             pending,
-            needs_new_token: false,
             deferred: BTreeSet::new(),
             runs: Vec::new(),
         };
@@ -63,16 +59,8 @@
                 self.collect_task(shard_id, task, &assignment, now, &mut collection);
             }
         }
-        let Collection {
-            needs_new_token,
-            deferred,
-            runs,
-            ..
-        } = collection;
+        let Collection { deferred, runs, .. } = collection;
         let shard = &mut self.shards[shard_id];
-        if needs_new_token {
-            shard.lease.want_new_token();
-        }
         shard.needs_cycle |= !deferred.is_empty();
         shard.machines_to_inspect.extend(deferred);
         for (job, run_ms) in runs {
@@ -114,7 +102,6 @@
             return;
         };
         let Some(end) = self.proven_end(task, assignment, now) else {
-            collection.needs_new_token |= self.is_kept_by_lost_start(task, assignment, now);
             return;
         };
         let is_done = end == ProvenEnd::Done;
@@ -182,22 +169,6 @@
         (!is_open || !may_start).then_some(ProvenEnd::Lost)
     }
 
-    /// Returns whether an assignment that should be withdrawn is held by a start whose answer was
-    /// lost. An assignment should be withdrawn if its job is over or its worker has restarted
-    /// since.
-    fn is_kept_by_lost_start(&self, task: Task, assignment: &Assignment, now: Millis) -> bool {
-        let Some(machine) = self.machines.get(&assignment.host) else {
-            return false;
-        };
-        let is_from_before_restart = assignment.attempt <= machine.last_attempt_before_restart;
-        let should_go = is_from_before_restart || !self.mirror.open.contains_key(&task.0);
-        should_go
-            && machine.shows_own_token()
-            && !machine.pushing
-            && now >= machine.push_after
-            && machine.is_threatened_by_start(task, assignment.attempt)
-    }
-
     fn log_lost(&self, task: Task, assignment: &Assignment) {
         let (job, number) = task;
         if !self.mirror.open.contains_key(&job) {
--- a/crates/cherryyard-core/src/owner/direct_commands.rs
+++ b/crates/cherryyard-core/src/owner/direct_commands.rs
@@ -1,6 +1,8 @@
-//! Direct commands: a machine's due commands are sent to its worker at once, without waiting for
-//! its next heartbeat.
+//! Direct commands: a machine's due kills are sent to its worker at once, without waiting for its
+//! next heartbeat. The network may deliver a copy of a direct command at any later time, also to a
+//! worker that has restarted since, so none of them starts a task.
 
+use super::heartbeat_request::heartbeat_request;
 use super::reconciliation::CommandChannel;
 use crate::Millis;
 use crate::command_log::DueCommand;
@@ -8,13 +10,14 @@
 use crate::effects::Effect;
 use crate::machine::Machine;
 use crate::reachability::Reachability;
-use cherryyard_wire::worker::CommandBatch;
+use cherryyard_wire::worker::{CommandBatch, WorkerCommand};
 
 /// Minimum time between two batches of direct commands to a machine.
 const PUSH_INTERVAL_MS: f64 = 50.0;
 
 impl Controller {
-    /// Sends a machine its due commands directly, if there are any.
+    /// Sends a machine its due kills directly, if there are any, and otherwise a request for a
+    /// heartbeat, if one is due.
     pub(crate) fn push(&mut self, host: u32, now: Millis) {
         let Some(machine) = self.machines.get(&host) else {
             return;
@@ -29,16 +32,13 @@
         {
             return;
         }
-        let due = self.reconcile(host, now, CommandChannel::Direct);
-        if due.is_empty() {
-            return;
-        }
-        self.count_repeated_starts(host, &due);
-        self.log_commands(host, token, CommandChannel::Direct, &due, now);
+        let commands = self.direct_commands(host, token, now);
         let Some(machine) = self.machines.get_mut(&host) else {
             return;
         };
-        let commands = due.into_iter().map(DueCommand::to_command).collect();
+        if commands.is_empty() {
+            return;
+        }
         let request = CommandBatch {
             fencing_token: token,
             incarnation: machine.newest.0,
@@ -46,7 +46,6 @@
         };
         machine.pushing = true;
         machine.push_after = now + PUSH_INTERVAL_MS;
-        machine.note_direct_starts(&request);
         let addr = machine.addr.clone();
         self.effects.push(Effect::Push {
             host,
@@ -55,18 +54,19 @@
         });
     }
 
-    /// Counts the starts among direct commands whose earlier start got no answer.
-    fn count_repeated_starts(&mut self, host: u32, due: &[DueCommand]) {
-        let Some(machine) = self.machines.get(&host) else {
-            return;
-        };
-        let was_sent = |due: &&DueCommand| {
-            let mut earlier = machine.direct_starts_of(due.task, due.attempt);
-            earlier.next().is_some()
-        };
-        let starts = due.iter().filter(|due| due.is_start());
-        let repeated = starts.filter(was_sent);
-        self.command_counts.repeated_starts += repeated.count() as u64;
+    /// Returns the commands that are to be sent to a machine directly, and logs them.
+    fn direct_commands(&mut self, host: u32, token: u64, now: Millis) -> Vec<WorkerCommand> {
+        let due = self.reconcile(host, now, CommandChannel::Direct);
+        if !due.is_empty() {
+            self.log_commands(host, token, CommandChannel::Direct, &due, now);
+            return due.into_iter().map(DueCommand::to_command).collect();
+        }
+        let machine = self.machines.get(&host);
+        if !machine.is_some_and(|machine| self.needs_heartbeat(machine, token, now)) {
+            return Vec::new();
+        }
+        self.log_heartbeat_request(host, token);
+        vec![heartbeat_request()]
     }
 
     /// Sends direct commands to each machine of the shard that has commands due.
--- a/crates/cherryyard-core/src/owner/fit.rs
+++ b/crates/cherryyard-core/src/owner/fit.rs
@@ -88,22 +88,6 @@
         best.map(|(_, _, _, capacity)| capacity)
     }
 
-    /// Returns whether a task could start on a machine if an ended attempt of it there were cleared.
-    pub(super) fn is_held_up_by_clear(
-        &self,
-        request: &FitRequest,
-        capacities: &[(u32, Resources)],
-    ) -> bool {
-        capacities.iter().any(|(host, free)| {
-            let machine = &self.machines[host];
-            let holds_ended = || {
-                let reported = machine.reported.get(&request.task);
-                reported.is_some_and(|reported| reported.ended())
-            };
-            request.needs.fits(free) && holds_ended() && self.is_permitted(request, machine)
-        })
-    }
-
     /// Returns whether a task may start on a machine now.
     fn is_possible(&self, request: &FitRequest, machine: &Machine) -> bool {
         !machine.reported.contains_key(&request.task) && self.is_permitted(request, machine)
--- a/crates/cherryyard-core/src/owner/mod.rs
+++ b/crates/cherryyard-core/src/owner/mod.rs
@@ -7,8 +7,8 @@
 //!
 //! Suggested reading order: [`planning`] (when an owner acts), [`collection`] and [`job_ends`]
 //! (proven ends of tasks and jobs), [`placement`] with [`fit`], [`zone_caps`], [`preempt`] and
-//! [`team_limits`] (assignments), [`cycle`] (the transaction), [`reconciliation`] and [`direct_commands`]
-//! (commands), [`scale_in`], [`unresponsive`] and [`spot_reclaim`] (releases of machines).
+//! [`team_limits`] (assignments), [`cycle`] (the transaction), [`reconciliation`],
+//! [`direct_commands`] and [`heartbeat_request`] (commands), [`scale_in`], [`unresponsive`] and [`spot_reclaim`] (releases of machines).
 
 mod aging;
 pub(crate) mod capacity;
@@ -19,6 +19,7 @@
 mod failure_attribution;
 mod fit;
 mod hand_over;
+pub(crate) mod heartbeat_request;
 mod images;
 mod job_ends;
 mod kept_remainders;
@@ -36,7 +37,6 @@
 pub(crate) mod state;
 mod task_ends;
 mod team_limits;
-mod token_raise;
 mod unresponsive;
 mod zone_caps;
 
--- a/crates/cherryyard-core/src/owner/placement.rs
+++ b/crates/cherryyard-core/src/owner/placement.rs
@@ -57,7 +57,6 @@
         self.drop_old_reservations(shard_id, now);
         let shard = &mut self.shards[shard_id];
         if shard.queues.is_empty() {
-            shard.is_held_up_by_clear = false;
             shard.handover_candidates.clear();
             return;
         }
@@ -142,7 +141,6 @@
             preemption: self.begin_preemption(shard_id, allowances.stop),
             unmet_needs: UnmetNeeds::default(),
             handed_over: BTreeSet::new(),
-            is_held_up_by_clear: false,
             placed: 0,
             ahead_cores,
             search_budget: SearchBudget::default(),
@@ -264,8 +262,6 @@
             let reserved_host = self.reserved_host(shard_id, (job, number));
             let request = self.fit_request(placement, candidate, number, reserved_host, &zones);
             let Some(capacity) = self.best_fit(&request, &placement.capacities) else {
-                let is_held_up = self.is_held_up_by_clear(&request, &placement.capacities);
-                placement.is_held_up_by_clear |= is_held_up;
                 unplaced.push(number);
                 if placement.fits_nowhere(needs) || unplaced.len() >= MAX_UNPLACED {
                     let rest = waiting.iter().filter(|n| *n > number);
@@ -415,13 +411,11 @@
             queues.save_cursor(flow, others, last);
         }
         let handed_over = placement.handed_over;
-        let is_held_up_by_clear = placement.is_held_up_by_clear;
         let shard = &mut self.shards[placement.shard_id];
         if !handed_over.is_empty() && handed_over != shard.handover_candidates {
             self.effects.push(Effect::Heartbeat);
             self.leader.needs_cycle = true;
         }
         shard.handover_candidates = handed_over;
-        shard.is_held_up_by_clear = is_held_up_by_clear;
     }
 }
--- a/crates/cherryyard-core/src/owner/placement/progress.rs
+++ b/crates/cherryyard-core/src/owner/placement/progress.rs
@@ -20,8 +20,6 @@
     pub(super) unmet_needs: UnmetNeeds,
     /// Services that are held back for another shard.
     pub(in crate::owner) handed_over: BTreeSet<u64>,
-    /// Whether a task found no room, but would if an ended attempt of it were cleared.
-    pub(super) is_held_up_by_clear: bool,
     /// Number of tasks placed so far.
     pub(super) placed: usize,
     /// Cores that flows may still start ahead of other flows, regardless of rank.
--- a/crates/cherryyard-core/src/owner/planning.rs
+++ b/crates/cherryyard-core/src/owner/planning.rs
@@ -6,7 +6,7 @@
 use crate::Millis;
 use crate::controller::Controller;
 use crate::effects::{Effect, Outcome, Ticket};
-use crate::machine::MachineEvent;
+use crate::machine::{Machine, MachineEvent};
 use cherryyard_wire::record;
 use cherryyard_wire::state::Commit;
 
@@ -85,6 +85,7 @@
         }
         self.shards[shard_id].maintained_at = now;
         self.expire_leases(shard_id, now);
+        self.abandon_unoffered(shard_id, now);
         self.release_silent(shard_id, now);
         self.release_reclaimed(shard_id, now);
         if now - self.shards[shard_id].silence_scanned_at >= SILENCE_SCAN_MS {
@@ -93,7 +94,6 @@
             self.release_with_cancelled_tasks(shard_id, now);
         }
         self.query_machines(shard_id, now);
-        self.raise_token_if_due(shard_id, now);
         self.push_due(shard_id, now);
     }
 
@@ -114,6 +114,33 @@
         }
     }
 
+    /// Gives up the assignments that machines have not been offered and cannot be, because no
+    /// heartbeat of theirs arrives to be answered; direct answers may still arrive. Messages of such
+    /// a machine prove the attempts absent, so that they can start elsewhere.
+    fn abandon_unoffered(&mut self, shard_id: usize, now: Millis) {
+        let silence = self.silence_ms();
+        if self.lag.time_without_lag(now) < silence {
+            return;
+        }
+        let is_waiting = |machine: &&Machine| {
+            machine.shard == shard_id
+                && machine.shows_own_token()
+                && now - machine.heartbeat_at > silence
+                && self.has_starts_due(machine, now)
+        };
+        let waiting = self.machines.values().filter(is_waiting);
+        let hosts: Vec<u32> = waiting.map(|machine| machine.host).collect();
+        let newest_attempt = self.newest_attempt();
+        for host in hosts {
+            if let Some(machine) = self.machines.get_mut(&host) {
+                machine.abandoned_up_to = (machine.newest.0, newest_attempt);
+                tracing::debug!(machine = %machine.addr, "no heartbeat arrives to be answered with starts");
+            }
+            self.shards[shard_id].machines_to_inspect.insert(host);
+            self.shards[shard_id].needs_cycle = true;
+        }
+    }
+
     /// Returns whether a scheduling cycle may be planned now.
     fn may_plan(&mut self, shard_id: usize, now: Millis) -> bool {
         let shard = &self.shards[shard_id];
--- a/crates/cherryyard-core/src/owner/reconciliation.rs
+++ b/crates/cherryyard-core/src/owner/reconciliation.rs
@@ -3,6 +3,7 @@
 //! Commands are the difference between a machine's durable assignments and the tasks in its newest
 //! message, so commands can be repeated and a new owner can continue for the previous one.
 
+use super::heartbeat_request::is_heartbeat_request;
 use crate::Millis;
 use crate::command_log::{CommandKind, CommandReason, DueCommand};
 use crate::controller::Controller;
@@ -22,7 +23,8 @@
 /// Path by which commands reach a machine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum CommandChannel {
-    /// Commands are sent in the response to a heartbeat of the machine.
+    /// Commands are sent in the response to a heartbeat of the machine, which the worker drops if
+    /// it arrives late: the only way for starts and clears.
     HeartbeatResponse,
     /// Commands are sent in a request from the owner to the worker.
     Direct,
@@ -64,23 +66,32 @@
         }
     }
 
-    /// Clears an ended task only once its end is durable and the worker would carry out no start of
-    /// it any more, in flight or copied; otherwise it could start the task a second time.
+    /// Clears an ended task only once its end is durable and no start of it is in flight; otherwise
+    /// the worker could start the task a second time. A request for a heartbeat has been answered.
     fn clear_ended(
         &self,
         task: Task,
         reported: &ReportedTask,
         is_assigned: bool,
     ) -> Option<DueCommand> {
-        let should_clear = self.channel == CommandChannel::HeartbeatResponse
-            && !is_assigned
+        if self.channel != CommandChannel::HeartbeatResponse {
+            return None;
+        }
+        let is_end_durable = !is_assigned
             && !self.machine.start_pending(task, reported.attempt)
             && self.assignments_are_current;
-        should_clear.then_some(DueCommand {
+        let reason = if is_heartbeat_request(task) {
+            CommandReason::HeartbeatArrived
+        } else if is_end_durable {
+            CommandReason::EndDurable
+        } else {
+            return None;
+        };
+        Some(DueCommand {
             task,
             attempt: reported.attempt,
             kind: CommandKind::Clear,
-            reason: CommandReason::EndDurable,
+            reason,
         })
     }
 
@@ -207,23 +218,38 @@
         if !machine.shows_own_token() || !is_commanded {
             return commands;
         }
-        let reconciliation = Reconciliation {
+        let reconciliation = self.reconciliation(machine, channel, now);
+        for (&task, reported) in &machine.reported {
+            commands.extend(reconciliation.command_for_reported(task, reported));
+        }
+        if channel == CommandChannel::HeartbeatResponse {
+            commands.extend(reconciliation.missing_starts());
+        }
+        commands.truncate(MAX_COMMANDS);
+        commands
+    }
+
+    /// Returns the reconciliation of a machine by commands that are sent this way.
+    fn reconciliation<'a>(
+        &'a self,
+        machine: &'a Machine,
+        channel: CommandChannel,
+        now: Millis,
+    ) -> Reconciliation<'a> {
+        Reconciliation {
             controller: self,
             machine,
             channel,
             assignments_are_current: self.state_fresh(now)
                 && self.owned_token(machine.shard).is_some(),
             now,
-        };
-        for (&task, reported) in &machine.reported {
-            commands.extend(reconciliation.command_for_reported(task, reported));
         }
-        let max_starts = match channel {
-            CommandChannel::HeartbeatResponse => MAX_COMMANDS,
-            CommandChannel::Direct => machine.direct_starts_left(),
-        };
-        commands.extend(reconciliation.missing_starts().take(max_starts));
-        commands.truncate(MAX_COMMANDS);
-        commands
+    }
+
+    /// Returns whether a machine is to start tasks that it does not report.
+    pub(super) fn has_starts_due(&self, machine: &Machine, now: Millis) -> bool {
+        let channel = CommandChannel::HeartbeatResponse;
+        let reconciliation = self.reconciliation(machine, channel, now);
+        reconciliation.missing_starts().next().is_some()
     }
 }
--- a/crates/cherryyard-core/src/owner/state.rs
+++ b/crates/cherryyard-core/src/owner/state.rs
@@ -86,8 +86,6 @@
     /// Services that are held back for a short time so that the leader can move them to another
     /// shard.
     pub(crate) handover_candidates: BTreeSet<u64>,
-    /// Whether a waiting task found no room, but would if an ended attempt of it were cleared.
-    pub(crate) is_held_up_by_clear: bool,
     /// Waiting jobs in the order of service.
     pub(crate) queues: Queues,
     /// Teams with waiting tasks of which none fits into the remainder of the grant, and the time
@@ -126,7 +124,6 @@
             kept_machines: BTreeMap::new(),
             job_failures: HashMap::new(),
             handover_candidates: BTreeSet::new(),
-            is_held_up_by_clear: false,
             queues: Queues::default(),
             unusable_remainders: HashMap::new(),
             kept_remainders: KeptRemainders::default(),
@@ -144,7 +141,6 @@
         self.reserved.clear();
         self.queues.clear();
         self.handover_candidates.clear();
-        self.is_held_up_by_clear = false;
         self.kept_machines.clear();
         self.job_failures.clear();
         self.unusable_remainders.clear();
--- a/crates/cherryyard-core/src/shard_lease.rs
+++ b/crates/cherryyard-core/src/shard_lease.rs
@@ -71,8 +71,6 @@
     ownerless_since: Option<Millis>,
     /// Whether the lease is to be renewed under a new token.
     new_token_wanted: bool,
-    /// Time since which the lease has been held under its present token.
-    token_since: Millis,
     /// Token under which the uninterrupted holding of the lease began; see
     /// [`ShardLease::tokens`].
     first_token: u64,
@@ -93,7 +91,6 @@
             acquire_after: now,
             ownerless_since: None,
             new_token_wanted: false,
-            token_since: now,
             first_token: 0,
             held_since: now,
             releases: 0,
@@ -126,11 +123,6 @@
         })
     }
 
-    /// Returns the time since which the lease has been held under its present token.
-    pub(crate) fn token_since(&self) -> Millis {
-        self.token_since
-    }
-
     /// Returns the time since which the lease has been held without interruption, under any
     /// token.
     pub(crate) fn held_since(&self) -> Millis {
@@ -152,7 +144,6 @@
         match self.phase {
             LeasePhase::NotHeld => self.new_token_wanted = false,
             LeasePhase::Held(token) => {
-                self.token_since = now;
                 if !matches!(before, LeasePhase::Held(_)) {
                     self.held_since = now;
                     self.first_token = token;
@@ -163,8 +154,8 @@
         Some(self.phase)
     }
 
-    /// Requests a renewal of the lease under a new token, so that workers refuse starts that were
-    /// sent to them directly under the present token.
+    /// Requests a renewal of the lease under a new token, which tells the heartbeats of a worker that
+    /// has restarted from late copies of those from before.
     pub(crate) fn want_new_token(&mut self) {
         self.new_token_wanted = true;
     }
--- a/crates/cherryyard-core/src/worker_heartbeats.rs
+++ b/crates/cherryyard-core/src/worker_heartbeats.rs
@@ -8,7 +8,7 @@
 use crate::config::MAX_MACHINES;
 use crate::controller::Controller;
 use crate::effects::{Effect, PushOutcome, Reply};
-use crate::machine::{Freshness, Machine, MachineState, OwnTokens};
+use crate::machine::{Freshness, MachineState, OwnTokens};
 use crate::owner::reconciliation::CommandChannel;
 use crate::reachability::ReachabilityEvent;
 use cherryyard_wire::record::JobOutcome;
@@ -26,6 +26,8 @@
 const UNSENT_RETRY_MS: f64 = 500.0;
 /// Delay before the next direct commands to a machine after a batch that got no answer.
 const UNANSWERED_RETRY_MS: f64 = 1000.0;
+/// Time within which a worker reports a change: it sends a heartbeat at most every half second.
+const CHANGE_REPORTED_MS: f64 = 1000.0;
 
 impl Controller {
     /// Handles a worker's heartbeat and returns the answer to it.
@@ -130,28 +132,7 @@
         let host = self.mirror.hosts.intern(&heartbeat.host);
         self.register_machine(host, shard_id, heartbeat, now);
         let machine = self.machines.get(&host)?;
-        if machine.state == MachineState::Gone {
-            return None;
-        }
-        let state_is_outdated =
-            self.state_contact.read_age(now) > self.config.cut_off_bound_ms() / 2.0;
-        if state_is_outdated && self.may_start_cancelled_task(machine) {
-            // While the state service does not answer, no controller can acquire the newer token
-            // that would invalidate the pending start, so the machine's incarnation has to end
-            // instead.
-            return None;
-        }
-        Some(host)
-    }
-
-    /// Returns whether a start of a cancelled job may still take effect on a machine. A start whose
-    /// attempt the machine has already reported cannot.
-    fn may_start_cancelled_task(&self, machine: &Machine) -> bool {
-        machine.direct_starts.iter().any(|start| {
-            let reported = machine.reported.get(&start.task);
-            self.is_cancelled(start.task.0)
-                && reported.is_none_or(|reported| reported.attempt != start.attempt)
-        })
+        (machine.state != MachineState::Gone).then_some(host)
     }
 
     /// Returns whether a job is known to be cancelled, from the state service or from another
@@ -192,9 +173,12 @@
         if freshness == Freshness::Stale {
             return HeartbeatOutcome::Stale;
         }
+        machine.heartbeat_at = now;
+        machine.heartbeat_awaited_until = now;
         // A worker has one heartbeat in flight at a time, so a newer heartbeat shows that the
         // previous answer was either executed or dropped.
-        machine.check_offered_starts(now);
+        let unreported = machine.check_offered_starts(now);
+        self.command_counts.repeated_starts += unreported as u64;
         if freshness == Freshness::Changed {
             self.handle_message_arrival(host, now);
         }
@@ -208,13 +192,16 @@
         if let Some(machine) = self.machines.get_mut(&host) {
             let starts = commands.iter().filter(|due| due.is_start());
             machine.offered_starts = starts.map(|due| (due.task, due.attempt)).collect();
+            if !commands.is_empty() {
+                machine.heartbeat_awaited_until = now + CHANGE_REPORTED_MS;
+            }
         }
         commands
     }
 
     /// Returns the commands for the answer to a heartbeat of a worker that has restarted, or to a
-    /// late copy of a heartbeat from before the restart, and has the worker queried. Starts are
-    /// left out and sent as direct commands only: a heartbeat without the task would not prove that
+    /// late copy of a heartbeat from before the restart, and has the worker queried. Starts are left
+    /// out until a heartbeat shows a higher token: a heartbeat without the task would not prove that
     /// a start in the answer to another heartbeat has not arrived.
     fn commands_for_restarted_worker(&mut self, host: u32, now: Millis) -> Vec<DueCommand> {
         if let Some(machine) = self.machines.get_mut(&host) {
@@ -286,7 +273,9 @@
             PushOutcome::Answered(status) => {
                 let answered_by = status.incarnation;
                 tracing::debug!(machine = %machine.addr, incarnation, answered_by, "direct commands answered");
-                machine.settle_direct_starts(request, Some(&status.tasks));
+                if is_executed(request, &status) {
+                    machine.heartbeat_awaited_until = now + CHANGE_REPORTED_MS;
+                }
                 machine.note_reachability(ReachabilityEvent::Reflected, now);
                 let Some(own) = self.shards[shard_id].lease.tokens() else {
                     return;
@@ -298,13 +287,11 @@
             }
             PushOutcome::Unsent => {
                 tracing::debug!(machine = %machine.addr, incarnation, "direct commands not sent");
-                machine.forget_unsent_starts(request);
                 machine.note_reachability(ReachabilityEvent::NotReflected, now);
                 machine.push_after = now + UNSENT_RETRY_MS;
             }
             PushOutcome::Unknown => {
                 tracing::debug!(machine = %machine.addr, incarnation, "direct commands not answered");
-                machine.settle_direct_starts(request, None);
                 machine.note_reachability(ReachabilityEvent::NotReflected, now);
                 machine.push_after = now + UNANSWERED_RETRY_MS;
             }
@@ -323,6 +310,12 @@
     FromRestartedWorker,
 }
 
+/// Returns whether a worker's answer shows that it has carried out a batch of direct commands. It
+/// refuses those under a lower token than it has seen, or for another incarnation.
+pub(crate) fn is_executed(request: &CommandBatch, status: &WorkerHeartbeat) -> bool {
+    status.fencing_token <= request.fencing_token && status.incarnation == request.incarnation
+}
+
 /// Returns whether `commands` contain a kill of the reported attempt.
 fn is_killed(reported: &TaskReport, commands: &[WorkerCommand]) -> bool {
     commands.iter().any(|command| match command {
--- a/crates/cherryyard-core/src/worker_heartbeats/queries.rs
+++ b/crates/cherryyard-core/src/worker_heartbeats/queries.rs
@@ -33,6 +33,12 @@
         }
     }
 
+    /// Returns an attempt number that no assignment made so far exceeds.
+    pub(crate) fn newest_attempt(&self) -> u64 {
+        let known = self.mirror.store_revision;
+        known.max(self.state_contact.newest_revision()) + 1
+    }
+
     /// Handles the answer to a status query; `None` means that the query was not answered.
     pub fn handle_status_answer(
         &mut self,
@@ -42,11 +48,7 @@
     ) {
         self.advance_clock(now);
         self.misdirected.record_query_result(host, answer.is_some());
-        let newest_attempt = self
-            .mirror
-            .store_revision
-            .max(self.state_contact.newest_revision())
-            + 1;
+        let newest_attempt = self.newest_attempt();
         let Some(machine) = self.machines.get_mut(&host) else {
             return;
         };
@@ -68,10 +70,9 @@
         self.capacity_changed |= !machine.reachability.is_reachable();
         self.command_counts.worker_restarts += u64::from(machine.shows_restart(status));
         let freshness = machine.receive_status(status, own, newest_attempt, now);
-        if machine.restarted_under == Some(own.current)
-            && machine.direct_starts_under(own.current) > 0
-        {
-            // The new process holds none of the attempts, so it would carry out their starts again.
+        if machine.may_precede_restart(own.current) {
+            // The worker's heartbeats are evaluated, and answered with starts, once they show a
+            // higher token.
             self.shards[shard_id].lease.want_new_token();
         }
         if freshness != Freshness::Stale {
--- a/crates/cherryyard-simulation/src/http_worker.rs
+++ b/crates/cherryyard-simulation/src/http_worker.rs
@@ -88,6 +88,16 @@
         operation(&mut self.lock().worker)
     }
 
+    /// Replaces the worker process by a new one that sends no heartbeat before a command changes its
+    /// tasks.
+    pub fn restart_silently(&self) {
+        let now = self.now_ms();
+        self.with(|worker| {
+            worker.restart(now);
+            worker.next_heartbeat_at = f64::INFINITY;
+        });
+    }
+
     async fn send_heartbeats(self, controller: String) {
         let http = HttpClient::new(CONNECT_TIMEOUT, 1);
         let url = format!("http://{controller}/hello");
@@ -116,7 +126,7 @@
         if now < worker.next_heartbeat_at {
             return None;
         }
-        worker.next_heartbeat_at = now + HEARTBEAT_INTERVAL_MS;
+        worker.heartbeat_sent(now, HEARTBEAT_INTERVAL_MS);
         Some(self.heartbeat_body(worker, now))
     }
 
--- a/crates/cherryyard-simulation/src/worker.rs
+++ b/crates/cherryyard-simulation/src/worker.rs
@@ -1,8 +1,9 @@
 //! Stand-in of the worker process of a machine.
 
+use cherryyard_wire::limits::MAX_TASKS;
 use cherryyard_wire::worker::{
     CommandBatch, ExitCause, HeartbeatResponse, TaskReport, TaskStatus, WorkerCommand,
-    WorkerHeartbeat,
+    WorkerHeartbeat, parse_task_name,
 };
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -12,6 +13,8 @@
 const PROVISIONING_LEAD_MS: f64 = 10_000.0;
 /// Delay until the next heartbeat of a worker that has received a new fencing token.
 const NEW_TOKEN_HEARTBEAT_DELAY_MS: f64 = 500.0;
+/// Minimum time between two heartbeats of a worker that has a change to report.
+const MIN_HEARTBEAT_INTERVAL_MS: f64 = 500.0;
 
 /// A task on a machine.
 #[derive(Clone, Debug)]
@@ -45,6 +48,11 @@
     task_name.split('/').next().unwrap_or_default()
 }
 
+/// Returns whether a job could have a task of this name: its tasks are numbered from 0.
+pub(crate) fn may_exist(task_name: &str) -> bool {
+    parse_task_name(task_name).is_some_and(|(_, number)| number < MAX_TASKS)
+}
+
 /// Stand-in of one machine's worker.
 #[derive(Clone, Debug)]
 pub struct WorkerStandIn {
@@ -70,6 +78,8 @@
     pub controller: usize,
     /// Time of the next heartbeat.
     pub next_heartbeat_at: f64,
+    /// Time of the last heartbeat.
+    heartbeat_sent_at: f64,
     /// Run time of the worker's tasks; infinite for replicas of services.
     pub run_ms: f64,
     /// Whether tasks on this machine fail instead of completing.
@@ -100,6 +110,7 @@
             lease_renewed_at: now,
             controller,
             next_heartbeat_at: now,
+            heartbeat_sent_at: f64::NEG_INFINITY,
             run_ms: f64::INFINITY,
             tasks_fail: false,
             failing_jobs: BTreeSet::new(),
@@ -149,6 +160,18 @@
         log
     }
 
+    /// Records that a heartbeat is sent now, and sets the time of the next one if nothing changes.
+    pub fn heartbeat_sent(&mut self, now: f64, interval_ms: f64) {
+        self.heartbeat_sent_at = now;
+        self.next_heartbeat_at = now + interval_ms;
+    }
+
+    /// Sends the next heartbeat as soon as it may, because the list of tasks has changed.
+    fn report_change(&mut self, now: f64) {
+        let earliest = now.max(self.heartbeat_sent_at + MIN_HEARTBEAT_INTERVAL_MS);
+        self.next_heartbeat_at = self.next_heartbeat_at.min(earliest);
+    }
+
     /// Models a hanging machine: once the lease has expired, its tasks no longer run, because a
     /// resumed worker checks its lease first. Direct commands that were sent to the machine are
     /// still executed before that, in the incarnation that has expired; until then the worker holds
@@ -165,6 +188,7 @@
     pub fn restart(&mut self, now: f64) {
         self.tasks.clear();
         (self.incarnation, self.sequence, self.fencing_token) = (1, 0, 0);
+        self.heartbeat_sent_at = f64::NEG_INFINITY;
         self.lease_renewed_at = now;
         self.next_heartbeat_at = now;
     }
@@ -259,9 +283,14 @@
                 WorkerCommand::Start { task_name, attempt } => {
                     let existing = self.tasks.get(task_name);
                     if existing.is_none_or(|task| task.attempt != *attempt && !task.runs()) {
-                        let task = Task::new(*attempt, now);
+                        let mut task = Task::new(*attempt, now);
+                        if may_exist(task_name) {
+                            log.push(format!("{} starts {task_name} try {attempt}", self.host));
+                        } else {
+                            task.cause = Some(ExitCause::NoSuchTask);
+                        }
                         self.tasks.insert(task_name.clone(), task);
-                        log.push(format!("{} starts {task_name} try {attempt}", self.host));
+                        self.report_change(now);
                     }
                 }
                 WorkerCommand::Kill {
@@ -280,6 +309,7 @@
                     let existing = self.tasks.get(task_name);
                     if existing.is_some_and(|task| task.attempt == *attempt && !task.runs()) {
                         self.tasks.remove(task_name);
+                        self.report_change(now);
                     }
                 }
             }
--- a/crates/cherryyard-simulation/src/world/machines.rs
+++ b/crates/cherryyard-simulation/src/world/machines.rs
@@ -1,8 +1,9 @@
 //! Machines: the steps of their workers, heartbeats, direct commands and status queries.
 
 use super::World;
+use crate::worker::may_exist;
 use cherryyard_core::{PushOutcome, Reply};
-use cherryyard_wire::worker::{CommandBatch, WorkerHeartbeat};
+use cherryyard_wire::worker::{CommandBatch, WorkerHeartbeat, task_name_of};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Timeout of a worker for the response to a heartbeat.
@@ -84,7 +85,7 @@
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
-        worker.next_heartbeat_at = now + report_ms;
+        worker.heartbeat_sent(now, report_ms);
         let (controller, zone) = (worker.controller, worker.zone.clone());
         let heartbeat = worker.next_heartbeat(now);
         self.duplicates
@@ -162,6 +163,7 @@
     pub(super) fn push(&mut self, i: usize, host: u32, addr: &str, request: CommandBatch) {
         let now = self.now;
         let name = machine_name_of(addr);
+        self.check_direct_commands(name, &request);
         let is_held = self.machines.slow_commands.contains(name) || !self.reaches_machine(i, name);
         let outcome = if is_held {
             self.machines.held_commands.push(HeldCommand {
@@ -189,6 +191,18 @@
         }
     }
 
+    /// Checks that direct commands start no task: a copy of them could start it again.
+    pub fn check_direct_commands(&mut self, machine: &str, request: &CommandBatch) {
+        for ((job, number), attempt) in request.starts() {
+            let task_name = task_name_of(job, number);
+            if may_exist(&task_name) {
+                self.record_violation(format!(
+                    "{task_name} try {attempt} is sent directly to {machine}"
+                ));
+            }
+        }
+    }
+
     /// Queries a machine's status for a controller.
     pub(super) fn query_status(&mut self, i: usize, host: u32, addr: &str) {
         let now = self.now;
--- a/crates/cherryyard-simulation/src/world/setup.rs
+++ b/crates/cherryyard-simulation/src/world/setup.rs
@@ -143,7 +143,7 @@
 
     /// Returns the duration in milliseconds for which an answered heartbeat keeps a worker's tasks
     /// running.
-    pub(super) fn lease_ms(&self) -> f64 {
+    pub fn lease_ms(&self) -> f64 {
         self.lease_s * 1000.0
     }
 
--- a/crates/cherryyard-simulation/tests/checker.rs
+++ b/crates/cherryyard-simulation/tests/checker.rs
@@ -38,6 +38,24 @@
     world.deliver_held_commands();
 }
 
+/// The checker must report a direct command that starts a task.
+#[test]
+fn detects_a_direct_start() {
+    let mut world = cluster(0.0);
+    let start = |task_name: &str| CommandBatch {
+        fencing_token: 1,
+        incarnation: 1,
+        commands: vec![WorkerCommand::Start {
+            task_name: task_name.into(),
+            attempt: 1,
+        }],
+    };
+    world.check_direct_commands("host-000000", &start("j-000000/100000"));
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+    world.check_direct_commands("host-000000", &start("j-000001/0"));
+    assert_detects(&world, "sent directly");
+}
+
 fn assert_detects(world: &World, text: &str) {
     assert!(
         world.violations.iter().any(|b| b.contains(text)),
--- a/crates/cherryyard-simulation/tests/command_copies.rs
+++ b/crates/cherryyard-simulation/tests/command_copies.rs
@@ -162,8 +162,37 @@
     assert!(world.violations.is_empty(), "{:?}", world.violations);
 }
 
+/// Guards against the same at each moment in the seconds after the restart, while the owner learns of
+/// it, and after a second restart.
+#[test]
+fn copies_of_starts_at_any_moment_after_a_restart_start_nothing() {
+    let (mut world, host) = cluster_with_restarted_machine();
+    for step in 0..200 {
+        if step == 100 {
+            world.restart_machine(&host);
+        }
+        world.deliver_recorded_starts();
+        world.run(0.05);
+    }
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+    assert_copies_start_nothing(&mut world, "restarted twice");
+    assert_eq!(world.running_task_count(), 1);
+}
+
+/// Guards against requests for heartbeats that stay on a worker: copies of all of them, also of those
+/// to the worker's former process, are cleared.
+#[test]
+fn copies_of_heartbeat_requests_are_cleared() {
+    let (mut world, host) = cluster_with_restarted_machine();
+    world.run(10.0);
+    world.deliver_recorded_starts();
+    let tasks = |world: &World| world.workers[&host].tasks.len();
+    assert_eq!(tasks(&world), 1, "one request is held, however many arrive");
+    world.run_until(3.0, |world| tasks(world) == 0);
+}
+
 /// Guards against a preempted task that waits for long although its only machine is free again,
-/// because its ended attempt there cannot be cleared before a higher token.
+/// because its ended attempt there is not cleared.
 #[test]
 fn a_preempted_task_returns_to_its_only_machine() {
     let mut world = World::new(Setup {
--- a/crates/cherryyard-simulation/tests/reachability.rs
+++ b/crates/cherryyard-simulation/tests/reachability.rs
@@ -173,8 +173,28 @@
     }
 }
 
-/// Guards against a task that runs twice: a direct start to a worker's previous process is in
-/// flight. Nothing starts elsewhere before a higher token makes that start invalid.
+/// Guards against tasks that wait for a machine whose heartbeats are lost while direct commands reach
+/// it: only the answer to a heartbeat could start them. They start elsewhere before its lease is over.
+#[test]
+fn tasks_leave_a_machine_whose_heartbeats_are_lost() {
+    let mut world = settled(Setup {
+        machines: vec![("a", 3)],
+        ..Setup::default()
+    });
+    let host = "host-000000".to_string();
+    world.network.outbound_lost.insert(host.clone());
+    world.submit(&World::spec("j-000001", "service", 4));
+    let seconds = Setup::default().lease_ms() / 1000.0;
+    world.run_until(seconds, |world| world.running_task_count() == 4);
+    assert_eq!(world.workers[&host].running_tasks().count(), 0);
+    world.network.outbound_lost.clear();
+    world.run(20.0);
+    assert_eq!(world.running_task_count(), 4);
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
+
+/// Guards against a task that runs twice: a direct command to a worker's previous process is in
+/// flight.
 #[test]
 fn a_start_to_a_workers_previous_process() {
     let mut world = settled(Setup {
--- a/crates/cherryyard/src/app/metrics.rs
+++ b/crates/cherryyard/src/app/metrics.rs
@@ -74,6 +74,7 @@
             tracing::info!(
                 starts = counts.starts - previous.starts,
                 repeated_starts = counts.repeated_starts - previous.repeated_starts,
+                heartbeat_requests = counts.heartbeat_requests - previous.heartbeat_requests,
                 stops = counts.kills - previous.kills,
                 clears = counts.clears - previous.clears,
                 refused = counts.refused - previous.refused,
