A query's answer shows no restart once a newer message has been evaluated

Cause: an answer to a status query that is numbered below the newest message known at the query was taken for that of a new process, whatever had arrived since.

Change: such an answer counts only if no newer message has been evaluated since the query.

Result: an_answer_older_than_a_message_since_the_query_shows_no_restart fails without the condition.

--- a/crates/cherryyard-core/src/machine.rs
+++ b/crates/cherryyard-core/src/machine.rs
@@ -17,6 +17,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 pub use tasks::{ReportedTask, Task};
 
+#[cfg(test)]
+mod tests;
+
 /// Time after the announced reclaim at which a machine counts as taken by the cloud.
 const RECLAIMED_AFTER_MS: f64 = 1000.0;
 /// Minimum time left before a reclaim for starting another task on a machine.
@@ -271,7 +274,7 @@
     }
 
     /// Returns whether a message and a heartbeat of the machine have arrived within `silence_ms`.
-    fn is_heard(&self, now: Millis, silence_ms: f64) -> bool {
+    fn has_reported_within(&self, silence_ms: f64, now: Millis) -> bool {
         now - self.last_heard_at <= silence_ms && now - self.heartbeat_at <= silence_ms
     }
 
@@ -280,7 +283,7 @@
         self.state == MachineState::Ready
             && self.reachability.is_reachable()
             && self.reclaim_at.is_none()
-            && self.is_heard(now, silence_ms)
+            && self.has_reported_within(silence_ms, now)
             && now >= self.avoid_until
     }
 }
--- a/crates/cherryyard-core/src/machine/messages.rs
+++ b/crates/cherryyard-core/src/machine/messages.rs
@@ -87,10 +87,13 @@
     ///
     /// The answer is never a delayed copy, because its connection was made for this query. A worker
     /// numbers the answer after everything that it sent before, so an answer numbered below the
-    /// newest message known at the time of the query is that of a new process.
+    /// newest message known at the time of the query is that of a new process. If a newer message
+    /// has been evaluated since, the new process may have sent it and have been answered with starts,
+    /// so another query has to tell.
     pub(crate) fn shows_restart(&self, status: &WorkerHeartbeat) -> bool {
         let (_, newest_when_queried) = self.last_query;
         (status.incarnation, status.sequence) < newest_when_queried
+            && self.newest == newest_when_queried
     }
 
     /// Applies the answer to a query. If it shows that the worker has restarted, everything started
