One look-up of a job's pages, one copy of a page without ended jobs

No change of behaviour. A page change looked a job's pages up twice, for the merged entries and for the page that a later one shares; one look-up serves both. The clone of a page without ended jobs stood in the cycle's edit and in the division; Mirror::needed_entries serves both. The page in division is asked for once a step.

--- a/crates/cherryyard-core/src/mirror/assignments.rs
+++ b/crates/cherryyard-core/src/mirror/assignments.rs
@@ -119,8 +119,13 @@
 
     /// Recomputes a job's assignments and completed tasks from all pages of a shard.
     fn refresh_assignments(&mut self, shard: usize, job: u64) {
-        let new = merge_pages(&self.job_pages(shard, job));
-        self.refresh_shared_page(shard, job);
+        let pages = self.job_pages(shard, job);
+        let new = merge_pages(&pages);
+        let shared_page = first_shared_page(&pages);
+        match shared_page {
+            Some(page) => self.first_shared_pages.insert((shard, job), page),
+            None => self.first_shared_pages.remove(&(shard, job)),
+        };
         let old = self.assignments.remove(&(shard, job)).unwrap_or_default();
         self.index_by_machine(job, &old, &new);
         let is_completion_changed = new.done != old.done;
@@ -155,14 +160,6 @@
         with_job.collect()
     }
 
-    /// Updates which page of a job is the first that holds a task which a later page holds too.
-    fn refresh_shared_page(&mut self, shard: usize, job: u64) {
-        match first_shared_page(&self.job_pages(shard, job)) {
-            Some(page) => self.first_shared_pages.insert((shard, job), page),
-            None => self.first_shared_pages.remove(&(shard, job)),
-        };
-    }
-
     /// Returns the first page of a shard that holds a task which a later page holds too.
     fn first_shared_page(&self, shard: usize) -> Option<u32> {
         let in_shard = (shard, 0)..=(shard, u64::MAX);
@@ -263,6 +260,15 @@
         }
     }
 
+    /// Returns a page without the ended jobs that have no assignments in it.
+    pub(crate) fn needed_entries(&self, shard: usize, number: u32) -> Page {
+        let stored = self.tasks.pages[shard].get(&number);
+        let mut page = stored.cloned().unwrap_or_default();
+        page.jobs
+            .retain(|&job, entries| self.end(job).is_none() || !entries.assignments.is_empty());
+        page
+    }
+
     /// Returns the shard's page that is being divided: it holds tasks of which a later page holds
     /// copies.
     pub fn page_in_division(&self, shard: usize) -> Option<u32> {
--- a/crates/cherryyard-core/src/owner/cycle.rs
+++ b/crates/cherryyard-core/src/owner/cycle.rs
@@ -98,11 +98,7 @@
             if !self.fits(1, 1) || self.bytes() + self.page_bytes > TXN_BYTES {
                 return None;
             }
-            let stored = mirror.tasks.pages[self.shard].get(&number);
-            let mut page = stored.cloned().unwrap_or_default();
-            page.jobs.retain(|&job, job_tasks| {
-                mirror.end(job).is_none() || !job_tasks.assignments.is_empty()
-            });
+            let page = mirror.needed_entries(self.shard, number);
             let bytes = page.bytes(&mirror.hosts, self.format);
             self.edits.insert(number, EditedPage { page, bytes });
         }
--- a/crates/cherryyard-core/src/owner/oversize.rs
+++ b/crates/cherryyard-core/src/owner/oversize.rs
@@ -34,8 +34,9 @@
     /// Returns the next step of dividing the shard's page that is in division, or else its first
     /// oversized page; `None` if there is neither.
     pub(super) fn next_division_step(&self, shard_id: usize, token: u64) -> Option<DivisionStep> {
-        let (number, page) = match self.mirror.page_in_division(shard_id) {
-            Some(number) => (number, self.needed_entries(shard_id, number)),
+        let page_in_division = self.mirror.page_in_division(shard_id);
+        let (number, page) = match page_in_division {
+            Some(number) => (number, self.mirror.needed_entries(shard_id, number)),
             None => self.oversized_page(shard_id)?,
         };
         let mut commit = Commit::default();
@@ -57,7 +58,7 @@
         tracing::info!(
             shard = shard_id,
             page = number,
-            is_first_step = self.mirror.page_in_division(shard_id).is_none(),
+            is_first_step = page_in_division.is_none(),
             bytes = self.stored_page_bytes(shard_id, number),
             limit = self.config.page_bytes,
             copies = copies.len(),
@@ -102,21 +103,11 @@
                 {
                     return None;
                 }
-                let page = self.needed_entries(shard_id, number);
+                let page = self.mirror.needed_entries(shard_id, number);
                 (page.bytes(&self.mirror.hosts, format) > max_bytes).then_some((number, page))
             })
     }
 
-    /// Returns a page without the ended jobs that have no assignments in it.
-    fn needed_entries(&self, shard_id: usize, number: u32) -> Page {
-        let stored = self.mirror.tasks.pages[shard_id].get(&number);
-        let mut page = stored.cloned().unwrap_or_default();
-        page.jobs.retain(|&job, job_tasks| {
-            self.mirror.end(job).is_none() || !job_tasks.assignments.is_empty()
-        });
-        page
-    }
-
     /// Returns the entries of a page that none of the shard's other pages holds or supersedes.
     fn without_copies(&self, shard_id: usize, number: u32, mut page: Page) -> Page {
         let others = || {
