Starts in answers: one rule where two stood, commands' outcome with the batch

Behaviour as before, but that requests for heartbeats of machines named in trace are logged at info, as all their other commands are.

- The newest heartbeat's time is never later than that of the newest message, so it alone decides whether a machine is usable.
- Reconciliation does not know the channel: direct commands are the kills among its commands.
- placement computes its attempt with newest_attempt; assignments are abandoned in one place.
- Whether a worker carried a batch out is a method of the batch, so that command_log does not import worker_heartbeats; the line of a request is where the other commands' lines are.
- Comments that still spoke of direct starts.

--- a/crates/cherryyard-core/src/command_log.rs
+++ b/crates/cherryyard-core/src/command_log.rs
@@ -7,7 +7,6 @@
 use crate::controller::Controller;
 use crate::machine::Task;
 use crate::owner::reconciliation::CommandChannel;
-use crate::worker_heartbeats::is_executed;
 use cherryyard_wire::worker::{CommandBatch, WorkerCommand, WorkerHeartbeat, task_name_of};
 use std::collections::BTreeSet;
 
@@ -132,6 +131,11 @@
         }
     }
 
+    /// Returns whether the command is a kill.
+    pub fn is_kill(&self) -> bool {
+        matches!(self.kind, CommandKind::Kill { .. })
+    }
+
     /// Returns whether the command is a start.
     pub fn is_start(&self) -> bool {
         self.kind == CommandKind::Start
@@ -218,6 +222,18 @@
         );
     }
 
+    /// Counts and logs a request for a heartbeat.
+    pub(crate) fn log_heartbeat_request(&mut self, host: u32, token: u64) {
+        self.command_counts.heartbeat_requests += 1;
+        let machine = self.mirror.hosts.name(host);
+        log_event!(
+            self.command_trace.machines.contains(machine),
+            machine,
+            token,
+            "heartbeat requested"
+        );
+    }
+
     /// Logs that a heartbeat of a traced machine is answered, and what permits the answer.
     pub(crate) fn log_answer(&self, heartbeat: &WorkerHeartbeat, token: u64, now: Millis) {
         if self.command_trace.machines.contains(&heartbeat.host) {
@@ -263,7 +279,7 @@
         request: &CommandBatch,
         status: &WorkerHeartbeat,
     ) {
-        if !is_executed(request, status) {
+        if !request.is_executed(status) {
             self.command_counts.refused += 1;
             tracing::info!(
                 machine = %status.host,
--- a/crates/cherryyard-core/src/machine.rs
+++ b/crates/cherryyard-core/src/machine.rs
@@ -67,8 +67,8 @@
     pub reclaim_at: Option<Millis>,
     /// Time at which the newest message arrived, or the last heartbeat if the worker has restarted.
     pub last_heard_at: Millis,
-    /// Time at which the newest heartbeat arrived. Direct answers do not count: only the answer to a
-    /// heartbeat can carry a start.
+    /// Time at which the newest heartbeat arrived, at the latest `last_heard_at`. Direct answers do
+    /// not count: only the answer to a heartbeat can carry a start.
     pub heartbeat_at: Millis,
     /// Time until which the next heartbeat is expected without a request for it, because the worker
     /// has yet to report a change.
@@ -223,6 +223,12 @@
         self.reachability = after;
     }
 
+    /// Gives up the assignments up to this attempt in the newest incarnation that are not on the
+    /// machine and not on their way.
+    pub(crate) fn abandon_up_to(&mut self, attempt: u64) {
+        self.abandoned_up_to = (self.newest.0, attempt);
+    }
+
     /// Returns whether a query to the machine is due, because the machine may be unreachable or
     /// because stale messages have arrived. The first reason no longer applies once the machine has
     /// been silent for `silence_limit_ms`.
@@ -273,17 +279,12 @@
             && now - self.last_heard_at > silence_ms
     }
 
-    /// Returns whether a message and a heartbeat of the machine have arrived within `silence_ms`.
-    fn has_reported_within(&self, silence_ms: f64, now: Millis) -> bool {
-        now - self.last_heard_at <= silence_ms && now - self.heartbeat_at <= silence_ms
-    }
-
     /// Returns whether new tasks may be placed on the machine.
     pub fn is_usable(&self, now: Millis, silence_ms: f64) -> bool {
         self.state == MachineState::Ready
             && self.reachability.is_reachable()
             && self.reclaim_at.is_none()
-            && self.has_reported_within(silence_ms, now)
+            && now - self.heartbeat_at <= silence_ms
             && now >= self.avoid_until
     }
 }
--- a/crates/cherryyard-core/src/machine/messages.rs
+++ b/crates/cherryyard-core/src/machine/messages.rs
@@ -73,7 +73,7 @@
             let reported = self.reported.get(task);
             reported.is_some_and(|reported| reported.attempt == *attempt)
         };
-        let unreported = offered.len() - offered.iter().filter(|start| is_reported(start)).count();
+        let unreported = offered.iter().filter(|start| !is_reported(start)).count();
         let event = if unreported == 0 {
             ReachabilityEvent::Reflected
         } else {
--- a/crates/cherryyard-core/src/owner/heartbeat_request.rs
+++ b/crates/cherryyard-core/src/owner/heartbeat_request.rs
@@ -40,11 +40,4 @@
         }
         machine.may_precede_restart(machine.token) || self.has_starts_due(machine, now)
     }
-
-    /// Counts and logs a request for a heartbeat.
-    pub(super) fn log_heartbeat_request(&mut self, host: u32, token: u64) {
-        self.command_counts.heartbeat_requests += 1;
-        let machine = self.mirror.hosts.name(host);
-        tracing::debug!(machine, token, "heartbeat requested");
-    }
 }
--- a/crates/cherryyard-core/src/owner/mod.rs
+++ b/crates/cherryyard-core/src/owner/mod.rs
@@ -8,7 +8,8 @@
 //! Suggested reading order: [`planning`] (when an owner acts), [`collection`] and [`job_ends`]
 //! (proven ends of tasks and jobs), [`placement`] with [`fit`], [`zone_caps`], [`preempt`] and
 //! [`team_limits`] (assignments), [`cycle`] (the transaction), [`reconciliation`],
-//! [`direct_commands`] and [`heartbeat_request`] (commands), [`scale_in`], [`unresponsive`] and [`spot_reclaim`] (releases of machines).
+//! [`direct_commands`] and [`heartbeat_request`] (commands), [`scale_in`], [`unresponsive`] and
+//! [`spot_reclaim`] (releases of machines).
 
 mod aging;
 pub(crate) mod capacity;
--- a/crates/cherryyard-core/src/owner/placement.rs
+++ b/crates/cherryyard-core/src/owner/placement.rs
@@ -338,13 +338,7 @@
         let assignment = Assignment {
             host,
             incarnation: self.machines[&host].newest.0,
-            // Higher than every earlier attempt: each of those was at most the revision of its own
-            // assignment, and that revision has been seen since.
-            attempt: self
-                .mirror
-                .store_revision
-                .max(self.state_contact.newest_revision())
-                + 1,
+            attempt: self.newest_attempt(),
         };
         let task = (candidate.job, number);
         if !cycle.assign(&self.mirror, task, assignment, candidate.limited_team) {
--- a/crates/cherryyard-core/src/owner/planning.rs
+++ b/crates/cherryyard-core/src/owner/planning.rs
@@ -133,7 +133,7 @@
         let newest_attempt = self.newest_attempt();
         for host in hosts {
             if let Some(machine) = self.machines.get_mut(&host) {
-                machine.abandoned_up_to = (machine.newest.0, newest_attempt);
+                machine.abandon_up_to(newest_attempt);
                 tracing::debug!(machine = %machine.addr, "no heartbeat arrives to be answered with starts");
             }
             self.shards[shard_id].machines_to_inspect.insert(host);
--- a/crates/cherryyard-core/src/owner/reconciliation.rs
+++ b/crates/cherryyard-core/src/owner/reconciliation.rs
@@ -26,7 +26,8 @@
     /// Commands are sent in the response to a heartbeat of the machine, which the worker drops if
     /// it arrives late: the only way for starts and clears.
     HeartbeatResponse,
-    /// Commands are sent in a request from the owner to the worker.
+    /// Commands are sent in a request from the owner to the worker; a copy of it may arrive at any
+    /// later time, so these are kills alone.
     Direct,
 }
 
@@ -34,7 +35,6 @@
 struct Reconciliation<'a> {
     controller: &'a Controller,
     machine: &'a Machine,
-    channel: CommandChannel,
     /// Whether the assignments in the mirror are current: the state service answers, and this
     /// controller certainly owns the shard. Otherwise a missing assignment may only mean that the
     /// mirror is outdated.
@@ -74,9 +74,6 @@
         reported: &ReportedTask,
         is_assigned: bool,
     ) -> Option<DueCommand> {
-        if self.channel != CommandChannel::HeartbeatResponse {
-            return None;
-        }
         let is_end_durable = !is_assigned
             && !self.machine.start_pending(task, reported.attempt)
             && self.assignments_are_current;
@@ -201,7 +198,8 @@
 }
 
 impl Controller {
-    /// Returns the commands that bring a machine in line with its assignments.
+    /// Returns the commands that bring a machine in line with its assignments, as far as they may be
+    /// sent this way.
     pub(crate) fn reconcile(
         &self,
         host: u32,
@@ -218,28 +216,22 @@
         if !machine.shows_own_token() || !is_commanded {
             return commands;
         }
-        let reconciliation = self.reconciliation(machine, channel, now);
+        let reconciliation = self.reconciliation(machine, now);
         for (&task, reported) in &machine.reported {
             commands.extend(reconciliation.command_for_reported(task, reported));
         }
-        if channel == CommandChannel::HeartbeatResponse {
-            commands.extend(reconciliation.missing_starts());
+        match channel {
+            CommandChannel::HeartbeatResponse => commands.extend(reconciliation.missing_starts()),
+            CommandChannel::Direct => commands.retain(DueCommand::is_kill),
         }
         commands.truncate(MAX_COMMANDS);
         commands
     }
 
-    /// Returns the reconciliation of a machine by commands that are sent this way.
-    fn reconciliation<'a>(
-        &'a self,
-        machine: &'a Machine,
-        channel: CommandChannel,
-        now: Millis,
-    ) -> Reconciliation<'a> {
+    fn reconciliation<'a>(&'a self, machine: &'a Machine, now: Millis) -> Reconciliation<'a> {
         Reconciliation {
             controller: self,
             machine,
-            channel,
             assignments_are_current: self.state_fresh(now)
                 && self.owned_token(machine.shard).is_some(),
             now,
@@ -248,8 +240,7 @@
 
     /// Returns whether a machine is to start tasks that it does not report.
     pub(super) fn has_starts_due(&self, machine: &Machine, now: Millis) -> bool {
-        let channel = CommandChannel::HeartbeatResponse;
-        let reconciliation = self.reconciliation(machine, channel, now);
+        let reconciliation = self.reconciliation(machine, now);
         reconciliation.missing_starts().next().is_some()
     }
 }
--- a/crates/cherryyard-core/src/owner/unresponsive.rs
+++ b/crates/cherryyard-core/src/owner/unresponsive.rs
@@ -176,10 +176,10 @@
     /// time limit for stopping the job's tasks is over.
     ///
     /// A machine that hangs may, when it resumes and before it notices that its incarnation is
-    /// over, execute a start that it received earlier, possibly from a previous owner. If the
+    /// over, execute a start that a previous owner of an earlier build sent it directly. If the
     /// start's job has been cancelled meanwhile, only the release of the machine stops it, because
     /// no newer token reaches the machine. (Under the same owner the end of the lease is proof
-    /// enough, except for such a start.)
+    /// enough.)
     pub(crate) fn release_with_cancelled_tasks(&mut self, shard_id: usize, now: Millis) {
         if !self.state_fresh(now) {
             return;
--- a/crates/cherryyard-core/src/worker_heartbeats.rs
+++ b/crates/cherryyard-core/src/worker_heartbeats.rs
@@ -273,7 +273,7 @@
             PushOutcome::Answered(status) => {
                 let answered_by = status.incarnation;
                 tracing::debug!(machine = %machine.addr, incarnation, answered_by, "direct commands answered");
-                if is_executed(request, &status) {
+                if request.is_executed(&status) {
                     machine.heartbeat_awaited_until = now + CHANGE_REPORTED_MS;
                 }
                 machine.note_reachability(ReachabilityEvent::Reflected, now);
@@ -310,12 +310,6 @@
     FromRestartedWorker,
 }
 
-/// Returns whether a worker's answer shows that it has carried out a batch of direct commands. It
-/// refuses those under a lower token than it has seen, or for another incarnation.
-pub(crate) fn is_executed(request: &CommandBatch, status: &WorkerHeartbeat) -> bool {
-    status.fencing_token <= request.fencing_token && status.incarnation == request.incarnation
-}
-
 /// Returns whether `commands` contain a kill of the reported attempt.
 fn is_killed(reported: &TaskReport, commands: &[WorkerCommand]) -> bool {
     commands.iter().any(|command| match command {
--- a/crates/cherryyard-core/src/worker_heartbeats/queries.rs
+++ b/crates/cherryyard-core/src/worker_heartbeats/queries.rs
@@ -33,7 +33,8 @@
         }
     }
 
-    /// Returns an attempt number that no assignment made so far exceeds.
+    /// Returns an attempt number higher than that of every earlier assignment: each of those was at
+    /// most the revision of its own assignment, and that revision has been seen since.
     pub(crate) fn newest_attempt(&self) -> u64 {
         let known = self.mirror.store_revision;
         known.max(self.state_contact.newest_revision()) + 1
@@ -62,7 +63,7 @@
             machine.note_reachability(ReachabilityEvent::NoAnswer, now);
             let is_unreachable = matches!(machine.reachability, Reachability::Unreachable(_));
             if machine.reachability != before && is_unreachable {
-                machine.abandoned_up_to = (machine.newest.0, newest_attempt);
+                machine.abandon_up_to(newest_attempt);
             }
             self.shards[shard_id].machines_to_inspect.insert(host);
             return;
--- a/crates/cherryyard-simulation/src/worker.rs
+++ b/crates/cherryyard-simulation/src/worker.rs
@@ -49,7 +49,7 @@
 }
 
 /// Returns whether a job could have a task of this name: its tasks are numbered from 0.
-pub(crate) fn may_exist(task_name: &str) -> bool {
+fn may_exist(task_name: &str) -> bool {
     parse_task_name(task_name).is_some_and(|(_, number)| number < MAX_TASKS)
 }
 
--- a/crates/cherryyard-simulation/src/world/command_copies.rs
+++ b/crates/cherryyard-simulation/src/world/command_copies.rs
@@ -63,7 +63,8 @@
         self.command_copies.random = false;
     }
 
-    /// Delivers a copy of each recorded command that starts a task.
+    /// Delivers a copy of each recorded batch with a start: of a task, or of the one that no job can
+    /// have, by which a heartbeat is requested.
     pub fn deliver_recorded_starts(&mut self) {
         for command in self.command_copies.answered.clone() {
             if command.request.starts().next().is_some() {
--- a/crates/cherryyard-simulation/src/world/machines.rs
+++ b/crates/cherryyard-simulation/src/world/machines.rs
@@ -1,8 +1,8 @@
 //! Machines: the steps of their workers, heartbeats, direct commands and status queries.
 
 use super::World;
-use crate::worker::may_exist;
 use cherryyard_core::{PushOutcome, Reply};
+use cherryyard_wire::limits::MAX_TASKS;
 use cherryyard_wire::worker::{CommandBatch, WorkerHeartbeat, task_name_of};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -194,8 +194,8 @@
     /// Checks that direct commands start no task: a copy of them could start it again.
     pub fn check_direct_commands(&mut self, machine: &str, request: &CommandBatch) {
         for ((job, number), attempt) in request.starts() {
-            let task_name = task_name_of(job, number);
-            if may_exist(&task_name) {
+            if number < MAX_TASKS {
+                let task_name = task_name_of(job, number);
                 self.record_violation(format!(
                     "{task_name} try {attempt} is sent directly to {machine}"
                 ));
--- a/crates/cherryyard-simulation/tests/heartbeat_gap_ownership.rs
+++ b/crates/cherryyard-simulation/tests/heartbeat_gap_ownership.rs
@@ -76,9 +76,8 @@
     assert_no_violation(&world, "returned");
 }
 
-/// Guards against a direct start that is in flight when its job is cancelled, just before an
-/// outage. No controller can take the token that would reject the start, so the machine's
-/// incarnation has to end before the start may arrive.
+/// Guards against a direct command for a start that is in flight when the job is cancelled, just
+/// before an outage: no controller can take a token that would reject it, so it must start nothing.
 #[test]
 fn a_start_in_flight_during_an_outage() {
     for late_s in [5.0, 30.0, 39.0, 50.0, 60.0] {
@@ -89,7 +88,7 @@
         world.run(8.0);
         let hosts: Vec<String> = world.workers.keys().cloned().collect();
         world.machines.slow_commands.extend(hosts);
-        // Submitted between two reports, so that the start is sent directly.
+        // Submitted between two heartbeats, so that one is requested directly.
         world.submit(&World::spec("j-000001", "service", 6));
         world.run_until(3.0, |world| !world.machines.held_commands.is_empty());
         world.state_link.refused = [0].into();
--- a/crates/cherryyard-wire/src/worker.rs
+++ b/crates/cherryyard-wire/src/worker.rs
@@ -177,6 +177,12 @@
 }
 
 impl CommandBatch {
+    /// Returns whether the worker's answer shows that it has carried out the commands. It refuses
+    /// those under a lower token than it has seen, or for another incarnation.
+    pub fn is_executed(&self, answer: &WorkerHeartbeat) -> bool {
+        answer.fencing_token <= self.fencing_token && answer.incarnation == self.incarnation
+    }
+
     /// Returns the task and attempt of each start among the commands.
     pub fn starts(&self) -> impl Iterator<Item = ((u64, u32), u64)> {
         self.commands.iter().filter_map(|command| match command {
